--- /dev/null
+++ b/dragonflymount/hosting.hpp
@@ -0,0 +1,8 @@
+// Hosting module: a replica of the log with its disk, links and state.
+#ifndef DRAGONFLYMOUNT_HOSTING_HPP
+#define DRAGONFLYMOUNT_HOSTING_HPP
+
+#include "dragonflymount/src/Hosting/DataFolder.hpp"
+#include "dragonflymount/src/Hosting/ReplicaHost.hpp"
+
+#endif
--- /dev/null
+++ b/dragonflymount/jobs.hpp
@@ -0,0 +1,11 @@
+// Jobs module: the agreed jobs, their placement, and the leader's engine.
+#ifndef DRAGONFLYMOUNT_JOBS_HPP
+#define DRAGONFLYMOUNT_JOBS_HPP
+
+#include "dragonflymount/src/Jobs/Endpoints.hpp"
+#include "dragonflymount/src/Jobs/Engine.hpp"
+#include "dragonflymount/src/Jobs/Placement.hpp"
+#include "dragonflymount/src/Jobs/State.hpp"
+#include "dragonflymount/src/Jobs/Types.hpp"
+
+#endif
--- a/dragonflymount/src/Agreement/FileStore.hpp
+++ b/dragonflymount/src/Agreement/FileStore.hpp
@@ -24,6 +24,17 @@
     std::size_t tail_bytes_cut = 0;
 };
 
+/// \brief What the store makes of unreadable bytes at the end of the log.
+enum class tail_policy : std::uint8_t {
+    /// Cuts only what a crash of the process can leave: a short last frame,
+    /// or zeros. Anything else is damage, and the replica stays silent.
+    refuse_damage,
+    /// Cuts everything from the first unreadable frame of the newest segment
+    /// on. For disks that tear unsynced writes at a power loss but never
+    /// damage what was synced.
+    cut_torn_writes,
+};
+
 /// \brief Keeps the log in a data folder.
 ///
 /// After a failure every call fails: what it has left on the disk is unknown.
@@ -33,7 +44,9 @@
     /// A segment that has grown beyond this is closed.
     static constexpr std::size_t segment_bytes = 1U << 20U;
 
-    explicit file_store(Disk& folder) : folder_(&folder) {}
+    explicit file_store(
+        Disk& folder, tail_policy tail = tail_policy::refuse_damage)
+        : folder_(&folder), tail_(tail) {}
 
     /// \brief Makes the files of an empty folder; refuses any other.
     result<done> initialize(
@@ -60,11 +73,13 @@
         const std::string& name, bool newest, opened_log& opened);
     result<done> read_snapshot(
         const std::vector<std::string>& names, opened_log& opened);
+    result<done> sync_found();
     result<done> begin_segment();
     result<done> remove_segments(bool all);
     result<done> remove_synced(const std::string& name);
 
     Disk* folder_;
+    tail_policy tail_;
     log_chain chain_;
     log_index base_;
     std::vector<segment> segments_;
@@ -182,12 +197,28 @@
             status = remove_synced(name);
         }
     }
+    if (status) {
+        status = sync_found();
+    }
     if (!note(status)) {
         return status.error();
     }
     return opened;
 }
 
+// A process that was killed may have written records and not synced them.
+// They are read back here and count from now on, so they must be durable.
+template <disk Disk>
+result<done> file_store<Disk>::sync_found() {
+    for (const segment& found : segments_) {
+        result<done> status = folder_->sync(segment_name(found.sequence));
+        if (!status) {
+            return status;
+        }
+    }
+    return folder_->sync_folder();
+}
+
 template <disk Disk>
 result<done> file_store<Disk>::read_segments(
     const std::vector<std::string>& names, opened_log& opened) {
@@ -214,8 +245,11 @@
         return content.error();
     }
     const frame_scan scan = scan_frames(*content);
-    const bool torn = scan.condition == file_condition::torn_tail;
-    if (scan.condition == file_condition::damaged || (torn && !newest)) {
+    const bool torn = scan.condition == file_condition::torn_tail ||
+        (tail_ == tail_policy::cut_torn_writes && newest &&
+            scan.condition == file_condition::damaged);
+    if ((scan.condition == file_condition::damaged && !torn) ||
+        (torn && !newest)) {
         return damage(
             name, "no valid frame at byte " + std::to_string(scan.valid_bytes));
     }
--- a/programs/control/agreement/data_folder.cpp
+++ b/dragonflymount/src/Hosting/DataFolder.cpp
@@ -1,9 +1,10 @@
 // Opening of a replica's data folder, with the log events that go with it.
-#include "programs/control/agreement/data_folder.hpp"
+#include "dragonflymount/src/Hosting/DataFolder.hpp"
 
+#include <algorithm>
 #include <random>
 
-namespace dragonflymount::control_program {
+namespace dragonflymount::hosting {
 namespace {
 
 agreement::replica_identity random_identity() {
@@ -46,14 +47,55 @@
     return status;
 }
 
-result<agreement::recovered_state> data_folder::open() {
-    result<done> status = files_.lock();
-    const result<bool> empty = store_.is_empty();
-    if (!status || !empty) {
-        return status ? empty.error() : status.error();
+result<agreement::recovered_state> data_folder::open(
+    const agreement::member_list& first) {
+    const result<done> locked = files_.lock();
+    return locked ? read(first) : locked.error();
+}
+
+result<agreement::recovered_state> data_folder::reopen() {
+    store_ = agreement::file_store<runtime::folder>(files_, tail_);
+    auto recovered = read({});
+    if (recovered && !recovered->damaged) {
+        state_ = disk_state::sound;
+        error_.clear();
+    }
+    return recovered;
+}
+
+// A folder without an identity was being made when its process ended; nothing
+// was ever promised from it.
+result<bool> data_folder::clear_unfinished() {
+    const auto names = files_.list();
+    if (!names) {
+        return names.error();
+    }
+    const auto holds = [&](std::string_view prefix) {
+        return std::any_of(names->begin(), names->end(),
+            [&](const std::string& name) { return name.starts_with(prefix); });
+    };
+    if (holds(agreement::identity_file) || holds(agreement::segment_prefix)) {
+        return names->empty();
+    }
+    for (const std::string& name : *names) {
+        const result<done> status = files_.remove(name);
+        if (!status) {
+            return status.error();
+        }
+    }
+    return true;
+}
+
+result<agreement::recovered_state> data_folder::read(
+    const agreement::member_list& first) {
+    const result<bool> empty = clear_unfinished();
+    if (!empty) {
+        return empty.error();
     }
     if (*empty) {
-        status = make_identity();
+        const result<done> status = first.empty()
+            ? make_identity()
+            : store_.initialize(agreement::initial_identity, first);
         if (!status) {
             return status.error();
         }
@@ -87,4 +129,4 @@
     LOG(ERROR) << event::disk_failed << error_;
 }
 
-} // namespace dragonflymount::control_program
+} // namespace dragonflymount::hosting
--- /dev/null
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -0,0 +1,466 @@
+// Runs this process's replica: its links to the others, its store, and the
+// state that its committed commands add up to.
+#ifndef DRAGONFLYMOUNT_HOSTING_REPLICA_HOST_HPP
+#define DRAGONFLYMOUNT_HOSTING_REPLICA_HOST_HPP
+
+#include "dragonflymount/agreement.hpp"
+#include "dragonflymount/runtime.hpp"
+#include "dragonflymount/src/Hosting/DataFolder.hpp"
+
+#include <algorithm>
+
+namespace dragonflymount::hosting {
+
+struct replica_settings {
+    agreement::replica_options options;
+    /// The members that the site begins with, and where to reach them.
+    agreement::member_list members;
+    runtime::connection_options connections;
+    std::string data;
+    /// Records after which a snapshot replaces the log before it.
+    std::uint32_t snapshot_records = 0;
+    agreement::tail_policy tail = agreement::tail_policy::refuse_damage;
+    /// How often a failed disk is opened again; zero leaves it failed.
+    duration reopen_interval{};
+    /// The site starts for the first time: an empty folder is made that of
+    /// an initial member.
+    bool new_site = false;
+};
+
+/// \brief What the committed commands of a log add up to.
+template <class State>
+concept replicated_state = requires(State& state, const State& constant,
+    log_index index, const bytes& payload) {
+    { state.apply(index, payload) } -> std::same_as<wire::ProposeReplyT>;
+    { state.load(payload) } -> std::same_as<result<done>>;
+    { constant.save() } -> std::same_as<bytes>;
+};
+
+/// \returns the reply to a proposal that wasn't committed here.
+inline wire::ProposeReplyT refusal(
+    wire::proposal_result result, const std::string& leader) {
+    wire::ProposeReplyT reply;
+    reply.result = result;
+    reply.leader_address = leader;
+    return reply;
+}
+
+template <replicated_state State>
+class replica_host {
+public:
+    using reply_handler = std::function<void(const wire::ProposeReplyT&)>;
+    using leadership_handler = std::function<void(bool)>;
+
+    replica_host(asio::io_context& context, replica_settings settings);
+
+    std::string name() const { return "agreement"; }
+    result<done> start();
+    void stop();
+
+    void receive(const wire::message& content);
+    /// \brief Proposes a command; \p on_reply is called once it is applied,
+    /// or at once if this replica doesn't lead.
+    void propose(bytes command, reply_handler on_reply);
+    /// \brief Admits, promotes or removes a replica; \p on_reply is called
+    /// once the change is committed, or at once if it is refused.
+    void change(const wire::ChangeReplicaT& request, reply_handler on_reply);
+    /// \brief Takes note of the time, so that what is read next doesn't rest
+    /// on what this process believed before it was frozen.
+    void refresh() {
+        replica_->tick(runtime::system_clock::now());
+        watch_leadership();
+    }
+
+    /// \brief Sends a message to one replica, if a link to it is open.
+    void send(const replica_id& to, const wire::message& content);
+    /// \brief Sends a message to all replicas that are known.
+    void send_to_all(const wire::message& content);
+
+    bool is_settled_leader() const { return replica_->is_settled(); }
+    /// \brief Whether no other replica can have been elected yet, so that
+    /// what this leader holds is what was agreed last.
+    bool is_current_leader() const;
+    const agreement::replica& replica() const { return *replica_; }
+    const State& agreed() const { return state_; }
+    const data_folder& data() const { return data_; }
+    /// \returns the address of the leader, empty if none is known.
+    std::string leader_address() const;
+    /// \brief Called with true when this replica begins to lead with all that
+    /// was agreed, and with false when it no longer leads.
+    void on_leadership(leadership_handler handler) {
+        on_leadership_ = std::move(handler);
+    }
+
+private:
+    struct waiting_reply {
+        log_term term;
+        reply_handler handler;
+    };
+    struct peer_link {
+        std::string address;
+        std::unique_ptr<runtime::link> link;
+    };
+
+    // A leader may rest on its quorum for this part of an election timeout,
+    // in percent; the rest covers the drift between two machines' clocks.
+    static constexpr std::int64_t quorum_trust_percent = 90;
+
+    void begin(agreement::recovered_state recovered);
+    void tick();
+    void try_reopen();
+    void schedule_flush();
+    void flush();
+    void apply(const agreement::log_record& record);
+    void fail_waiting();
+    void connect_members();
+    void connect(const agreement::member& peer);
+    void save_snapshot();
+    void install(const agreement::snapshot& image);
+    result<agreement::member> subject_of(
+        const wire::ChangeReplicaT& request) const;
+    void watch_leadership();
+
+    asio::io_context& context_;
+    replica_settings settings_;
+    runtime::repeating_timer timer_;
+    std::unique_ptr<agreement::replica> replica_;
+    data_folder data_;
+    State state_;
+    // Invariant: state_ holds the commands up to this record.
+    log_index applied_;
+    // Where the newest snapshot ends.
+    log_index snapshot_;
+    std::map<replica_id, peer_link> links_;
+    std::map<log_index, waiting_reply> waiting_;
+    leadership_handler on_leadership_;
+    bool was_leader_ = false;
+    // One flush takes all that arrived in the same turn of the event loop.
+    bool flush_pending_ = false;
+    instant next_reopen_{};
+};
+
+inline constexpr duration replica_tick_interval = std::chrono::milliseconds(20);
+
+template <replicated_state State>
+replica_host<State>::replica_host(
+    asio::io_context& context, replica_settings settings)
+    : context_(context), settings_(std::move(settings)),
+      timer_(context, replica_tick_interval, [this] { tick(); }),
+      data_(settings_.data, settings_.tail) {}
+
+template <replicated_state State>
+result<done> replica_host<State>::start() {
+    const auto& members = settings_.members;
+    const bool initial = settings_.new_site &&
+        std::any_of(members.begin(), members.end(), [&](const auto& peer) {
+            return peer.id == settings_.options.self;
+        });
+    auto recovered = data_.open(initial ? members : agreement::member_list{});
+    if (!recovered) {
+        return recovered.error();
+    }
+    begin(std::move(*recovered));
+    timer_.start();
+    return done{};
+}
+
+template <replicated_state State>
+void replica_host<State>::begin(agreement::recovered_state recovered) {
+    state_ = State();
+    applied_ = recovered.base.last_index;
+    snapshot_ = applied_;
+    replica_ = std::make_unique<agreement::replica>(
+        settings_.options, std::move(recovered), runtime::system_clock::now());
+    connect_members();
+}
+
+template <replicated_state State>
+void replica_host<State>::stop() {
+    timer_.stop();
+    links_.clear();
+    fail_waiting();
+}
+
+template <replicated_state State>
+bool replica_host<State>::is_current_leader() const {
+    const duration trusted =
+        settings_.options.election_timeout * quorum_trust_percent / 100;
+    return replica_->is_settled() &&
+        runtime::system_clock::now() - replica_->quorum_instant() < trusted;
+}
+
+template <replicated_state State>
+void replica_host<State>::connect_members() {
+    for (const agreement::member& peer : replica_->members()) {
+        connect(peer);
+    }
+    // A replica that hasn't learnt the members yet must answer their leader.
+    for (const agreement::member& peer : settings_.members) {
+        if (!links_.contains(peer.id)) {
+            connect(peer);
+        }
+    }
+}
+
+template <replicated_state State>
+void replica_host<State>::connect(const agreement::member& peer) {
+    const auto known = links_.find(peer.id);
+    if (peer.id == replica_->self() ||
+        (known != links_.end() && known->second.address == peer.address)) {
+        return;
+    }
+    auto opened = std::make_unique<runtime::link>(
+        context_, peer.address, settings_.connections);
+    opened->start([](const auto&) {}, [](const auto&, auto&&) {},
+        [](const auto&, const auto&) {});
+    links_[peer.id] = {peer.address, std::move(opened)};
+}
+
+template <replicated_state State>
+void replica_host<State>::receive(const wire::message& content) {
+    replica_->receive(content, runtime::system_clock::now());
+    schedule_flush();
+}
+
+template <replicated_state State>
+void replica_host<State>::send(
+    const replica_id& to, const wire::message& content) {
+    const auto found = links_.find(to);
+    if (found != links_.end()) {
+        found->second.link->send(content);
+    }
+}
+
+template <replicated_state State>
+void replica_host<State>::send_to_all(const wire::message& content) {
+    for (const auto& [id, peer] : links_) {
+        peer.link->send(content);
+    }
+}
+
+template <replicated_state State>
+void replica_host<State>::propose(bytes command, reply_handler on_reply) {
+    const auto index =
+        replica_->propose(std::move(command), runtime::system_clock::now());
+    if (!index) {
+        on_reply(refusal(wire::proposal_result::not_leader, leader_address()));
+        return;
+    }
+    waiting_[*index] = {replica_->term(), std::move(on_reply)};
+    schedule_flush();
+}
+
+template <replicated_state State>
+result<agreement::member> replica_host<State>::subject_of(
+    const wire::ChangeReplicaT& request) const {
+    agreement::member subject;
+    subject.id = replica_id(request.member ? request.member->replica : "");
+    if (subject.id.empty()) {
+        return failure{make_error_code(errc::malformed_message),
+            "change members", {}, "no replica is named"};
+    }
+    const auto& members = replica_->members();
+    const auto known = std::find_if(members.begin(), members.end(),
+        [&](const agreement::member& peer) { return peer.id == subject.id; });
+    if (known != members.end()) {
+        subject = *known;
+    }
+    if (!request.member->address.empty()) {
+        subject.address = request.member->address;
+    }
+    if (!request.member->zone.empty()) {
+        subject.zone = availability_zone_id(request.member->zone);
+    }
+    const auto stranger = replica_->strangers().find(subject.id);
+    if (request.member->identity != 0) {
+        subject.identity =
+            agreement::replica_identity(request.member->identity);
+    } else if (stranger != replica_->strangers().end()) {
+        subject.identity = stranger->second;
+    }
+    if (request.change == wire::replica_change::admit &&
+        (subject.identity.value() == 0 || subject.address.empty())) {
+        return failure{make_error_code(errc::conflict), "change members",
+            subject.id.str(), "its identity or address isn't known"};
+    }
+    return subject;
+}
+
+template <replicated_state State>
+void replica_host<State>::change(
+    const wire::ChangeReplicaT& request, reply_handler on_reply) {
+    const auto subject = subject_of(request);
+    result<log_index> index = subject
+        ? replica_->change(
+              request.change, *subject, runtime::system_clock::now())
+        : result<log_index>(subject.error());
+    if (!index) {
+        const bool leads = index.error().code != errc::not_leader;
+        auto reply = refusal(leads ? wire::proposal_result::refused
+                                   : wire::proposal_result::not_leader,
+            leader_address());
+        reply.detail = index.error().message();
+        on_reply(reply);
+        return;
+    }
+    connect_members();
+    waiting_[*index] = {replica_->term(), std::move(on_reply)};
+    schedule_flush();
+}
+
+template <replicated_state State>
+std::string replica_host<State>::leader_address() const {
+    for (const agreement::member& peer : replica_->members()) {
+        if (peer.id == replica_->leader()) {
+            return peer.address;
+        }
+    }
+    return {};
+}
+
+template <replicated_state State>
+void replica_host<State>::tick() {
+    if (replica_->is_failed()) {
+        try_reopen();
+    }
+    replica_->tick(runtime::system_clock::now());
+    flush();
+}
+
+template <replicated_state State>
+void replica_host<State>::try_reopen() {
+    const instant now = runtime::system_clock::now();
+    if (settings_.reopen_interval == duration::zero() || now < next_reopen_ ||
+        data_.state() != disk_state::failed) {
+        return;
+    }
+    next_reopen_ = now + settings_.reopen_interval;
+    auto recovered = data_.reopen();
+    if (!recovered || recovered->damaged) {
+        return;
+    }
+    LOG(INFO) << event::disk_regained << "replica=" << settings_.options.self;
+    begin(std::move(*recovered));
+}
+
+template <replicated_state State>
+void replica_host<State>::schedule_flush() {
+    if (flush_pending_) {
+        return;
+    }
+    flush_pending_ = true;
+    asio::post(context_, [this] {
+        flush_pending_ = false;
+        flush();
+    });
+}
+
+template <replicated_state State>
+void replica_host<State>::flush() {
+    auto actions = replica_->ready(data_.store(), runtime::system_clock::now());
+    if (!actions) {
+        data_.note(actions.error());
+        watch_leadership();
+        fail_waiting();
+        return;
+    }
+    for (const agreement::outbound& message : actions->messages) {
+        send(message.to, message.content);
+    }
+    if (actions->installed) {
+        install(*actions->installed);
+    }
+    if (replica_->is_failed()) {
+        return;
+    }
+    for (const agreement::log_record& record : actions->committed) {
+        apply(record);
+    }
+    watch_leadership();
+    if (applied_.value() - snapshot_.value() >= settings_.snapshot_records) {
+        save_snapshot();
+    }
+}
+
+template <replicated_state State>
+void replica_host<State>::install(const agreement::snapshot& image) {
+    const auto status = state_.load(image.state);
+    if (!status) {
+        replica_->fail();
+        data_.note(status.error());
+        return;
+    }
+    applied_ = image.last_index;
+    snapshot_ = image.last_index;
+    connect_members();
+    LOG(INFO) << event::snapshot_installed << "index=" << image.last_index;
+}
+
+template <replicated_state State>
+void replica_host<State>::save_snapshot() {
+    const log_index index = applied_;
+    const auto status =
+        replica_->save_snapshot(data_.store(), index, state_.save());
+    if (status) {
+        snapshot_ = index;
+        LOG(INFO) << event::snapshot_saved << "index=" << index;
+    } else if (replica_->is_failed()) {
+        data_.note(status.error());
+    }
+}
+
+template <replicated_state State>
+void replica_host<State>::apply(const agreement::log_record& record) {
+    wire::ProposeReplyT reply;
+    if (record.kind == agreement::record_kind::command) {
+        reply = state_.apply(record.index, record.payload);
+    } else {
+        connect_members();
+    }
+    applied_ = record.index;
+    const auto found = waiting_.find(record.index);
+    if (found == waiting_.end()) {
+        return;
+    }
+    waiting_reply waiting = std::move(found->second);
+    waiting_.erase(found);
+    if (waiting.term != record.term) {
+        reply = refusal(wire::proposal_result::unavailable, leader_address());
+    }
+    waiting.handler(reply);
+}
+
+template <replicated_state State>
+void replica_host<State>::watch_leadership() {
+    const bool leads = replica_->is_settled();
+    if (leads == was_leader_) {
+        return;
+    }
+    was_leader_ = leads;
+    if (leads) {
+        LOG(INFO) << event::leader_elected << "replica=" << replica_->self()
+                  << " term=" << replica_->term();
+    } else {
+        LOG(WARNING) << event::leader_lost << "replica=" << replica_->self()
+                     << " term=" << replica_->term();
+        fail_waiting();
+    }
+    if (on_leadership_) {
+        on_leadership_(leads);
+    }
+}
+
+// Whether a proposal that was under way gets committed is unknown here.
+template <replicated_state State>
+void replica_host<State>::fail_waiting() {
+    const auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (const auto& [index, entry] : waiting) {
+        entry.handler(
+            refusal(wire::proposal_result::unavailable, leader_address()));
+    }
+}
+
+} // namespace dragonflymount::hosting
+
+#endif
--- /dev/null
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -0,0 +1,180 @@
+// Reports of endpoints, the ends of their lives, and evidence about them.
+#include "dragonflymount/src/Jobs/Endpoints.hpp"
+
+#include <algorithm>
+
+namespace dragonflymount::jobs {
+namespace {
+
+template <class Map, class Key>
+std::uint64_t newest_in(const Map& map, const Key& key) {
+    const auto found = map.find(key);
+    return found == map.end() ? 0 : found->second;
+}
+
+} // namespace
+
+void endpoint_table::reset(instant now) {
+    views_.clear();
+    newest_at_address_.clear();
+    newest_of_endpoint_.clear();
+    newest_of_vm_.clear();
+    over_.clear();
+    unknown_leases_end_ = lease_end(now, options_.longest_lease);
+}
+
+bool endpoint_table::is_outdated(const endpoint_report& report) const {
+    const std::uint64_t number = report.life.number;
+    if (number < newest_in(newest_of_endpoint_, report.life.endpoint) ||
+        number < newest_in(newest_at_address_, report.address) ||
+        number < newest_in(newest_of_vm_, report.vm) ||
+        number <= newest_in(over_, report.life.endpoint)) {
+        return true;
+    }
+    const auto found = views_.find(report.life.endpoint);
+    return found != views_.end() && found->second.life == report.life &&
+        report.sequence <= found->second.sequence;
+}
+
+void endpoint_table::note_newer_life(const endpoint_report& report) {
+    const std::uint64_t number = report.life.number;
+    newest_of_endpoint_[report.life.endpoint] = number;
+    newest_at_address_[report.address] = number;
+    if (!report.vm.empty()) {
+        newest_of_vm_[report.vm] = number;
+    }
+    std::vector<std::string> replaced;
+    for (const auto& [endpoint, view] : views_) {
+        const bool same_place = view.address == report.address ||
+            (!report.vm.empty() && view.vm == report.vm);
+        if (endpoint != report.life.endpoint && same_place) {
+            replaced.push_back(endpoint);
+        }
+    }
+    for (const std::string& endpoint : replaced) {
+        remove(endpoint);
+    }
+}
+
+endpoint_view* endpoint_table::take(
+    const endpoint_report& report, instant now) {
+    if (is_outdated(report)) {
+        return nullptr;
+    }
+    const auto known = views_.find(report.life.endpoint);
+    if (known == views_.end() || known->second.life != report.life) {
+        note_newer_life(report);
+        views_[report.life.endpoint] = endpoint_view{};
+    }
+    endpoint_view& view = views_[report.life.endpoint];
+    if (view.life != report.life) {
+        view.life = report.life;
+        // An earlier leader may have granted a lease until just now.
+        view.lease_ends = unknown_leases_end_;
+    }
+    view.vm = report.vm;
+    view.pool = report.pool;
+    view.address = report.address;
+    view.zone = report.zone;
+    view.labels = report.labels;
+    view.rack = rack_id(report.labels.empty() ? "" : report.labels.back());
+    view.capacity = report.capacity;
+    view.draining = report.draining;
+    view.drain_ends = now + report.drain_remaining;
+    view.warm_from = now + report.warmup_left;
+    view.sequence = report.sequence;
+    view.heard = now;
+    take_lists(view, report, now);
+    return &view;
+}
+
+void endpoint_table::take_lists(
+    endpoint_view& view, const endpoint_report& report, instant now) {
+    std::map<run_ref, run_progress> running;
+    for (const running_task& listed : report.running) {
+        run_progress progress;
+        progress.percent = listed.percent;
+        progress.load = listed.load;
+        progress.checkpoint = listed.checkpoint;
+        progress.first_seen = now;
+        progress.advanced = now;
+        const auto before = view.running.find(listed.run);
+        if (before != view.running.end()) {
+            progress.first_seen = before->second.first_seen;
+            if (before->second.percent >= listed.percent) {
+                progress.advanced = before->second.advanced;
+            }
+        }
+        running.emplace(listed.run, std::move(progress));
+    }
+    view.running = std::move(running);
+    view.ended.clear();
+    for (const ended_task& listed : report.ended) {
+        view.ended.insert(listed.run);
+    }
+}
+
+void endpoint_table::extend_lease(endpoint_view& view, instant reported) {
+    view.lease_ends =
+        std::max(view.lease_ends, lease_end(reported, options_.lease));
+}
+
+void endpoint_table::remove(const std::string& endpoint) {
+    const auto found = views_.find(endpoint);
+    if (found == views_.end()) {
+        return;
+    }
+    over_[endpoint] = found->second.life.number;
+    views_.erase(found);
+}
+
+bool endpoint_table::is_over(const endpoint_life& life, instant now) const {
+    if (life.number <= newest_in(over_, life.endpoint) ||
+        life.number < newest_in(newest_of_endpoint_, life.endpoint)) {
+        return true;
+    }
+    const endpoint_view* view = find_life(life);
+    return now >= (view != nullptr ? view->lease_ends : unknown_leases_end_);
+}
+
+void endpoint_table::note_end(const endpoint_life& life, const run_ref& run,
+    wire::run_end how, instant now) {
+    const auto found = views_.find(life.endpoint);
+    if (found == views_.end() || found->second.life != life) {
+        return;
+    }
+    endpoint_view& view = found->second;
+    if (how == wire::run_end::done) {
+        view.failed_jobs.clear();
+        ++view.successes;
+    } else if (how == wire::run_end::failed) {
+        view.failed_jobs.insert(run.task.job);
+        if (view.failed_jobs.size() >= failures_to_quarantine) {
+            quarantine(view, now);
+        }
+    }
+}
+
+void endpoint_table::quarantine(endpoint_view& view, instant now) const {
+    view.quarantined_until = now + options_.quarantine;
+}
+
+bool endpoint_table::can_take_tasks(
+    const endpoint_view& view, instant now) const {
+    return !view.draining && now - view.heard < options_.silence_limit &&
+        now >= view.quarantined_until;
+}
+
+endpoint_view* endpoint_table::find(const std::string& endpoint) {
+    const auto found = views_.find(endpoint);
+    return found == views_.end() ? nullptr : &found->second;
+}
+
+const endpoint_view* endpoint_table::find_life(
+    const endpoint_life& life) const {
+    const auto found = views_.find(life.endpoint);
+    return found == views_.end() || found->second.life != life ? nullptr
+                                                               : &found->second;
+}
+
+} // namespace dragonflymount::jobs
--- /dev/null
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -0,0 +1,396 @@
+// Calls of gateways, batches, and who waits for them.
+#include "dragonflymount/src/Jobs/Engine.hpp"
+
+#include <algorithm>
+
+namespace dragonflymount::jobs {
+namespace {
+
+// When callers should come back while there is no leader or no catalogue:
+// about the time that an election takes.
+constexpr std::uint32_t unready_retry_ms = 1000;
+
+wire::JobReplyT reply_of(wire::job_status status) {
+    wire::JobReplyT reply;
+    reply.status = status;
+    return reply;
+}
+
+template <class Handlers>
+void answer_all(Handlers& waiting, const wire::JobReplyT& reply) {
+    const auto handlers = std::move(waiting);
+    waiting.clear();
+    for (const auto& [job, list] : handlers) {
+        for (const auto& handler : list) {
+            handler(reply);
+        }
+    }
+}
+
+void answer_all(std::vector<engine::commit_handler>& waiting, bool committed) {
+    const auto handlers = std::move(waiting);
+    waiting.clear();
+    for (const auto& handler : handlers) {
+        handler(committed);
+    }
+}
+
+} // namespace
+
+engine::engine(const state& agreed, engine_options options)
+    : agreed_(agreed), options_(options), endpoints_(options.endpoints) {}
+
+void engine::lead(log_term term, instant now) {
+    resign();
+    leads_ = true;
+    term_ = term;
+    endpoints_.reset(now);
+    placement_due_ = true;
+}
+
+void engine::resign() {
+    leads_ = false;
+    batch_in_flight_ = false;
+    submitted_.clear();
+    cancelled_.clear();
+    ended_.clear();
+    catalogue_.reset();
+    waves_.clear();
+    maintained_.clear();
+    vanished_.clear();
+    ends_in_flight_.clear();
+    submits_in_flight_.clear();
+    cancels_in_flight_.clear();
+    gathered_ends_.clear();
+    stop_requests_.clear();
+    avoided_.clear();
+    reserved_.clear();
+    answer_all(submitters_, reply_of(wire::job_status::interrupted));
+    answer_all(cancellers_, reply_of(wire::job_status::interrupted));
+    answer_all(committers_, false);
+    answer_all(committers_in_flight_, false);
+    const auto held = std::move(held_);
+    held_.clear();
+    for (const auto& [endpoint, report] : held) {
+        report.handler(std::nullopt);
+    }
+}
+
+// ---- Calls -----------------------------------------------------------------
+
+const wire::JobQueueT* engine::route(
+    const wire::JobCallT& call, std::string& rest) const {
+    const wire::JobQueueT* best = nullptr;
+    for (const auto& queue : agreed_.catalogue().queues) {
+        if (queue->host == call.host &&
+            call.path.starts_with(queue->path_prefix) &&
+            (best == nullptr ||
+                queue->path_prefix.size() > best->path_prefix.size())) {
+            best = queue.get();
+        }
+    }
+    if (best != nullptr) {
+        rest = call.path.substr(best->path_prefix.size());
+    }
+    return best;
+}
+
+void engine::call(const wire::JobCallT& call, call_handler on_reply) {
+    if (!agreed_.has_catalogue()) {
+        wire::JobReplyT reply = reply_of(wire::job_status::not_accepted);
+        reply.retry_after_ms = unready_retry_ms;
+        reply.detail = "no catalogue is in force yet";
+        on_reply(std::move(reply));
+        return;
+    }
+    std::string rest;
+    const wire::JobQueueT* queue = route(call, rest);
+    if (queue == nullptr) {
+        on_reply(reply_of(wire::job_status::not_found));
+        return;
+    }
+    const wire::JobTeamT* team = agreed_.team_of_key(call.key);
+    if (team == nullptr && !queue->open) {
+        on_reply(reply_of(wire::job_status::unauthorized));
+        return;
+    }
+    if (rest.empty() && call.verb == wire::job_verb::read) {
+        count_pending(*queue, on_reply);
+        return;
+    }
+    const auto id = parse_job_id(rest);
+    if (!id) {
+        on_reply(reply_of(call.verb == wire::job_verb::submit
+                ? wire::job_status::malformed
+                : wire::job_status::unknown_job));
+        return;
+    }
+    const wire::JobT* known = agreed_.find_job(*id);
+    if (known != nullptr && team != nullptr && known->team != team->name) {
+        on_reply(reply_of(wire::job_status::forbidden));
+        return;
+    }
+    switch (call.verb) {
+    case wire::job_verb::submit:
+        submit(call, *queue, team, *id, std::move(on_reply));
+        break;
+    case wire::job_verb::cancel:
+        cancel(*id, std::move(on_reply));
+        break;
+    default:
+        read(*id, on_reply);
+    }
+}
+
+void engine::submit(const wire::JobCallT& call, const wire::JobQueueT& queue,
+    const wire::JobTeamT* team, job_id id, call_handler on_reply) {
+    if (agreed_.find_job(id) != nullptr) {
+        on_reply(reply_of(wire::job_status::accepted));
+        return;
+    }
+    if (!call.spec || call.spec->steps.empty()) {
+        on_reply(reply_of(wire::job_status::malformed));
+        return;
+    }
+    auto& waiting = submitters_[id];
+    waiting.push_back(std::move(on_reply));
+    if (waiting.size() > 1) {
+        return;
+    }
+    auto job = std::make_unique<wire::JobT>();
+    job->id = id.value();
+    job->queue = queue.name;
+    job->team = team == nullptr ? "" : team->name;
+    job->spec = std::make_unique<wire::JobSpecT>(*call.spec);
+    submitted_.push_back(std::move(job));
+}
+
+void engine::read(job_id id, const call_handler& on_reply) const {
+    const wire::JobT* job = agreed_.find_job(id);
+    if (job == nullptr) {
+        on_reply(reply_of(wire::job_status::unknown_job));
+        return;
+    }
+    wire::JobReplyT reply = reply_of(wire::job_status::state);
+    reply.phase = job->phase;
+    reply.begun = job->begun;
+    on_reply(std::move(reply));
+}
+
+void engine::cancel(job_id id, call_handler on_reply) {
+    const wire::JobT* job = agreed_.find_job(id);
+    if (job == nullptr) {
+        on_reply(reply_of(wire::job_status::unknown_job));
+        return;
+    }
+    if (job->phase != wire::job_phase::active) {
+        on_reply(reply_of(wire::job_status::accepted));
+        return;
+    }
+    cancellers_[id].push_back(std::move(on_reply));
+    if (!cancels_in_flight_.contains(id)) {
+        cancelled_.insert(id);
+    }
+}
+
+void engine::count_pending(
+    const wire::JobQueueT& queue, const call_handler& on_reply) const {
+    wire::JobReplyT reply = reply_of(wire::job_status::pending);
+    for (const job_id id : agreed_.active_jobs()) {
+        const wire::JobT* job = agreed_.find_job(id);
+        if (job->queue == queue.name && !job->begun) {
+            ++reply.pending;
+        }
+    }
+    on_reply(std::move(reply));
+}
+
+// ---- Operators -------------------------------------------------------------
+
+void engine::put_catalogue(
+    wire::CatalogueT catalogue, commit_handler on_commit) {
+    if (catalogue.version <= agreed_.catalogue().version) {
+        on_commit(true);
+        return;
+    }
+    committers_.push_back(std::move(on_commit));
+    if (!catalogue_ || catalogue.version > catalogue_->version) {
+        catalogue_ = std::make_unique<wire::CatalogueT>(std::move(catalogue));
+    }
+}
+
+void engine::start_wave(wire::MaintenanceWaveT wave, commit_handler on_commit) {
+    if (agreed_.waves().contains(wave.number)) {
+        on_commit(true);
+        return;
+    }
+    committers_.push_back(std::move(on_commit));
+    waves_.push_back(std::make_unique<wire::MaintenanceWaveT>(std::move(wave)));
+}
+
+void engine::note_maintenance(const wire::MaintenanceStepT& step) {
+    maintained_.push_back(std::make_unique<wire::MaintenanceStepT>(step));
+}
+
+// ---- Batches ---------------------------------------------------------------
+
+std::optional<wire::JobBatchT> engine::take_batch(
+    instant now, std::uint64_t wall_ms) {
+    if (!leads_ || batch_in_flight_) {
+        return std::nullopt;
+    }
+    wire::JobBatchT batch;
+    batch.time_ms = wall_ms;
+    batch.catalogue = std::move(catalogue_);
+    batch.submitted = std::move(submitted_);
+    submitted_.clear();
+    batch.waves = std::move(waves_);
+    waves_.clear();
+    batch.maintained = std::move(maintained_);
+    maintained_.clear();
+    for (const auto& job : batch.submitted) {
+        submits_in_flight_.insert(job_id(job->id));
+    }
+    for (const job_id id : cancelled_) {
+        auto order = std::make_unique<wire::JobCancelT>();
+        order->job = id.value();
+        batch.cancelled.push_back(std::move(order));
+    }
+    cancels_in_flight_ = std::move(cancelled_);
+    cancelled_.clear();
+    collect_ended(batch, now);
+    collect_due(batch, wall_ms);
+    // Starts under a catalogue that is about to be replaced could break the
+    // new one.
+    if (!batch.catalogue && placement_due_) {
+        placement_due_ = false;
+        collect_starts(batch, now);
+    }
+    const bool empty = !batch.catalogue && batch.submitted.empty() &&
+        batch.cancelled.empty() && batch.ended.empty() && batch.due.empty() &&
+        batch.started.empty() && batch.waves.empty() &&
+        batch.maintained.empty() && committers_.empty();
+    if (empty) {
+        return std::nullopt;
+    }
+    committers_in_flight_ = std::move(committers_);
+    committers_.clear();
+    batch_in_flight_ = true;
+    return batch;
+}
+
+void engine::add_end(wire::JobBatchT& batch, const run_ref& run,
+    const endpoint_life& life, wire::run_end how) const {
+    auto ended = std::make_unique<wire::RunEndT>();
+    ended->task = std::make_unique<wire::TaskNameT>(to_wire(run.task));
+    ended->run = run.run;
+    ended->how = how;
+    ended->endpoint = life.endpoint;
+    ended->life = life.number;
+    batch.ended.push_back(std::move(ended));
+}
+
+void engine::collect_ended(wire::JobBatchT& batch, instant now) {
+    ends_in_flight_ = std::move(ended_);
+    ended_.clear();
+    for (const pending_end& pending : ends_in_flight_) {
+        add_end(batch, pending.end.run, pending.life, pending.end.how);
+        batch.ended.back()->checkpoint = pending.end.checkpoint;
+        batch.ended.back()->number = pending.end.number;
+    }
+    const auto vanished = std::move(vanished_);
+    vanished_.clear();
+    for (const run_ref& run : vanished) {
+        if (const wire::TaskRunT* record = agreed_.find_run(run)) {
+            add_end(batch, run, {record->endpoint, record->life},
+                wire::run_end::lost);
+        }
+    }
+    for (const auto& [life, load] : agreed_.loads()) {
+        if (!endpoints_.is_over(life, now)) {
+            continue;
+        }
+        const endpoint_view* view = endpoints_.find_life(life);
+        for (const run_ref& run : load.runs) {
+            add_end(batch, run, life, wire::run_end::lapsed);
+            if (view != nullptr && view->running.contains(run)) {
+                batch.ended.back()->checkpoint =
+                    view->running.at(run).checkpoint;
+            }
+        }
+    }
+}
+
+void engine::collect_due(wire::JobBatchT& batch, std::uint64_t wall_ms) const {
+    for (const job_id id : agreed_.active_jobs()) {
+        const wire::JobT& job = *agreed_.find_job(id);
+        const wire::JobSpecT& spec = *job.spec;
+        const std::uint64_t due =
+            spec.start_at_ms + job.next_occurrence * spec.interval_ms;
+        if (job.next_occurrence < spec.repeats && due <= wall_ms) {
+            auto order = std::make_unique<wire::OccurrenceDueT>();
+            order->job = id.value();
+            order->number = job.next_occurrence;
+            batch.due.push_back(std::move(order));
+        }
+    }
+}
+
+void engine::collect_starts(wire::JobBatchT& batch, instant now) {
+    placement round(agreed_, endpoints_, avoided_, reserved_, now);
+    for (const placed_run& placed : round.plan(options_.most_starts)) {
+        auto order = std::make_unique<wire::RunStartT>();
+        order->task =
+            std::make_unique<wire::TaskNameT>(to_wire(placed.run.task));
+        order->run = placed.run.run;
+        order->endpoint = placed.life.endpoint;
+        order->life = placed.life.number;
+        batch.started.push_back(std::move(order));
+    }
+}
+
+void engine::batch_done(bool agreed, instant now) {
+    if (!batch_in_flight_) {
+        return;
+    }
+    if (!agreed) {
+        resign();
+        return;
+    }
+    batch_in_flight_ = false;
+    placement_due_ = true;
+    for (const pending_end& pending : ends_in_flight_) {
+        const run_ref& run = pending.end.run;
+        endpoints_.note_end(pending.life, run, pending.end.how, now);
+        if (pending.end.how == wire::run_end::failed ||
+            pending.end.how == wire::run_end::refused) {
+            avoided_[run.task].insert(pending.life.endpoint);
+        }
+        stop_requests_.erase(run);
+    }
+    ends_in_flight_.clear();
+    std::erase_if(avoided_, [this](const auto& entry) {
+        const task_place place = agreed_.find_task(entry.first);
+        return !place || place.task->done;
+    });
+    const auto accepted = reply_of(wire::job_status::accepted);
+    for (const job_id id : std::exchange(submits_in_flight_, {})) {
+        for (const auto& handler : std::exchange(submitters_[id], {})) {
+            handler(accepted);
+        }
+        submitters_.erase(id);
+    }
+    for (const job_id id : std::exchange(cancels_in_flight_, {})) {
+        for (const auto& handler : std::exchange(cancellers_[id], {})) {
+            handler(accepted);
+        }
+        cancellers_.erase(id);
+    }
+    answer_all(committers_in_flight_, true);
+    for (auto& [endpoint, report] : held_) {
+        ++report.batches;
+    }
+    reply_ready(now);
+}
+
+} // namespace dragonflymount::jobs
--- /dev/null
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -0,0 +1,208 @@
+// Reports of endpoints and what they are told in return.
+#include "dragonflymount/src/Jobs/Engine.hpp"
+
+#include <algorithm>
+
+namespace dragonflymount::jobs {
+namespace {
+
+// The first batch after a report takes note of its ends, the second holds
+// what starts in the room that became free.
+constexpr std::uint32_t batches_to_refill = 2;
+
+} // namespace
+
+void engine::report(
+    const endpoint_report& report, report_handler on_orders, instant now) {
+    std::vector<run_ref> ran_before;
+    if (const auto* view = endpoints_.find_life(report.life)) {
+        for (const auto& [run, progress] : view->running) {
+            ran_before.push_back(run);
+        }
+    }
+    endpoint_view* view = endpoints_.take(report, now);
+    if (view == nullptr) {
+        endpoint_orders outdated;
+        outdated.acknowledged = agreed_.acknowledged(report.life);
+        outdated.fence = term_.value();
+        outdated.retry = options_.busy_retry;
+        on_orders(outdated);
+        return;
+    }
+    placement_due_ = true;
+    collect_ends(report);
+    for (const run_ref& run : ran_before) {
+        if (!view->running.contains(run) && !view->ended.contains(run)) {
+            vanished_.insert(run);
+        }
+    }
+    note_missing(*view);
+    held_report& held = held_[report.life.endpoint];
+    if (held.handler) {
+        // The endpoint gave up waiting for the reply to its earlier report.
+        held.handler(endpoint_orders{});
+    }
+    held = {std::move(on_orders), now, now, 0, 0};
+    if (!report.ended.empty()) {
+        held.last_end = report.ended.back().number;
+        held.reply_by = now + options_.ends_hold;
+    } else if (!has_ending_tasks(*view)) {
+        held.reply_by = now + options_.idle_hold;
+    }
+    reply_ready(now);
+}
+
+void engine::collect_ends(const endpoint_report& report) {
+    std::uint64_t& gathered = gathered_ends_[report.life];
+    gathered = std::max(gathered, agreed_.acknowledged(report.life));
+    for (const ended_task& ended : report.ended) {
+        if (ended.number > gathered) {
+            gathered = ended.number;
+            ended_.push_back({report.life, ended});
+        }
+    }
+}
+
+bool engine::is_unstarted(const endpoint_view& view, const run_ref& run) const {
+    return !view.running.contains(run) && !view.ended.contains(run);
+}
+
+// A run that is agreed, isn't listed and is no longer wanted has never begun
+// if the report came after the start was sent; it never will, because orders
+// are taken in the order of reports.
+void engine::note_missing(endpoint_view& view) {
+    const endpoint_load* load = agreed_.load_of(view.life);
+    if (load == nullptr) {
+        return;
+    }
+    for (const run_ref& run : load->runs) {
+        if (!is_unstarted(view, run)) {
+            continue;
+        }
+        if (!agreed_.is_wanted(run) || view.draining) {
+            vanished_.insert(run);
+        }
+    }
+}
+
+void engine::leave(const std::string& endpoint) {
+    const auto held = held_.find(endpoint);
+    if (held != held_.end()) {
+        held->second.handler(endpoint_orders{});
+        held_.erase(held);
+    }
+    endpoints_.remove(endpoint);
+    placement_due_ = true;
+}
+
+bool engine::has_ending_tasks(const endpoint_view& view) const {
+    const endpoint_load* load = agreed_.load_of(view.life);
+    return load != nullptr &&
+        std::any_of(
+            load->runs.begin(), load->runs.end(), [this](const run_ref& run) {
+                const task_place place = agreed_.find_task(run.task);
+                return place && !place.step->long_running;
+            });
+}
+
+endpoint_orders engine::orders_for(const endpoint_view& view) const {
+    endpoint_orders orders;
+    orders.lease = options_.endpoints.lease;
+    orders.acknowledged = agreed_.acknowledged(view.life);
+    orders.fence = term_.value();
+    orders.retry =
+        has_ending_tasks(view) ? options_.busy_retry : options_.idle_retry;
+    const endpoint_load* load = agreed_.load_of(view.life);
+    std::set<run_ref> kept;
+    if (load != nullptr) {
+        for (const run_ref& run : load->runs) {
+            const bool wanted =
+                agreed_.is_wanted(run) && !stop_requests_.contains(run);
+            if (wanted) {
+                kept.insert(run);
+            }
+            if (!wanted || view.draining || !is_unstarted(view, run) ||
+                vanished_.contains(run)) {
+                continue;
+            }
+            const task_place place = agreed_.find_task(run.task);
+            orders.starts.push_back(
+                {run, place.job->spec->payload, place.task->checkpoint, {}});
+        }
+    }
+    for (const auto& [run, progress] : view.running) {
+        if (!kept.contains(run)) {
+            orders.stops.push_back(run);
+        }
+    }
+    return orders;
+}
+
+void engine::reply(const std::string& endpoint) {
+    const auto found = held_.find(endpoint);
+    held_report held = std::move(found->second);
+    held_.erase(found);
+    endpoint_view* view = endpoints_.find(endpoint);
+    if (view == nullptr) {
+        held.handler(endpoint_orders{});
+        return;
+    }
+    endpoint_orders orders = orders_for(*view);
+    endpoints_.extend_lease(*view, held.received);
+    held.handler(orders);
+}
+
+void engine::reply_ready(instant now) {
+    std::vector<std::string> ready;
+    for (const auto& [endpoint, held] : held_) {
+        const endpoint_view* view = endpoints_.find(endpoint);
+        if (view == nullptr || now >= held.reply_by) {
+            ready.push_back(endpoint);
+            continue;
+        }
+        if (held.last_end > 0) {
+            const bool noted =
+                agreed_.acknowledged(view->life) >= held.last_end;
+            if (noted &&
+                (held.batches >= batches_to_refill || !batch_in_flight_)) {
+                ready.push_back(endpoint);
+            }
+            continue;
+        }
+        const endpoint_orders orders = orders_for(*view);
+        if (!orders.starts.empty() || !orders.stops.empty()) {
+            ready.push_back(endpoint);
+        }
+    }
+    for (const std::string& endpoint : ready) {
+        reply(endpoint);
+    }
+}
+
+void engine::tick(instant now) {
+    if (!leads_) {
+        return;
+    }
+    placement_due_ = true;
+    find_stalled(now);
+    reply_ready(now);
+}
+
+void engine::find_stalled(instant now) {
+    for (const auto& [endpoint, view] : endpoints_.views()) {
+        for (const auto& [run, progress] : view.running) {
+            if (now - progress.advanced < options_.stall_limit ||
+                progress.percent >= 100 || stop_requests_.contains(run)) {
+                continue;
+            }
+            const task_place place = agreed_.find_task(run.task);
+            if (!place || place.step->long_running || place.step->gang) {
+                continue;
+            }
+            stop_requests_.insert(run);
+            avoided_[run.task].insert(endpoint);
+        }
+    }
+}
+
+} // namespace dragonflymount::jobs
--- /dev/null
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -0,0 +1,285 @@
+// The placement round: order of service, room, limits and spreading.
+#include "dragonflymount/src/Jobs/Placement.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dragonflymount::jobs {
+namespace {
+
+// After this many steps in a row that found no room in their pool, the rest
+// of the pool's steps wait for the next round.
+constexpr std::size_t most_misses_in_pool = 48;
+
+bool is_ready(
+    const wire::JobOccurrenceT& occurrence, const wire::JobStepT& step) {
+    return std::all_of(step.depends_on.begin(), step.depends_on.end(),
+        [&](std::uint32_t earlier) {
+            const auto& group = *occurrence.steps[earlier];
+            return group.done == group.tasks.size();
+        });
+}
+
+bool is_waiting(const wire::JobTaskT& task) {
+    return !task.done && task.runs.empty();
+}
+
+bool has_label(const endpoint_view& view, const std::string& label) {
+    return std::find(view.labels.begin(), view.labels.end(), label) !=
+        view.labels.end();
+}
+
+// A limit of 0 means none.
+bool exceeds(std::int64_t amount, std::uint64_t limit) {
+    return limit > 0 && amount > static_cast<std::int64_t>(limit);
+}
+
+} // namespace
+
+std::uint64_t longest_chain_ms(const wire::JobSpecT& spec) {
+    std::vector<std::uint64_t> chains;
+    std::uint64_t longest = 0;
+    for (const auto& step : spec.steps) {
+        std::uint64_t before = 0;
+        for (const std::uint32_t earlier : step->depends_on) {
+            before = std::max(before, chains[earlier]);
+        }
+        chains.push_back(before + step->estimate_ms);
+        longest = std::max(longest, chains.back());
+    }
+    return longest;
+}
+
+std::uint64_t due_time_ms(const wire::JobT& job, std::uint32_t occurrence,
+    const wire::JobQueueT& queue) {
+    const std::uint64_t begin = job.spec->repeats > 0
+        ? job.spec->start_at_ms + occurrence * job.spec->interval_ms
+        : job.accepted_ms;
+    const double chain = static_cast<double>(longest_chain_ms(*job.spec));
+    return begin + static_cast<std::uint64_t>(queue.stretch * chain) +
+        queue.objective_ms;
+}
+
+placement::placement(const state& agreed, const endpoint_table& endpoints,
+    const avoided_endpoints& avoided, const std::set<vm_id>& reserved,
+    instant now)
+    : agreed_(agreed), endpoints_(endpoints), avoided_(avoided),
+      reserved_(reserved), now_(now) {}
+
+std::vector<placed_run> placement::plan(std::size_t most) {
+    collect_steps();
+    if (steps_.empty()) {
+        return {};
+    }
+    collect_candidates();
+    std::map<std::string, std::size_t> misses;
+    for (const open_step& open : steps_) {
+        if (placed_.size() >= most) {
+            break;
+        }
+        std::size_t& missed = misses[open.queue->pool];
+        if (missed >= most_misses_in_pool) {
+            continue;
+        }
+        const std::size_t before = placed_.size();
+        if (open.spec->gang) {
+            place_gang(open);
+        } else {
+            place_step(open, most);
+        }
+        missed = placed_.size() > before ? 0 : missed + 1;
+    }
+    return std::move(placed_);
+}
+
+void placement::collect_candidates() {
+    for (const auto& [endpoint, view] : endpoints_.views()) {
+        if (!endpoints_.can_take_tasks(view, now_) ||
+            reserved_.contains(view.vm)) {
+            continue;
+        }
+        const endpoint_load* load = agreed_.load_of(view.life);
+        const resources room =
+            load == nullptr ? view.capacity : view.capacity - load->used;
+        pools_[view.pool.str()].push_back({&view, room});
+    }
+}
+
+void placement::collect_steps() {
+    for (const job_id id : agreed_.active_jobs()) {
+        collect_steps(*agreed_.find_job(id));
+    }
+    std::sort(steps_.begin(), steps_.end(),
+        [](const open_step& left, const open_step& right) {
+            return std::make_tuple(!left.lasting, left.priority, left.due_ms,
+                       left.job->id, left.step) <
+                std::make_tuple(!right.lasting, right.priority, right.due_ms,
+                    right.job->id, right.step);
+        });
+}
+
+void placement::collect_steps(const wire::JobT& job) {
+    const wire::JobQueueT* queue = agreed_.find_queue(job.queue);
+    if (queue == nullptr) {
+        return;
+    }
+    for (const auto& occurrence : job.occurrences) {
+        for (std::uint32_t k = 0; k < occurrence->steps.size(); ++k) {
+            const wire::StepTasksT& group = *occurrence->steps[k];
+            const wire::JobStepT& step = *job.spec->steps[k];
+            if (group.done == group.tasks.size() ||
+                !is_ready(*occurrence, step) ||
+                std::none_of(group.tasks.begin(), group.tasks.end(),
+                    [](const auto& task) { return is_waiting(*task); })) {
+                continue;
+            }
+            steps_.push_back({&job, occurrence.get(), k, &step, queue,
+                step.long_running, queue->priority,
+                due_time_ms(job, occurrence->number, *queue)});
+        }
+    }
+}
+
+placement::step_spread placement::spread_of(const open_step& open) const {
+    step_spread spread;
+    for (const auto& task : open.occurrence->steps[open.step]->tasks) {
+        for (const auto& run : task->runs) {
+            ++spread.at_endpoint[run->endpoint];
+            const auto* view = endpoints_.find_life({run->endpoint, run->life});
+            if (view != nullptr) {
+                spread.racks.insert(view->rack);
+            }
+        }
+    }
+    return spread;
+}
+
+void placement::place_step(const open_step& open, std::size_t most) {
+    step_spread spread = spread_of(open);
+    const auto& tasks = open.occurrence->steps[open.step]->tasks;
+    for (std::uint32_t k = 0; k < tasks.size(); ++k) {
+        if (placed_.size() >= most) {
+            return;
+        }
+        if (is_waiting(*tasks[k]) && !place_task(open, k, spread)) {
+            return;
+        }
+    }
+}
+
+// A gang is placed whole or not at all: members that wait for others would
+// hold room that two gangs could deny each other.
+void placement::place_gang(const open_step& open) {
+    const auto& tasks = open.occurrence->steps[open.step]->tasks;
+    if (!std::all_of(tasks.begin(), tasks.end(),
+            [](const auto& task) { return is_waiting(*task); })) {
+        return;
+    }
+    const auto pools_before = pools_;
+    const auto usage_before = team_usage_;
+    const std::size_t placed_before = placed_.size();
+    std::uint32_t run = 0;
+    for (const auto& task : tasks) {
+        run = std::max(run, task->last_run + 1);
+    }
+    step_spread spread;
+    for (std::uint32_t k = 0; k < tasks.size(); ++k) {
+        if (!place_task(open, k, spread)) {
+            pools_ = pools_before;
+            team_usage_ = usage_before;
+            placed_.resize(placed_before);
+            return;
+        }
+        placed_.back().run.run = run;
+    }
+}
+
+bool placement::place_task(
+    const open_step& open, std::uint32_t index, step_spread& spread) {
+    if (!within_limit(*open.job, *open.spec)) {
+        return false;
+    }
+    const task_name name{
+        job_id(open.job->id), open.occurrence->number, open.step, index};
+    candidate* place = choose(open, name, spread);
+    if (place == nullptr) {
+        return false;
+    }
+    place->room -= room_of(*open.spec);
+    team_usage_[open.job->team] += usage_of(*open.spec);
+    ++spread.at_endpoint[place->view->life.endpoint];
+    spread.racks.insert(place->view->rack);
+    const auto& task = *open.occurrence->steps[open.step]->tasks[index];
+    placed_.push_back({{name, task.last_run + 1}, place->view->life});
+    return true;
+}
+
+bool placement::may_use(const open_step& open, const task_name& name,
+    const step_spread& spread, const candidate& place) const {
+    const wire::JobStepT& step = *open.spec;
+    const endpoint_view& view = *place.view;
+    if (!room_of(step).fits(place.room)) {
+        return false;
+    }
+    if (!step.required_label.empty() && !has_label(view, step.required_label)) {
+        return false;
+    }
+    if (step.anti_affinity > 0) {
+        const auto count = spread.at_endpoint.find(view.life.endpoint);
+        if (count != spread.at_endpoint.end() &&
+            count->second >= step.anti_affinity) {
+            return false;
+        }
+    }
+    const auto avoided = avoided_.find(name);
+    return avoided == avoided_.end() ||
+        !avoided->second.contains(view.life.endpoint);
+}
+
+placement::candidate* placement::choose(
+    const open_step& open, const task_name& name, const step_spread& spread) {
+    const auto pool = pools_.find(open.queue->pool);
+    if (pool == pools_.end()) {
+        return nullptr;
+    }
+    candidate* best = nullptr;
+    auto cost_of = [&](const candidate& place) {
+        const wire::JobStepT& step = *open.spec;
+        const endpoint_view& view = *place.view;
+        const bool far = !step.preferred_rack.empty() &&
+            !has_label(view, step.preferred_rack);
+        const bool other_rack = step.rack_local && !spread.racks.empty() &&
+            !spread.racks.contains(view.rack);
+        const bool cold = view.warm_from > now_;
+        const bool suspect = !view.failed_jobs.empty();
+        // Of equal places the one with most room: what a crash takes with it
+        // stays small.
+        return std::make_tuple(other_rack, far, suspect, cold,
+            -place.room.cpu_milli, view.life.endpoint);
+    };
+    for (candidate& place : pool->second) {
+        if (may_use(open, name, spread, place) &&
+            (best == nullptr || cost_of(place) < cost_of(*best))) {
+            best = &place;
+        }
+    }
+    return best;
+}
+
+bool placement::within_limit(
+    const wire::JobT& job, const wire::JobStepT& step) {
+    const wire::JobTeamT* team = agreed_.find_team(job.team);
+    if (team == nullptr) {
+        return true;
+    }
+    const auto found = team_usage_.find(job.team);
+    if (found == team_usage_.end()) {
+        team_usage_[job.team] = agreed_.usage_of_team(job.team);
+    }
+    const resources after = team_usage_[job.team] + usage_of(step);
+    return !exceeds(after.cpu_milli, team->cpu_limit) &&
+        !exceeds(after.memory_mb, team->memory_limit) &&
+        !exceeds(after.gpus, team->gpu_limit);
+}
+
+} // namespace dragonflymount::jobs
--- /dev/null
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -0,0 +1,531 @@
+// Application of batches to the agreed state of the job scheduler.
+#include "dragonflymount/src/Jobs/State.hpp"
+
+#include <algorithm>
+
+namespace dragonflymount::jobs {
+namespace {
+
+// FlatBuffers' own default would refuse the image of a large site.
+constexpr flatbuffers::uoffset_t most_image_tables = 50'000'000;
+constexpr flatbuffers::uoffset_t most_image_depth = 64;
+
+// Endpoints that were last heard this long ago no longer list old ends.
+constexpr std::uint64_t ack_retention_ms = 900'000;
+
+template <class Index>
+std::size_t find_index(const Index& index, const std::string& name) {
+    const auto found = index.find(name);
+    return found == index.end() ? static_cast<std::size_t>(-1) : found->second;
+}
+
+template <class Table>
+std::map<std::string, std::size_t> index_names(const Table& table) {
+    std::map<std::string, std::size_t> index;
+    for (std::size_t k = 0; k < table.size(); ++k) {
+        index.emplace(table[k]->name, k);
+    }
+    return index;
+}
+
+bool has_runs(const wire::StepTasksT& group) {
+    return std::any_of(group.tasks.begin(), group.tasks.end(),
+        [](const auto& task) { return !task->runs.empty(); });
+}
+
+bool has_runs(const wire::JobOccurrenceT& occurrence) {
+    return std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+        [](const auto& group) { return has_runs(*group); });
+}
+
+bool is_done(const wire::JobOccurrenceT& occurrence) {
+    return std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+        [](const auto& group) { return group->done == group->tasks.size(); });
+}
+
+std::uint32_t occurrence_count(const wire::JobSpecT& spec) {
+    return std::max(spec.repeats, 1U);
+}
+
+} // namespace
+
+bool is_complete(const wire::MaintenanceWaveT& wave) {
+    return std::all_of(
+        wave.vms.begin(), wave.vms.end(), [&](const std::string& vm) {
+            return std::any_of(
+                wave.steps.begin(), wave.steps.end(), [&](const auto& step) {
+                    return step->vm == vm &&
+                        step->phase >= wire::maintenance_phase::returned;
+                });
+        });
+}
+
+// ---- Queries ---------------------------------------------------------------
+
+const wire::JobQueueT* state::find_queue(const std::string& name) const {
+    const std::size_t place = find_index(queue_index_, name);
+    return place < catalogue_->queues.size() ? catalogue_->queues[place].get()
+                                             : nullptr;
+}
+
+const wire::JobPoolT* state::find_pool(const std::string& name) const {
+    const std::size_t place = find_index(pool_index_, name);
+    return place < catalogue_->pools.size() ? catalogue_->pools[place].get()
+                                            : nullptr;
+}
+
+const wire::JobTeamT* state::find_team(const std::string& name) const {
+    const std::size_t place = find_index(team_index_, name);
+    return place < catalogue_->teams.size() ? catalogue_->teams[place].get()
+                                            : nullptr;
+}
+
+const wire::JobTeamT* state::team_of_key(const std::string& key) const {
+    const std::size_t place = find_index(key_index_, key);
+    return place < catalogue_->teams.size() ? catalogue_->teams[place].get()
+                                            : nullptr;
+}
+
+const wire::JobT* state::find_job(job_id id) const {
+    const auto found = jobs_.find(id.value());
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+task_place state::find_task(const task_name& name) const {
+    const auto found = jobs_.find(name.job.value());
+    if (found == jobs_.end()) {
+        return {};
+    }
+    wire::JobT& job = *found->second;
+    if (!job.spec || name.step >= job.spec->steps.size()) {
+        return {};
+    }
+    for (const auto& occurrence : job.occurrences) {
+        if (occurrence->number != name.occurrence) {
+            continue;
+        }
+        wire::StepTasksT& group = *occurrence->steps[name.step];
+        if (name.index >= group.tasks.size()) {
+            return {};
+        }
+        return {&job, occurrence.get(), job.spec->steps[name.step].get(),
+            &group, group.tasks[name.index].get()};
+    }
+    return {};
+}
+
+const wire::TaskRunT* state::find_run(const run_ref& run) const {
+    const task_place place = find_task(run.task);
+    if (!place) {
+        return nullptr;
+    }
+    for (const auto& record : place.task->runs) {
+        if (record->number == run.run) {
+            return record.get();
+        }
+    }
+    return nullptr;
+}
+
+bool state::is_wanted(const run_ref& run) const {
+    const task_place place = find_task(run.task);
+    return place && place.job->phase == wire::job_phase::active &&
+        !place.task->done;
+}
+
+const endpoint_load* state::load_of(const endpoint_life& life) const {
+    const auto found = loads_.find(life);
+    return found == loads_.end() ? nullptr : &found->second;
+}
+
+std::uint64_t state::acknowledged(const endpoint_life& life) const {
+    const auto found = acks_.find(life);
+    return found == acks_.end() ? 0 : found->second.number;
+}
+
+resources state::usage_of_team(const std::string& team) const {
+    const auto found = team_usage_.find(team);
+    return found == team_usage_.end() ? resources{} : found->second;
+}
+
+// ---- Batches ---------------------------------------------------------------
+
+wire::ProposeReplyT state::apply(log_index, const bytes& command) {
+    wire::ProposeReplyT reply;
+    auto decoded = wire::decode_command(command);
+    if (!decoded) {
+        reply.result = wire::proposal_result::refused;
+        reply.detail = decoded.error().message();
+        return reply;
+    }
+    reply.result = wire::proposal_result::accepted;
+    if (auto* batch = decoded->command.AsJobBatch()) {
+        apply(*batch);
+    }
+    return reply;
+}
+
+void state::apply(wire::JobBatchT& batch) {
+    time_ms_ = std::max(time_ms_, batch.time_ms);
+    if (batch.catalogue && batch.catalogue->version > catalogue_->version) {
+        set_catalogue(std::shared_ptr<const wire::CatalogueT>(
+            std::move(batch.catalogue)));
+    }
+    for (auto& job : batch.submitted) {
+        submit(std::move(*job));
+    }
+    for (const auto& order : batch.cancelled) {
+        cancel(*order);
+    }
+    for (const auto& ended : batch.ended) {
+        end(*ended);
+    }
+    for (const auto& due : batch.due) {
+        const auto found = jobs_.find(due->job);
+        if (found != jobs_.end() &&
+            found->second->phase == wire::job_phase::active &&
+            due->number == found->second->next_occurrence) {
+            begin_occurrence(*found->second, due->number);
+        }
+    }
+    for (const auto& order : batch.started) {
+        start(*order);
+    }
+    for (auto& wave : batch.waves) {
+        wave->started_ms = time_ms_;
+        waves_.emplace(wave->number, std::move(*wave));
+    }
+    for (const auto& step : batch.maintained) {
+        apply(*step);
+    }
+    forget_old();
+}
+
+void state::set_catalogue(std::shared_ptr<const wire::CatalogueT> catalogue) {
+    catalogue_ = std::move(catalogue);
+    queue_index_ = index_names(catalogue_->queues);
+    pool_index_ = index_names(catalogue_->pools);
+    team_index_ = index_names(catalogue_->teams);
+    key_index_.clear();
+    for (std::size_t k = 0; k < catalogue_->teams.size(); ++k) {
+        for (const std::string& key : catalogue_->teams[k]->keys) {
+            key_index_.emplace(key, k);
+        }
+    }
+}
+
+void state::submit(wire::JobT job) {
+    if (!job.spec || job.spec->steps.empty() || jobs_.contains(job.id)) {
+        return;
+    }
+    job.accepted_ms = time_ms_;
+    job.phase = wire::job_phase::active;
+    const job_id id(job.id);
+    auto& held =
+        *jobs_.emplace(id.value(), std::make_unique<wire::JobT>(std::move(job)))
+             .first->second;
+    active_.insert(id);
+    if (held.spec->repeats == 0) {
+        begin_occurrence(held, 0);
+    }
+}
+
+void state::begin_occurrence(wire::JobT& job, std::uint32_t number) {
+    auto occurrence = std::make_unique<wire::JobOccurrenceT>();
+    occurrence->number = number;
+    for (const auto& step : job.spec->steps) {
+        auto group = std::make_unique<wire::StepTasksT>();
+        for (std::uint32_t k = 0; k < step->count; ++k) {
+            group->tasks.push_back(std::make_unique<wire::JobTaskT>());
+        }
+        occurrence->steps.push_back(std::move(group));
+    }
+    job.occurrences.push_back(std::move(occurrence));
+    job.next_occurrence = number + 1;
+}
+
+void state::cancel(const wire::JobCancelT& order) {
+    const auto found = jobs_.find(order.job);
+    if (found != jobs_.end() &&
+        found->second->phase == wire::job_phase::active) {
+        finish_job(*found->second, wire::job_phase::cancelled);
+    }
+}
+
+void state::start(const wire::RunStartT& order) {
+    const run_ref run{from_wire(*order.task), order.run};
+    const task_place place = find_task(run.task);
+    if (!place || place.job->phase != wire::job_phase::active ||
+        place.task->done || order.run <= place.task->last_run) {
+        return;
+    }
+    auto record = std::make_unique<wire::TaskRunT>();
+    record->number = order.run;
+    record->endpoint = order.endpoint;
+    record->life = order.life;
+    place.task->last_run = order.run;
+    place.job->begun = true;
+    add_run(run, *record, *place.job, *place.step);
+    place.task->runs.push_back(std::move(record));
+}
+
+void state::end(const wire::RunEndT& ended) {
+    const endpoint_life life{ended.endpoint, ended.life};
+    if (ended.number > 0) {
+        acknowledgement& ack = acks_[life];
+        ack.number = std::max(ack.number, ended.number);
+        ack.touched_ms = time_ms_;
+    }
+    if (!ended.task) {
+        return;
+    }
+    const run_ref run{from_wire(*ended.task), ended.run};
+    const task_place place = find_task(run.task);
+    if (!place) {
+        return;
+    }
+    auto& runs = place.task->runs;
+    const auto found =
+        std::find_if(runs.begin(), runs.end(), [&](const auto& record) {
+            return record->number == ended.run &&
+                record->endpoint == life.endpoint &&
+                record->life == life.number;
+        });
+    if (found == runs.end()) {
+        return;
+    }
+    remove_run(run, **found, *place.job, *place.step);
+    runs.erase(found);
+    if (place.job->phase == wire::job_phase::active) {
+        judge_end(place, ended);
+    }
+    if (place.job->phase != wire::job_phase::active) {
+        forget_tasks(*place.job);
+        return;
+    }
+    std::erase_if(place.job->occurrences, [](const auto& occurrence) {
+        return is_done(*occurrence) && !has_runs(*occurrence);
+    });
+}
+
+void state::judge_end(const task_place& place, const wire::RunEndT& ended) {
+    if (place.task->done) {
+        return;
+    }
+    if (!ended.checkpoint.empty()) {
+        if (place.step->gang) {
+            for (const auto& member : place.group->tasks) {
+                member->checkpoint = ended.checkpoint;
+            }
+        } else {
+            place.task->checkpoint = ended.checkpoint;
+        }
+    }
+    if (place.step->long_running) {
+        return;
+    }
+    if (ended.how == wire::run_end::done) {
+        finish_task(place);
+    } else if (ended.how == wire::run_end::failed) {
+        count_failure(place, ended);
+    }
+}
+
+void state::count_failure(const task_place& place, const wire::RunEndT& ended) {
+    std::uint32_t failures = 0;
+    if (place.step->gang) {
+        if (ended.run > place.group->gang_failed_run) {
+            place.group->gang_failed_run = ended.run;
+            ++place.group->gang_failures;
+        }
+        failures = place.group->gang_failures;
+    } else {
+        failures = ++place.task->failures;
+    }
+    const wire::JobQueueT* queue = find_queue(place.job->queue);
+    if (queue != nullptr && failures >= queue->max_attempts) {
+        finish_job(*place.job, wire::job_phase::failed);
+    }
+}
+
+void state::finish_task(const task_place& place) {
+    // One member's end stands for the whole gang.
+    if (place.step->gang) {
+        for (const auto& member : place.group->tasks) {
+            member->done = true;
+        }
+        place.group->done =
+            static_cast<std::uint32_t>(place.group->tasks.size());
+    } else {
+        place.task->done = true;
+        ++place.group->done;
+    }
+    if (!is_done(*place.occurrence)) {
+        return;
+    }
+    wire::JobT& job = *place.job;
+    const bool all_begun = job.next_occurrence >= occurrence_count(*job.spec);
+    const bool all_done =
+        std::all_of(job.occurrences.begin(), job.occurrences.end(),
+            [](const auto& occurrence) { return is_done(*occurrence); });
+    if (all_begun && all_done) {
+        finish_job(job, wire::job_phase::complete);
+    }
+}
+
+void state::finish_job(wire::JobT& job, wire::job_phase phase) {
+    job.phase = phase;
+    job.ended_ms = time_ms_;
+    active_.erase(job_id(job.id));
+    ended_.emplace_back(time_ms_, job_id(job.id));
+    forget_tasks(job);
+}
+
+// Tasks are kept for as long as a run may still be using a VM.
+void state::forget_tasks(wire::JobT& job) {
+    std::erase_if(job.occurrences,
+        [](const auto& occurrence) { return !has_runs(*occurrence); });
+    if (job.occurrences.empty()) {
+        job.spec = std::make_unique<wire::JobSpecT>();
+    }
+}
+
+void state::forget_old() {
+    while (!ended_.empty() && ended_.front().first + retention_ms < time_ms_) {
+        const auto found = jobs_.find(ended_.front().second.value());
+        if (found != jobs_.end() && found->second->occurrences.empty()) {
+            jobs_.erase(found);
+        } else if (found != jobs_.end()) {
+            ended_.emplace_back(time_ms_, ended_.front().second);
+        }
+        ended_.pop_front();
+    }
+    std::erase_if(acks_, [this](const auto& entry) {
+        return entry.second.touched_ms + ack_retention_ms < time_ms_;
+    });
+}
+
+void state::apply(const wire::MaintenanceStepT& step) {
+    const auto wave = waves_.find(step.wave);
+    if (wave == waves_.end()) {
+        return;
+    }
+    for (auto& held : wave->second.steps) {
+        if (held->vm == step.vm) {
+            *held = step;
+            return;
+        }
+    }
+    wave->second.steps.push_back(
+        std::make_unique<wire::MaintenanceStepT>(step));
+}
+
+// ---- Derived indexes -------------------------------------------------------
+
+void state::add_run(const run_ref& run, const wire::TaskRunT& record,
+    const wire::JobT& job, const wire::JobStepT& step) {
+    endpoint_load& load = loads_[{record.endpoint, record.life}];
+    load.used += room_of(step);
+    load.runs.push_back(run);
+    team_usage_[job.team] += usage_of(step);
+}
+
+void state::remove_run(const run_ref& run, const wire::TaskRunT& record,
+    const wire::JobT& job, const wire::JobStepT& step) {
+    team_usage_[job.team] -= usage_of(step);
+    const auto found = loads_.find({record.endpoint, record.life});
+    if (found == loads_.end()) {
+        return;
+    }
+    found->second.used -= room_of(step);
+    std::erase(found->second.runs, run);
+    if (found->second.runs.empty()) {
+        loads_.erase(found);
+    }
+}
+
+void state::derive() {
+    active_.clear();
+    loads_.clear();
+    team_usage_.clear();
+    ended_.clear();
+    for (const auto& [id, job] : jobs_) {
+        if (job->phase == wire::job_phase::active) {
+            active_.insert(job_id(id));
+        } else {
+            ended_.emplace_back(job->ended_ms, job_id(id));
+        }
+        for (const auto& occurrence : job->occurrences) {
+            for (std::uint32_t s = 0; s < occurrence->steps.size(); ++s) {
+                const auto& tasks = occurrence->steps[s]->tasks;
+                for (std::uint32_t k = 0; k < tasks.size(); ++k) {
+                    for (const auto& record : tasks[k]->runs) {
+                        add_run({{job_id(id), occurrence->number, s, k},
+                                    record->number},
+                            *record, *job, *job->spec->steps[s]);
+                    }
+                }
+            }
+        }
+    }
+    std::sort(ended_.begin(), ended_.end());
+}
+
+// ---- Images ----------------------------------------------------------------
+
+bytes state::save() const {
+    wire::SchedulerImageT image;
+    image.time_ms = time_ms_;
+    image.catalogue = std::make_unique<wire::CatalogueT>(*catalogue_);
+    for (const auto& [id, job] : jobs_) {
+        image.jobs.push_back(std::make_unique<wire::JobT>(*job));
+    }
+    for (const auto& [life, ack] : acks_) {
+        auto record = std::make_unique<wire::EndpointAckT>();
+        record->endpoint = life.endpoint;
+        record->life = life.number;
+        record->number = ack.number;
+        record->touched_ms = ack.touched_ms;
+        image.acks.push_back(std::move(record));
+    }
+    for (const auto& [number, wave] : waves_) {
+        image.waves.push_back(std::make_unique<wire::MaintenanceWaveT>(wave));
+    }
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::SchedulerImage::Pack(builder, &image));
+    return {builder.GetBufferPointer(),
+        builder.GetBufferPointer() + builder.GetSize()};
+}
+
+result<done> state::load(const bytes& data) {
+    flatbuffers::Verifier verifier(
+        data.data(), data.size(), most_image_depth, most_image_tables);
+    if (!verifier.VerifyBuffer<wire::SchedulerImage>(nullptr)) {
+        return failure{make_error_code(errc::malformed_message), "load image",
+            {}, "verifier refused it"};
+    }
+    wire::SchedulerImageT image;
+    flatbuffers::GetRoot<wire::SchedulerImage>(data.data())->UnPackTo(&image);
+    *this = state();
+    time_ms_ = image.time_ms;
+    if (image.catalogue) {
+        set_catalogue(std::shared_ptr<const wire::CatalogueT>(
+            std::move(image.catalogue)));
+    }
+    for (auto& job : image.jobs) {
+        const std::uint64_t id = job->id;
+        jobs_.emplace(id, std::move(job));
+    }
+    for (const auto& record : image.acks) {
+        acks_[{record->endpoint, record->life}] = {
+            record->number, record->touched_ms};
+    }
+    for (auto& wave : image.waves) {
+        const std::uint64_t number = wave->number;
+        waves_.emplace(number, std::move(*wave));
+    }
+    derive();
+    return done{};
+}
+
+} // namespace dragonflymount::jobs
--- /dev/null
+++ b/dragonflymount/src/Runtime/Http.hpp
@@ -0,0 +1,122 @@
+// HTTP/1.1 messages, server and client on the event loop.
+//
+// Heads and bodies are parsed by Boost.Beast; connections are standalone
+// Asio's. Everything runs on the thread of the io_context, and nothing polls:
+// one timer a server and one a client look after overdue connections.
+#ifndef DRAGONFLYMOUNT_RUNTIME_HTTP_HPP
+#define DRAGONFLYMOUNT_RUNTIME_HTTP_HPP
+
+#include "dragonflymount/src/Runtime/Clock.hpp"
+
+#include <asio.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace dragonflymount::runtime {
+
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
+struct http_request {
+    std::string method;
+    std::string target;
+    http_headers headers;
+    std::string body;
+
+    /// \returns the first value of a header, whose name is compared without
+    /// regard to case; empty if it isn't there.
+    std::string_view header(std::string_view name) const;
+};
+
+struct http_response {
+    unsigned status = 0;
+    http_headers headers;
+    std::string body;
+
+    std::string_view header(std::string_view name) const;
+};
+
+struct http_limits {
+    std::uint32_t header_bytes = 16U << 10U;
+    std::uint64_t body_bytes = 256U << 10U;
+    /// From the first byte of a request to its last.
+    duration request_timeout = std::chrono::seconds(5);
+    /// Between two requests of a connection.
+    duration idle_timeout = std::chrono::seconds(20);
+};
+
+class http_session;
+
+/// \brief Accepts connections and hands each whole request to the handler.
+///
+/// Requests of one connection are handled one after the other. The reply may
+/// come at any time; if the connection is gone by then, it is dropped.
+class http_server {
+public:
+    using responder = std::function<void(http_response)>;
+    using handler = std::function<void(http_request&&, responder)>;
+
+    http_server(asio::io_context& context, http_limits limits);
+    ~http_server();
+
+    /// \param address "IP:port"; port 0 lets the system choose.
+    result<done> start(const std::string& address, handler on_request);
+    /// \brief Closes all connections.
+    void stop();
+    /// \brief Asks callers to go elsewhere: replies from now on close their
+    /// connections.
+    void drain() { draining_ = true; }
+    /// \returns requests whose reply is still owed.
+    std::size_t open_requests() const { return open_requests_; }
+    std::size_t connections() const { return sessions_.size(); }
+    std::string address() const;
+
+private:
+    friend class http_session;
+
+    void accept();
+    void sweep();
+
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer timer_;
+    http_limits limits_;
+    handler on_request_;
+    std::set<std::shared_ptr<http_session>> sessions_;
+    std::size_t open_requests_ = 0;
+    bool draining_ = false;
+};
+
+class http_exchange;
+
+/// \brief Sends requests, over connections that are kept open.
+class http_client {
+public:
+    using handler = std::function<void(result<http_response>)>;
+
+    explicit http_client(asio::io_context& context);
+    ~http_client();
+
+    /// \brief Sends one request.
+    /// \param address "IP:port".
+    /// \param on_reply called once, with errc::timeout after \p limit.
+    void send(const std::string& address, http_request request, duration limit,
+        handler on_reply);
+    void stop();
+
+private:
+    friend class http_exchange;
+
+    asio::io_context& context_;
+    std::set<std::shared_ptr<http_exchange>> exchanges_;
+    std::multimap<std::string, asio::ip::tcp::socket> idle_;
+};
+
+} // namespace dragonflymount::runtime
+
+#endif
--- /dev/null
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -0,0 +1,295 @@
+// The HTTP server: one session a connection.
+#include "dragonflymount/src/Runtime/Connection.hpp"
+#include "dragonflymount/src/Runtime/HttpMessage.hpp"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <boost/beast/http/status.hpp>
+#include <glog/logging.h>
+
+#include <optional>
+
+namespace dragonflymount::runtime {
+namespace {
+
+constexpr duration sweep_interval = std::chrono::seconds(1);
+// After an accept that failed, for want of descriptors for example.
+constexpr duration accept_retry = std::chrono::milliseconds(100);
+constexpr int listen_backlog = 1024;
+
+std::string_view find_header(
+    const http_headers& headers, std::string_view name) {
+    for (const auto& [key, value] : headers) {
+        if (absl::EqualsIgnoreCase(
+                {key.data(), key.size()}, {name.data(), name.size()})) {
+            return value;
+        }
+    }
+    return {};
+}
+
+std::string encode(const http_response& reply, bool close) {
+    const auto reason = internal::http::obsolete_reason(
+        internal::http::int_to_status(reply.status));
+    std::string text = absl::StrCat("HTTP/1.1 ", reply.status, " ",
+        absl::string_view(reason.data(), reason.size()), "\r\n");
+    for (const auto& [name, value] : reply.headers) {
+        absl::StrAppend(&text, name, ": ", value, "\r\n");
+    }
+    absl::StrAppend(&text, "Content-Length: ", reply.body.size(), "\r\n",
+        close ? "Connection: close\r\n" : "", "\r\n", reply.body);
+    return text;
+}
+
+} // namespace
+
+std::string_view http_request::header(std::string_view name) const {
+    return find_header(headers, name);
+}
+
+std::string_view http_response::header(std::string_view name) const {
+    return find_header(headers, name);
+}
+
+class http_session : public std::enable_shared_from_this<http_session> {
+public:
+    http_session(http_server& server, asio::ip::tcp::socket socket)
+        : server_(&server), socket_(std::move(socket)) {}
+
+    void start() {
+        asio::error_code ignored;
+        socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        begin_request();
+    }
+
+    void close() {
+        if (server_ == nullptr) {
+            return;
+        }
+        if (replying_) {
+            --server_->open_requests_;
+        }
+        server_ = nullptr;
+        asio::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+    }
+
+    bool is_overdue(instant now) const {
+        if (replying_) {
+            return false;
+        }
+        const http_limits& limits = server_->limits_;
+        return now - since_ >
+            (begun_ ? limits.request_timeout : limits.idle_timeout);
+    }
+
+private:
+    using parser = internal::http::request_parser<internal::http::string_body>;
+
+    void begin_request() {
+        parser_.emplace();
+        parser_->header_limit(server_->limits_.header_bytes);
+        parser_->body_limit(server_->limits_.body_bytes);
+        parser_->eager(true);
+        since_ = system_clock::now();
+        begun_ = !buffer_.empty();
+        if (begun_) {
+            parse();
+        } else {
+            read();
+        }
+    }
+
+    void read() {
+        socket_.async_read_some(asio::buffer(chunk_),
+            [self = shared_from_this()](std::error_code code, std::size_t n) {
+                if (self->server_ == nullptr) {
+                    return;
+                }
+                if (code) {
+                    self->leave();
+                    return;
+                }
+                if (!self->begun_) {
+                    self->begun_ = true;
+                    self->since_ = system_clock::now();
+                }
+                self->buffer_.append(self->chunk_.data(), n);
+                self->parse();
+            });
+    }
+
+    void parse() {
+        if (!internal::feed(*parser_, buffer_)) {
+            refuse();
+            return;
+        }
+        if (!parser_->is_done()) {
+            read();
+            return;
+        }
+        auto message = parser_->release();
+        http_request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        request.headers = internal::headers_of(message);
+        request.body = std::move(message.body());
+        close_after_ = !message.keep_alive();
+        replying_ = true;
+        ++server_->open_requests_;
+        server_->on_request_(
+            std::move(request), [weak = weak_from_this()](http_response reply) {
+                if (const auto self = weak.lock()) {
+                    self->reply(std::move(reply));
+                }
+            });
+    }
+
+    // What follows a message that can't be parsed can't be trusted either.
+    void refuse() {
+        replying_ = true;
+        close_after_ = true;
+        ++server_->open_requests_;
+        const bool too_long = parser_->is_header_done();
+        reply({too_long ? 413U : 400U, {}, {}});
+    }
+
+    void reply(http_response content) {
+        if (server_ == nullptr || !replying_) {
+            return;
+        }
+        close_after_ = close_after_ || server_->draining_;
+        outgoing_ = encode(content, close_after_);
+        asio::async_write(socket_, asio::buffer(outgoing_),
+            [self = shared_from_this()](std::error_code code, std::size_t) {
+                if (self->server_ != nullptr) {
+                    self->written(code);
+                }
+            });
+    }
+
+    void written(std::error_code code) {
+        --server_->open_requests_;
+        replying_ = false;
+        if (code || close_after_) {
+            leave();
+            return;
+        }
+        begin_request();
+    }
+
+    void leave() {
+        http_server* server = server_;
+        close();
+        server->sessions_.erase(shared_from_this());
+    }
+
+    // Null once the session is closed.
+    http_server* server_;
+    asio::ip::tcp::socket socket_;
+    std::optional<parser> parser_;
+    std::array<char, internal::read_bytes> chunk_{};
+    std::string buffer_;
+    std::string outgoing_;
+    bool begun_ = false;
+    // A whole request was read, and its reply isn't written yet.
+    bool replying_ = false;
+    bool close_after_ = false;
+    instant since_{};
+};
+
+http_server::http_server(asio::io_context& context, http_limits limits)
+    : acceptor_(context), timer_(context), limits_(limits) {}
+
+http_server::~http_server() {
+    stop();
+}
+
+result<done> http_server::start(
+    const std::string& address, handler on_request) {
+    on_request_ = std::move(on_request);
+    const auto endpoint = parse_address(address);
+    if (!endpoint) {
+        return endpoint.error();
+    }
+    asio::error_code code;
+    acceptor_.open(endpoint->protocol(), code);
+    if (!code) {
+        acceptor_.set_option(asio::socket_base::reuse_address(true), code);
+    }
+    if (!code) {
+        acceptor_.bind(*endpoint, code);
+    }
+    if (!code) {
+        acceptor_.listen(listen_backlog, code);
+    }
+    if (code) {
+        return failure{code, "listen for HTTP", address, {}};
+    }
+    accept();
+    sweep();
+    return done{};
+}
+
+std::string http_server::address() const {
+    const auto local = acceptor_.local_endpoint();
+    return absl::StrCat(local.address().to_string(), ":", local.port());
+}
+
+void http_server::accept() {
+    acceptor_.async_accept([this](std::error_code code,
+                               asio::ip::tcp::socket socket) {
+        if (code == asio::error::operation_aborted) {
+            return;
+        }
+        if (code) {
+            LOG(WARNING) << event::connection_failed
+                         << "accept HTTP: " << code.message();
+            timer_.expires_after(accept_retry);
+            timer_.async_wait([this](std::error_code cancelled) {
+                if (!cancelled) {
+                    accept();
+                    sweep();
+                }
+            });
+            return;
+        }
+        auto session = std::make_shared<http_session>(*this, std::move(socket));
+        sessions_.insert(session);
+        session->start();
+        accept();
+    });
+}
+
+void http_server::sweep() {
+    timer_.expires_after(sweep_interval);
+    timer_.async_wait([this](std::error_code code) {
+        if (code) {
+            return;
+        }
+        const instant now = system_clock::now();
+        for (auto it = sessions_.begin(); it != sessions_.end();) {
+            if ((*it)->is_overdue(now)) {
+                (*it)->close();
+                it = sessions_.erase(it);
+            } else {
+                ++it;
+            }
+        }
+        sweep();
+    });
+}
+
+void http_server::stop() {
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+    timer_.cancel();
+    const auto sessions = std::move(sessions_);
+    sessions_.clear();
+    for (const auto& session : sessions) {
+        session->close();
+    }
+}
+
+} // namespace dragonflymount::runtime
--- a/dragonflymount/src/Wire/messages_generated.h
+++ b/dragonflymount/src/Wire/messages_generated.h
@@ -212,6 +212,106 @@
 struct ControlImageBuilder;
 struct ControlImageT;
 
+struct JobStep;
+struct JobStepBuilder;
+struct JobStepT;
+
+struct JobSpec;
+struct JobSpecBuilder;
+struct JobSpecT;
+
+struct TaskRun;
+struct TaskRunBuilder;
+struct TaskRunT;
+
+struct JobTask;
+struct JobTaskBuilder;
+struct JobTaskT;
+
+struct StepTasks;
+struct StepTasksBuilder;
+struct StepTasksT;
+
+struct JobOccurrence;
+struct JobOccurrenceBuilder;
+struct JobOccurrenceT;
+
+struct Job;
+struct JobBuilder;
+struct JobT;
+
+struct QueueAdvice;
+struct QueueAdviceBuilder;
+struct QueueAdviceT;
+
+struct JobQueue;
+struct JobQueueBuilder;
+struct JobQueueT;
+
+struct JobPool;
+struct JobPoolBuilder;
+struct JobPoolT;
+
+struct JobTeam;
+struct JobTeamBuilder;
+struct JobTeamT;
+
+struct Catalogue;
+struct CatalogueBuilder;
+struct CatalogueT;
+
+struct TaskName;
+struct TaskNameBuilder;
+struct TaskNameT;
+
+struct RunStart;
+struct RunStartBuilder;
+struct RunStartT;
+
+struct RunEnd;
+struct RunEndBuilder;
+struct RunEndT;
+
+struct JobCancel;
+struct JobCancelBuilder;
+struct JobCancelT;
+
+struct OccurrenceDue;
+struct OccurrenceDueBuilder;
+struct OccurrenceDueT;
+
+struct MaintenanceWave;
+struct MaintenanceWaveBuilder;
+struct MaintenanceWaveT;
+
+struct MaintenanceStep;
+struct MaintenanceStepBuilder;
+struct MaintenanceStepT;
+
+struct JobBatch;
+struct JobBatchBuilder;
+struct JobBatchT;
+
+struct EndpointAck;
+struct EndpointAckBuilder;
+struct EndpointAckT;
+
+struct SchedulerImage;
+struct SchedulerImageBuilder;
+struct SchedulerImageT;
+
+struct JobCall;
+struct JobCallBuilder;
+struct JobCallT;
+
+struct JobReply;
+struct JobReplyBuilder;
+struct JobReplyT;
+
+struct JoinReplica;
+struct JoinReplicaBuilder;
+struct JoinReplicaT;
+
 struct LogCommand;
 struct LogCommandBuilder;
 struct LogCommandT;
@@ -357,6 +457,219 @@
   return EnumNamestask_phase()[index];
 }
 
+enum class job_phase : uint8_t {
+  active = 0,
+  complete = 1,
+  failed = 2,
+  cancelled = 3,
+  MIN = active,
+  MAX = cancelled
+};
+
+inline const job_phase (&EnumValuesjob_phase())[4] {
+  static const job_phase values[] = {
+    job_phase::active,
+    job_phase::complete,
+    job_phase::failed,
+    job_phase::cancelled
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesjob_phase() {
+  static const char * const names[5] = {
+    "active",
+    "complete",
+    "failed",
+    "cancelled",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamejob_phase(job_phase e) {
+  if (flatbuffers::IsOutRange(e, job_phase::active, job_phase::cancelled)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesjob_phase()[index];
+}
+
+enum class run_end : uint8_t {
+  done = 0,
+  failed = 1,
+  stopped = 2,
+  lapsed = 3,
+  broken = 4,
+  alone = 5,
+  refused = 6,
+  lost = 7,
+  MIN = done,
+  MAX = lost
+};
+
+inline const run_end (&EnumValuesrun_end())[8] {
+  static const run_end values[] = {
+    run_end::done,
+    run_end::failed,
+    run_end::stopped,
+    run_end::lapsed,
+    run_end::broken,
+    run_end::alone,
+    run_end::refused,
+    run_end::lost
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesrun_end() {
+  static const char * const names[9] = {
+    "done",
+    "failed",
+    "stopped",
+    "lapsed",
+    "broken",
+    "alone",
+    "refused",
+    "lost",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamerun_end(run_end e) {
+  if (flatbuffers::IsOutRange(e, run_end::done, run_end::lost)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesrun_end()[index];
+}
+
+enum class maintenance_phase : uint8_t {
+  waiting = 0,
+  ordered = 1,
+  returned = 2,
+  gone = 3,
+  MIN = waiting,
+  MAX = gone
+};
+
+inline const maintenance_phase (&EnumValuesmaintenance_phase())[4] {
+  static const maintenance_phase values[] = {
+    maintenance_phase::waiting,
+    maintenance_phase::ordered,
+    maintenance_phase::returned,
+    maintenance_phase::gone
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesmaintenance_phase() {
+  static const char * const names[5] = {
+    "waiting",
+    "ordered",
+    "returned",
+    "gone",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamemaintenance_phase(maintenance_phase e) {
+  if (flatbuffers::IsOutRange(e, maintenance_phase::waiting, maintenance_phase::gone)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesmaintenance_phase()[index];
+}
+
+enum class job_verb : uint8_t {
+  submit = 0,
+  read = 1,
+  cancel = 2,
+  count_pending = 3,
+  MIN = submit,
+  MAX = count_pending
+};
+
+inline const job_verb (&EnumValuesjob_verb())[4] {
+  static const job_verb values[] = {
+    job_verb::submit,
+    job_verb::read,
+    job_verb::cancel,
+    job_verb::count_pending
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesjob_verb() {
+  static const char * const names[5] = {
+    "submit",
+    "read",
+    "cancel",
+    "count_pending",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamejob_verb(job_verb e) {
+  if (flatbuffers::IsOutRange(e, job_verb::submit, job_verb::count_pending)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesjob_verb()[index];
+}
+
+enum class job_status : uint8_t {
+  accepted = 0,
+  state = 1,
+  pending = 2,
+  not_found = 3,
+  unknown_job = 4,
+  unauthorized = 5,
+  forbidden = 6,
+  not_accepted = 7,
+  malformed = 8,
+  not_leader = 9,
+  interrupted = 10,
+  MIN = accepted,
+  MAX = interrupted
+};
+
+inline const job_status (&EnumValuesjob_status())[11] {
+  static const job_status values[] = {
+    job_status::accepted,
+    job_status::state,
+    job_status::pending,
+    job_status::not_found,
+    job_status::unknown_job,
+    job_status::unauthorized,
+    job_status::forbidden,
+    job_status::not_accepted,
+    job_status::malformed,
+    job_status::not_leader,
+    job_status::interrupted
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesjob_status() {
+  static const char * const names[12] = {
+    "accepted",
+    "state",
+    "pending",
+    "not_found",
+    "unknown_job",
+    "unauthorized",
+    "forbidden",
+    "not_accepted",
+    "malformed",
+    "not_leader",
+    "interrupted",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamejob_status(job_status e) {
+  if (flatbuffers::IsOutRange(e, job_status::accepted, job_status::interrupted)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesjob_status()[index];
+}
+
 enum class Command : uint8_t {
   NONE = 0,
   NoOp = 1,
@@ -370,11 +683,12 @@
   ForgetVm = 9,
   WaveCommand = 10,
   WaveProgress = 11,
+  JobBatch = 12,
   MIN = NONE,
-  MAX = WaveProgress
+  MAX = JobBatch
 };
 
-inline const Command (&EnumValuesCommand())[12] {
+inline const Command (&EnumValuesCommand())[13] {
   static const Command values[] = {
     Command::NONE,
     Command::NoOp,
@@ -387,13 +701,14 @@
     Command::AssignVm,
     Command::ForgetVm,
     Command::WaveCommand,
-    Command::WaveProgress
+    Command::WaveProgress,
+    Command::JobBatch
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommand() {
-  static const char * const names[13] = {
+  static const char * const names[14] = {
     "NONE",
     "NoOp",
     "ApplyRules",
@@ -406,13 +721,14 @@
     "ForgetVm",
     "WaveCommand",
     "WaveProgress",
+    "JobBatch",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommand(Command e) {
-  if (flatbuffers::IsOutRange(e, Command::NONE, Command::WaveProgress)) return "";
+  if (flatbuffers::IsOutRange(e, Command::NONE, Command::JobBatch)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommand()[index];
 }
@@ -465,6 +781,10 @@
   static const Command enum_value = Command::WaveProgress;
 };
 
+template<> struct CommandTraits<dragonflymount::wire::JobBatch> {
+  static const Command enum_value = Command::JobBatch;
+};
+
 template<typename T> struct CommandUnionTraits {
   static const Command enum_value = Command::NONE;
 };
@@ -513,6 +833,10 @@
   static const Command enum_value = Command::WaveProgress;
 };
 
+template<> struct CommandUnionTraits<dragonflymount::wire::JobBatchT> {
+  static const Command enum_value = Command::JobBatch;
+};
+
 struct CommandUnion {
   Command type;
   void *value;
@@ -631,6 +955,14 @@
     return type == Command::WaveProgress ?
       reinterpret_cast<const dragonflymount::wire::WaveProgressT *>(value) : nullptr;
   }
+  dragonflymount::wire::JobBatchT *AsJobBatch() {
+    return type == Command::JobBatch ?
+      reinterpret_cast<dragonflymount::wire::JobBatchT *>(value) : nullptr;
+  }
+  const dragonflymount::wire::JobBatchT *AsJobBatch() const {
+    return type == Command::JobBatch ?
+      reinterpret_cast<const dragonflymount::wire::JobBatchT *>(value) : nullptr;
+  }
 };
 
 bool VerifyCommand(flatbuffers::Verifier &verifier, const void *obj, Command type);
@@ -770,11 +1102,14 @@
   InstallSnapshot = 28,
   ChangeReplica = 29,
   Withdraw = 30,
+  JobCall = 31,
+  JobReply = 32,
+  JoinReplica = 33,
   MIN = NONE,
-  MAX = Withdraw
+  MAX = JoinReplica
 };
 
-inline const Body (&EnumValuesBody())[31] {
+inline const Body (&EnumValuesBody())[34] {
   static const Body values[] = {
     Body::NONE,
     Body::Submit,
@@ -806,13 +1141,16 @@
     Body::AppendReply,
     Body::InstallSnapshot,
     Body::ChangeReplica,
-    Body::Withdraw
+    Body::Withdraw,
+    Body::JobCall,
+    Body::JobReply,
+    Body::JoinReplica
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[32] = {
+  static const char * const names[35] = {
     "NONE",
     "Submit",
     "Answer",
@@ -844,13 +1182,16 @@
     "InstallSnapshot",
     "ChangeReplica",
     "Withdraw",
+    "JobCall",
+    "JobReply",
+    "JoinReplica",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Withdraw)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::JoinReplica)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -979,6 +1320,18 @@
   static const Body enum_value = Body::Withdraw;
 };
 
+template<> struct BodyTraits<dragonflymount::wire::JobCall> {
+  static const Body enum_value = Body::JobCall;
+};
+
+template<> struct BodyTraits<dragonflymount::wire::JobReply> {
+  static const Body enum_value = Body::JobReply;
+};
+
+template<> struct BodyTraits<dragonflymount::wire::JoinReplica> {
+  static const Body enum_value = Body::JoinReplica;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -1103,6 +1456,18 @@
   static const Body enum_value = Body::Withdraw;
 };
 
+template<> struct BodyUnionTraits<dragonflymount::wire::JobCallT> {
+  static const Body enum_value = Body::JobCall;
+};
+
+template<> struct BodyUnionTraits<dragonflymount::wire::JobReplyT> {
+  static const Body enum_value = Body::JobReply;
+};
+
+template<> struct BodyUnionTraits<dragonflymount::wire::JoinReplicaT> {
+  static const Body enum_value = Body::JoinReplica;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1373,6 +1738,30 @@
     return type == Body::Withdraw ?
       reinterpret_cast<const dragonflymount::wire::WithdrawT *>(value) : nullptr;
   }
+  dragonflymount::wire::JobCallT *AsJobCall() {
+    return type == Body::JobCall ?
+      reinterpret_cast<dragonflymount::wire::JobCallT *>(value) : nullptr;
+  }
+  const dragonflymount::wire::JobCallT *AsJobCall() const {
+    return type == Body::JobCall ?
+      reinterpret_cast<const dragonflymount::wire::JobCallT *>(value) : nullptr;
+  }
+  dragonflymount::wire::JobReplyT *AsJobReply() {
+    return type == Body::JobReply ?
+      reinterpret_cast<dragonflymount::wire::JobReplyT *>(value) : nullptr;
+  }
+  const dragonflymount::wire::JobReplyT *AsJobReply() const {
+    return type == Body::JobReply ?
+      reinterpret_cast<const dragonflymount::wire::JobReplyT *>(value) : nullptr;
+  }
+  dragonflymount::wire::JoinReplicaT *AsJoinReplica() {
+    return type == Body::JoinReplica ?
+      reinterpret_cast<dragonflymount::wire::JoinReplicaT *>(value) : nullptr;
+  }
+  const dragonflymount::wire::JoinReplicaT *AsJoinReplica() const {
+    return type == Body::JoinReplica ?
+      reinterpret_cast<const dragonflymount::wire::JoinReplicaT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
