@@ -7370,4334 +7759,8879 @@
 
 flatbuffers::Offset<ControlImage> CreateControlImage(flatbuffers::FlatBufferBuilder &_fbb, const ControlImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct LogCommandT : public flatbuffers::NativeTable {
-  typedef LogCommand TableType;
-  dragonflymount::wire::CommandUnion command{};
-};
-
-struct LogCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef LogCommandT NativeTableType;
-  typedef LogCommandBuilder Builder;
+struct JobStepT : public flatbuffers::NativeTable {
+  typedef JobStep TableType;
+  uint32_t count = 0;
+  uint32_t cpu_milli = 0;
+  uint32_t memory_mb = 0;
+  uint32_t gpus = 0;
+  uint32_t estimate_ms = 0;
+  std::vector<uint32_t> depends_on{};
+  bool checkpointing = false;
+  bool gang = false;
+  bool rack_local = false;
+  std::string required_label{};
+  std::string preferred_rack{};
+  uint32_t anti_affinity = 0;
+  bool speculative = false;
+  bool long_running = false;
+  std::string image{};
+  uint32_t target_ms = 0;
+  bool fills = false;
+  uint32_t max_unavailable = 0;
+};
+
+struct JobStep FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobStepT NativeTableType;
+  typedef JobStepBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_COMMAND_TYPE = 4,
-    VT_COMMAND = 6
+    VT_COUNT = 4,
+    VT_CPU_MILLI = 6,
+    VT_MEMORY_MB = 8,
+    VT_GPUS = 10,
+    VT_ESTIMATE_MS = 12,
+    VT_DEPENDS_ON = 14,
+    VT_CHECKPOINTING = 16,
+    VT_GANG = 18,
+    VT_RACK_LOCAL = 20,
+    VT_REQUIRED_LABEL = 22,
+    VT_PREFERRED_RACK = 24,
+    VT_ANTI_AFFINITY = 26,
+    VT_SPECULATIVE = 28,
+    VT_LONG_RUNNING = 30,
+    VT_IMAGE = 32,
+    VT_TARGET_MS = 34,
+    VT_FILLS = 36,
+    VT_MAX_UNAVAILABLE = 38
   };
-  dragonflymount::wire::Command command_type() const {
-    return static_cast<dragonflymount::wire::Command>(GetField<uint8_t>(VT_COMMAND_TYPE, 0));
+  uint32_t count() const {
+    return GetField<uint32_t>(VT_COUNT, 0);
   }
-  const void *command() const {
-    return GetPointer<const void *>(VT_COMMAND);
+  uint32_t cpu_milli() const {
+    return GetField<uint32_t>(VT_CPU_MILLI, 0);
   }
-  template<typename T> const T *command_as() const;
-  const dragonflymount::wire::NoOp *command_as_NoOp() const {
-    return command_type() == dragonflymount::wire::Command::NoOp ? static_cast<const dragonflymount::wire::NoOp *>(command()) : nullptr;
+  uint32_t memory_mb() const {
+    return GetField<uint32_t>(VT_MEMORY_MB, 0);
   }
-  const dragonflymount::wire::ApplyRules *command_as_ApplyRules() const {
-    return command_type() == dragonflymount::wire::Command::ApplyRules ? static_cast<const dragonflymount::wire::ApplyRules *>(command()) : nullptr;
+  uint32_t gpus() const {
+    return GetField<uint32_t>(VT_GPUS, 0);
   }
-  const dragonflymount::wire::WithdrawKey *command_as_WithdrawKey() const {
-    return command_type() == dragonflymount::wire::Command::WithdrawKey ? static_cast<const dragonflymount::wire::WithdrawKey *>(command()) : nullptr;
+  uint32_t estimate_ms() const {
+    return GetField<uint32_t>(VT_ESTIMATE_MS, 0);
   }
-  const dragonflymount::wire::AppointCoordinator *command_as_AppointCoordinator() const {
-    return command_type() == dragonflymount::wire::Command::AppointCoordinator ? static_cast<const dragonflymount::wire::AppointCoordinator *>(command()) : nullptr;
+  const flatbuffers::Vector<uint32_t> *depends_on() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_DEPENDS_ON);
   }
-  const dragonflymount::wire::SetGrant *command_as_SetGrant() const {
-    return command_type() == dragonflymount::wire::Command::SetGrant ? static_cast<const dragonflymount::wire::SetGrant *>(command()) : nullptr;
+  bool checkpointing() const {
+    return GetField<uint8_t>(VT_CHECKPOINTING, 0) != 0;
   }
-  const dragonflymount::wire::ClaimBatch *command_as_ClaimBatch() const {
-    return command_type() == dragonflymount::wire::Command::ClaimBatch ? static_cast<const dragonflymount::wire::ClaimBatch *>(command()) : nullptr;
+  bool gang() const {
+    return GetField<uint8_t>(VT_GANG, 0) != 0;
   }
-  const dragonflymount::wire::EndClaims *command_as_EndClaims() const {
-    return command_type() == dragonflymount::wire::Command::EndClaims ? static_cast<const dragonflymount::wire::EndClaims *>(command()) : nullptr;
+  bool rack_local() const {
+    return GetField<uint8_t>(VT_RACK_LOCAL, 0) != 0;
   }
-  const dragonflymount::wire::AssignVm *command_as_AssignVm() const {
-    return command_type() == dragonflymount::wire::Command::AssignVm ? static_cast<const dragonflymount::wire::AssignVm *>(command()) : nullptr;
+  const flatbuffers::String *required_label() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUIRED_LABEL);
   }
-  const dragonflymount::wire::ForgetVm *command_as_ForgetVm() const {
-    return command_type() == dragonflymount::wire::Command::ForgetVm ? static_cast<const dragonflymount::wire::ForgetVm *>(command()) : nullptr;
+  const flatbuffers::String *preferred_rack() const {
+    return GetPointer<const flatbuffers::String *>(VT_PREFERRED_RACK);
   }
-  const dragonflymount::wire::WaveCommand *command_as_WaveCommand() const {
-    return command_type() == dragonflymount::wire::Command::WaveCommand ? static_cast<const dragonflymount::wire::WaveCommand *>(command()) : nullptr;
+  uint32_t anti_affinity() const {
+    return GetField<uint32_t>(VT_ANTI_AFFINITY, 0);
   }
-  const dragonflymount::wire::WaveProgress *command_as_WaveProgress() const {
-    return command_type() == dragonflymount::wire::Command::WaveProgress ? static_cast<const dragonflymount::wire::WaveProgress *>(command()) : nullptr;
+  bool speculative() const {
+    return GetField<uint8_t>(VT_SPECULATIVE, 0) != 0;
+  }
+  bool long_running() const {
+    return GetField<uint8_t>(VT_LONG_RUNNING, 0) != 0;
+  }
+  const flatbuffers::String *image() const {
+    return GetPointer<const flatbuffers::String *>(VT_IMAGE);
+  }
+  uint32_t target_ms() const {
+    return GetField<uint32_t>(VT_TARGET_MS, 0);
+  }
+  bool fills() const {
+    return GetField<uint8_t>(VT_FILLS, 0) != 0;
+  }
+  uint32_t max_unavailable() const {
+    return GetField<uint32_t>(VT_MAX_UNAVAILABLE, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_COMMAND_TYPE, 1) &&
-           VerifyOffset(verifier, VT_COMMAND) &&
-           VerifyCommand(verifier, command(), command_type()) &&
+           VerifyField<uint32_t>(verifier, VT_COUNT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CPU_MILLI, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MEMORY_MB, 4) &&
+           VerifyField<uint32_t>(verifier, VT_GPUS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ESTIMATE_MS, 4) &&
+           VerifyOffset(verifier, VT_DEPENDS_ON) &&
+           verifier.VerifyVector(depends_on()) &&
+           VerifyField<uint8_t>(verifier, VT_CHECKPOINTING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_GANG, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RACK_LOCAL, 1) &&
+           VerifyOffset(verifier, VT_REQUIRED_LABEL) &&
+           verifier.VerifyString(required_label()) &&
+           VerifyOffset(verifier, VT_PREFERRED_RACK) &&
+           verifier.VerifyString(preferred_rack()) &&
+           VerifyField<uint32_t>(verifier, VT_ANTI_AFFINITY, 4) &&
+           VerifyField<uint8_t>(verifier, VT_SPECULATIVE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_LONG_RUNNING, 1) &&
+           VerifyOffset(verifier, VT_IMAGE) &&
+           verifier.VerifyString(image()) &&
+           VerifyField<uint32_t>(verifier, VT_TARGET_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_FILLS, 1) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_UNAVAILABLE, 4) &&
            verifier.EndTable();
   }
-  LogCommandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(LogCommandT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<LogCommand> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LogCommandT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  JobStepT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobStepT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobStep> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobStepT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const dragonflymount::wire::NoOp *LogCommand::command_as<dragonflymount::wire::NoOp>() const {
-  return command_as_NoOp();
-}
-
-template<> inline const dragonflymount::wire::ApplyRules *LogCommand::command_as<dragonflymount::wire::ApplyRules>() const {
-  return command_as_ApplyRules();
-}
-
-template<> inline const dragonflymount::wire::WithdrawKey *LogCommand::command_as<dragonflymount::wire::WithdrawKey>() const {
-  return command_as_WithdrawKey();
-}
-
-template<> inline const dragonflymount::wire::AppointCoordinator *LogCommand::command_as<dragonflymount::wire::AppointCoordinator>() const {
-  return command_as_AppointCoordinator();
-}
-
-template<> inline const dragonflymount::wire::SetGrant *LogCommand::command_as<dragonflymount::wire::SetGrant>() const {
-  return command_as_SetGrant();
-}
-
-template<> inline const dragonflymount::wire::ClaimBatch *LogCommand::command_as<dragonflymount::wire::ClaimBatch>() const {
-  return command_as_ClaimBatch();
-}
-
-template<> inline const dragonflymount::wire::EndClaims *LogCommand::command_as<dragonflymount::wire::EndClaims>() const {
-  return command_as_EndClaims();
-}
-
-template<> inline const dragonflymount::wire::AssignVm *LogCommand::command_as<dragonflymount::wire::AssignVm>() const {
-  return command_as_AssignVm();
-}
-
-template<> inline const dragonflymount::wire::ForgetVm *LogCommand::command_as<dragonflymount::wire::ForgetVm>() const {
-  return command_as_ForgetVm();
-}
-
-template<> inline const dragonflymount::wire::WaveCommand *LogCommand::command_as<dragonflymount::wire::WaveCommand>() const {
-  return command_as_WaveCommand();
-}
-
-template<> inline const dragonflymount::wire::WaveProgress *LogCommand::command_as<dragonflymount::wire::WaveProgress>() const {
-  return command_as_WaveProgress();
-}
-
-struct LogCommandBuilder {
-  typedef LogCommand Table;
+struct JobStepBuilder {
+  typedef JobStep Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_command_type(dragonflymount::wire::Command command_type) {
-    fbb_.AddElement<uint8_t>(LogCommand::VT_COMMAND_TYPE, static_cast<uint8_t>(command_type), 0);
+  void add_count(uint32_t count) {
+    fbb_.AddElement<uint32_t>(JobStep::VT_COUNT, count, 0);
   }
-  void add_command(flatbuffers::Offset<void> command) {
-    fbb_.AddOffset(LogCommand::VT_COMMAND, command);
+  void add_cpu_milli(uint32_t cpu_milli) {
+    fbb_.AddElement<uint32_t>(JobStep::VT_CPU_MILLI, cpu_milli, 0);
   }
-  explicit LogCommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_memory_mb(uint32_t memory_mb) {
+    fbb_.AddElement<uint32_t>(JobStep::VT_MEMORY_MB, memory_mb, 0);
+  }
+  void add_gpus(uint32_t gpus) {
+    fbb_.AddElement<uint32_t>(JobStep::VT_GPUS, gpus, 0);
+  }
+  void add_estimate_ms(uint32_t estimate_ms) {
+    fbb_.AddElement<uint32_t>(JobStep::VT_ESTIMATE_MS, estimate_ms, 0);
+  }
+  void add_depends_on(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> depends_on) {
+    fbb_.AddOffset(JobStep::VT_DEPENDS_ON, depends_on);
+  }
+  void add_checkpointing(bool checkpointing) {
+    fbb_.AddElement<uint8_t>(JobStep::VT_CHECKPOINTING, static_cast<uint8_t>(checkpointing), 0);
+  }
+  void add_gang(bool gang) {
+    fbb_.AddElement<uint8_t>(JobStep::VT_GANG, static_cast<uint8_t>(gang), 0);
+  }
+  void add_rack_local(bool rack_local) {
+    fbb_.AddElement<uint8_t>(JobStep::VT_RACK_LOCAL, static_cast<uint8_t>(rack_local), 0);
+  }
+  void add_required_label(flatbuffers::Offset<flatbuffers::String> required_label) {
+    fbb_.AddOffset(JobStep::VT_REQUIRED_LABEL, required_label);
+  }
+  void add_preferred_rack(flatbuffers::Offset<flatbuffers::String> preferred_rack) {
+    fbb_.AddOffset(JobStep::VT_PREFERRED_RACK, preferred_rack);
+  }
+  void add_anti_affinity(uint32_t anti_affinity) {
+    fbb_.AddElement<uint32_t>(JobStep::VT_ANTI_AFFINITY, anti_affinity, 0);
+  }
+  void add_speculative(bool speculative) {
+    fbb_.AddElement<uint8_t>(JobStep::VT_SPECULATIVE, static_cast<uint8_t>(speculative), 0);
+  }
+  void add_long_running(bool long_running) {
+    fbb_.AddElement<uint8_t>(JobStep::VT_LONG_RUNNING, static_cast<uint8_t>(long_running), 0);
+  }
+  void add_image(flatbuffers::Offset<flatbuffers::String> image) {
+    fbb_.AddOffset(JobStep::VT_IMAGE, image);
+  }
+  void add_target_ms(uint32_t target_ms) {
+    fbb_.AddElement<uint32_t>(JobStep::VT_TARGET_MS, target_ms, 0);
+  }
+  void add_fills(bool fills) {
+    fbb_.AddElement<uint8_t>(JobStep::VT_FILLS, static_cast<uint8_t>(fills), 0);
+  }
+  void add_max_unavailable(uint32_t max_unavailable) {
+    fbb_.AddElement<uint32_t>(JobStep::VT_MAX_UNAVAILABLE, max_unavailable, 0);
+  }
+  explicit JobStepBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<LogCommand> Finish() {
+  flatbuffers::Offset<JobStep> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<LogCommand>(end);
+    auto o = flatbuffers::Offset<JobStep>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<LogCommand> CreateLogCommand(
+inline flatbuffers::Offset<JobStep> CreateJobStep(
     flatbuffers::FlatBufferBuilder &_fbb,
-    dragonflymount::wire::Command command_type = dragonflymount::wire::Command::NONE,
-    flatbuffers::Offset<void> command = 0) {
-  LogCommandBuilder builder_(_fbb);
-  builder_.add_command(command);
-  builder_.add_command_type(command_type);
+    uint32_t count = 0,
+    uint32_t cpu_milli = 0,
+    uint32_t memory_mb = 0,
+    uint32_t gpus = 0,
+    uint32_t estimate_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> depends_on = 0,
+    bool checkpointing = false,
+    bool gang = false,
+    bool rack_local = false,
+    flatbuffers::Offset<flatbuffers::String> required_label = 0,
+    flatbuffers::Offset<flatbuffers::String> preferred_rack = 0,
+    uint32_t anti_affinity = 0,
+    bool speculative = false,
+    bool long_running = false,
+    flatbuffers::Offset<flatbuffers::String> image = 0,
+    uint32_t target_ms = 0,
+    bool fills = false,
+    uint32_t max_unavailable = 0) {
+  JobStepBuilder builder_(_fbb);
+  builder_.add_max_unavailable(max_unavailable);
+  builder_.add_target_ms(target_ms);
+  builder_.add_image(image);
+  builder_.add_anti_affinity(anti_affinity);
+  builder_.add_preferred_rack(preferred_rack);
+  builder_.add_required_label(required_label);
+  builder_.add_depends_on(depends_on);
+  builder_.add_estimate_ms(estimate_ms);
+  builder_.add_gpus(gpus);
+  builder_.add_memory_mb(memory_mb);
+  builder_.add_cpu_milli(cpu_milli);
+  builder_.add_count(count);
+  builder_.add_fills(fills);
+  builder_.add_long_running(long_running);
+  builder_.add_speculative(speculative);
+  builder_.add_rack_local(rack_local);
+  builder_.add_gang(gang);
+  builder_.add_checkpointing(checkpointing);
   return builder_.Finish();
 }
 
-struct LogCommand::Traits {
-  using type = LogCommand;
-  static auto constexpr Create = CreateLogCommand;
+struct JobStep::Traits {
+  using type = JobStep;
+  static auto constexpr Create = CreateJobStep;
 };
 
-flatbuffers::Offset<LogCommand> CreateLogCommand(flatbuffers::FlatBufferBuilder &_fbb, const LogCommandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct LogEntryT : public flatbuffers::NativeTable {
-  typedef LogEntry TableType;
-  uint64_t term = 0;
-  uint64_t index = 0;
-  dragonflymount::wire::record_kind kind = dragonflymount::wire::record_kind::command;
-  std::vector<uint8_t> payload{};
-};
-
-struct LogEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef LogEntryT NativeTableType;
-  typedef LogEntryBuilder Builder;
+inline flatbuffers::Offset<JobStep> CreateJobStepDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t count = 0,
+    uint32_t cpu_milli = 0,
+    uint32_t memory_mb = 0,
+    uint32_t gpus = 0,
+    uint32_t estimate_ms = 0,
+    const std::vector<uint32_t> *depends_on = nullptr,
+    bool checkpointing = false,
+    bool gang = false,
+    bool rack_local = false,
+    const char *required_label = nullptr,
+    const char *preferred_rack = nullptr,
+    uint32_t anti_affinity = 0,
+    bool speculative = false,
+    bool long_running = false,
+    const char *image = nullptr,
+    uint32_t target_ms = 0,
+    bool fills = false,
+    uint32_t max_unavailable = 0) {
+  auto depends_on__ = depends_on ? _fbb.CreateVector<uint32_t>(*depends_on) : 0;
+  auto required_label__ = required_label ? _fbb.CreateString(required_label) : 0;
+  auto preferred_rack__ = preferred_rack ? _fbb.CreateString(preferred_rack) : 0;
+  auto image__ = image ? _fbb.CreateString(image) : 0;
+  return dragonflymount::wire::CreateJobStep(
+      _fbb,
+      count,
+      cpu_milli,
+      memory_mb,
+      gpus,
+      estimate_ms,
+      depends_on__,
+      checkpointing,
+      gang,
+      rack_local,
+      required_label__,
+      preferred_rack__,
+      anti_affinity,
+      speculative,
+      long_running,
+      image__,
+      target_ms,
+      fills,
+      max_unavailable);
+}
+
+flatbuffers::Offset<JobStep> CreateJobStep(flatbuffers::FlatBufferBuilder &_fbb, const JobStepT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobSpecT : public flatbuffers::NativeTable {
+  typedef JobSpec TableType;
+  std::string payload{};
+  std::vector<std::unique_ptr<dragonflymount::wire::JobStepT>> steps{};
+  uint32_t repeats = 0;
+  uint64_t start_at_ms = 0;
+  uint64_t interval_ms = 0;
+  JobSpecT() = default;
+  JobSpecT(const JobSpecT &o);
+  JobSpecT(JobSpecT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobSpecT &operator=(JobSpecT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct JobSpec FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobSpecT NativeTableType;
+  typedef JobSpecBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TERM = 4,
-    VT_INDEX = 6,
-    VT_KIND = 8,
-    VT_PAYLOAD = 10
+    VT_PAYLOAD = 4,
+    VT_STEPS = 6,
+    VT_REPEATS = 8,
+    VT_START_AT_MS = 10,
+    VT_INTERVAL_MS = 12
   };
-  uint64_t term() const {
-    return GetField<uint64_t>(VT_TERM, 0);
+  const flatbuffers::String *payload() const {
+    return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
   }
-  uint64_t index() const {
-    return GetField<uint64_t>(VT_INDEX, 0);
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobStep>> *steps() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobStep>> *>(VT_STEPS);
   }
-  dragonflymount::wire::record_kind kind() const {
-    return static_cast<dragonflymount::wire::record_kind>(GetField<uint8_t>(VT_KIND, 0));
+  uint32_t repeats() const {
+    return GetField<uint32_t>(VT_REPEATS, 0);
   }
-  const flatbuffers::Vector<uint8_t> *payload() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PAYLOAD);
+  uint64_t start_at_ms() const {
+    return GetField<uint64_t>(VT_START_AT_MS, 0);
+  }
+  uint64_t interval_ms() const {
+    return GetField<uint64_t>(VT_INTERVAL_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
-           VerifyField<uint64_t>(verifier, VT_INDEX, 8) &&
-           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyOffset(verifier, VT_PAYLOAD) &&
-           verifier.VerifyVector(payload()) &&
+           verifier.VerifyString(payload()) &&
+           VerifyOffset(verifier, VT_STEPS) &&
+           verifier.VerifyVector(steps()) &&
+           verifier.VerifyVectorOfTables(steps()) &&
+           VerifyField<uint32_t>(verifier, VT_REPEATS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_START_AT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INTERVAL_MS, 8) &&
            verifier.EndTable();
   }
-  LogEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(LogEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<LogEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LogEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  JobSpecT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobSpecT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobSpec> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobSpecT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct LogEntryBuilder {
-  typedef LogEntry Table;
+struct JobSpecBuilder {
+  typedef JobSpec Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_term(uint64_t term) {
-    fbb_.AddElement<uint64_t>(LogEntry::VT_TERM, term, 0);
+  void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
+    fbb_.AddOffset(JobSpec::VT_PAYLOAD, payload);
   }
-  void add_index(uint64_t index) {
-    fbb_.AddElement<uint64_t>(LogEntry::VT_INDEX, index, 0);
+  void add_steps(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobStep>>> steps) {
+    fbb_.AddOffset(JobSpec::VT_STEPS, steps);
   }
-  void add_kind(dragonflymount::wire::record_kind kind) {
-    fbb_.AddElement<uint8_t>(LogEntry::VT_KIND, static_cast<uint8_t>(kind), 0);
+  void add_repeats(uint32_t repeats) {
+    fbb_.AddElement<uint32_t>(JobSpec::VT_REPEATS, repeats, 0);
   }
-  void add_payload(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload) {
-    fbb_.AddOffset(LogEntry::VT_PAYLOAD, payload);
+  void add_start_at_ms(uint64_t start_at_ms) {
+    fbb_.AddElement<uint64_t>(JobSpec::VT_START_AT_MS, start_at_ms, 0);
   }
-  explicit LogEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_interval_ms(uint64_t interval_ms) {
+    fbb_.AddElement<uint64_t>(JobSpec::VT_INTERVAL_MS, interval_ms, 0);
+  }
+  explicit JobSpecBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<LogEntry> Finish() {
+  flatbuffers::Offset<JobSpec> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<LogEntry>(end);
+    auto o = flatbuffers::Offset<JobSpec>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<LogEntry> CreateLogEntry(
+inline flatbuffers::Offset<JobSpec> CreateJobSpec(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    uint64_t index = 0,
-    dragonflymount::wire::record_kind kind = dragonflymount::wire::record_kind::command,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
-  LogEntryBuilder builder_(_fbb);
-  builder_.add_index(index);
-  builder_.add_term(term);
+    flatbuffers::Offset<flatbuffers::String> payload = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobStep>>> steps = 0,
+    uint32_t repeats = 0,
+    uint64_t start_at_ms = 0,
+    uint64_t interval_ms = 0) {
+  JobSpecBuilder builder_(_fbb);
+  builder_.add_interval_ms(interval_ms);
+  builder_.add_start_at_ms(start_at_ms);
+  builder_.add_repeats(repeats);
+  builder_.add_steps(steps);
   builder_.add_payload(payload);
-  builder_.add_kind(kind);
   return builder_.Finish();
 }
 
-struct LogEntry::Traits {
-  using type = LogEntry;
-  static auto constexpr Create = CreateLogEntry;
+struct JobSpec::Traits {
+  using type = JobSpec;
+  static auto constexpr Create = CreateJobSpec;
 };
 
-inline flatbuffers::Offset<LogEntry> CreateLogEntryDirect(
+inline flatbuffers::Offset<JobSpec> CreateJobSpecDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    uint64_t index = 0,
-    dragonflymount::wire::record_kind kind = dragonflymount::wire::record_kind::command,
-    const std::vector<uint8_t> *payload = nullptr) {
-  auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
-  return dragonflymount::wire::CreateLogEntry(
+    const char *payload = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::JobStep>> *steps = nullptr,
+    uint32_t repeats = 0,
+    uint64_t start_at_ms = 0,
+    uint64_t interval_ms = 0) {
+  auto payload__ = payload ? _fbb.CreateString(payload) : 0;
+  auto steps__ = steps ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobStep>>(*steps) : 0;
+  return dragonflymount::wire::CreateJobSpec(
       _fbb,
-      term,
-      index,
-      kind,
-      payload__);
+      payload__,
+      steps__,
+      repeats,
+      start_at_ms,
+      interval_ms);
 }
 
-flatbuffers::Offset<LogEntry> CreateLogEntry(flatbuffers::FlatBufferBuilder &_fbb, const LogEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<JobSpec> CreateJobSpec(flatbuffers::FlatBufferBuilder &_fbb, const JobSpecT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct MemberT : public flatbuffers::NativeTable {
-  typedef Member TableType;
-  std::string replica{};
-  std::string address{};
-  std::string zone{};
-  uint64_t identity = 0;
-  bool voter = false;
+struct TaskRunT : public flatbuffers::NativeTable {
+  typedef TaskRun TableType;
+  uint32_t number = 0;
+  std::string endpoint{};
+  uint64_t life = 0;
 };
 
-struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef MemberT NativeTableType;
-  typedef MemberBuilder Builder;
+struct TaskRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TaskRunT NativeTableType;
+  typedef TaskRunBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REPLICA = 4,
-    VT_ADDRESS = 6,
-    VT_ZONE = 8,
-    VT_IDENTITY = 10,
-    VT_VOTER = 12
+    VT_NUMBER = 4,
+    VT_ENDPOINT = 6,
+    VT_LIFE = 8
   };
-  const flatbuffers::String *replica() const {
-    return GetPointer<const flatbuffers::String *>(VT_REPLICA);
-  }
-  const flatbuffers::String *address() const {
-    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
-  }
-  const flatbuffers::String *zone() const {
-    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  uint32_t number() const {
+    return GetField<uint32_t>(VT_NUMBER, 0);
   }
-  uint64_t identity() const {
-    return GetField<uint64_t>(VT_IDENTITY, 0);
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
   }
-  bool voter() const {
-    return GetField<uint8_t>(VT_VOTER, 0) != 0;
+  uint64_t life() const {
+    return GetField<uint64_t>(VT_LIFE, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_REPLICA) &&
-           verifier.VerifyString(replica()) &&
-           VerifyOffset(verifier, VT_ADDRESS) &&
-           verifier.VerifyString(address()) &&
-           VerifyOffset(verifier, VT_ZONE) &&
-           verifier.VerifyString(zone()) &&
-           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
-           VerifyField<uint8_t>(verifier, VT_VOTER, 1) &&
+           VerifyField<uint32_t>(verifier, VT_NUMBER, 4) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
            verifier.EndTable();
   }
-  MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(MemberT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Member> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  TaskRunT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TaskRunT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TaskRun> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRunT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct MemberBuilder {
-  typedef Member Table;
+struct TaskRunBuilder {
+  typedef TaskRun Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_replica(flatbuffers::Offset<flatbuffers::String> replica) {
-    fbb_.AddOffset(Member::VT_REPLICA, replica);
-  }
-  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
-    fbb_.AddOffset(Member::VT_ADDRESS, address);
-  }
-  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
-    fbb_.AddOffset(Member::VT_ZONE, zone);
+  void add_number(uint32_t number) {
+    fbb_.AddElement<uint32_t>(TaskRun::VT_NUMBER, number, 0);
   }
-  void add_identity(uint64_t identity) {
-    fbb_.AddElement<uint64_t>(Member::VT_IDENTITY, identity, 0);
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(TaskRun::VT_ENDPOINT, endpoint);
   }
-  void add_voter(bool voter) {
-    fbb_.AddElement<uint8_t>(Member::VT_VOTER, static_cast<uint8_t>(voter), 0);
+  void add_life(uint64_t life) {
+    fbb_.AddElement<uint64_t>(TaskRun::VT_LIFE, life, 0);
   }
-  explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit TaskRunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Member> Finish() {
+  flatbuffers::Offset<TaskRun> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Member>(end);
+    auto o = flatbuffers::Offset<TaskRun>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Member> CreateMember(
+inline flatbuffers::Offset<TaskRun> CreateTaskRun(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> replica = 0,
-    flatbuffers::Offset<flatbuffers::String> address = 0,
-    flatbuffers::Offset<flatbuffers::String> zone = 0,
-    uint64_t identity = 0,
-    bool voter = false) {
-  MemberBuilder builder_(_fbb);
-  builder_.add_identity(identity);
-  builder_.add_zone(zone);
-  builder_.add_address(address);
-  builder_.add_replica(replica);
-  builder_.add_voter(voter);
+    uint32_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t life = 0) {
+  TaskRunBuilder builder_(_fbb);
+  builder_.add_life(life);
+  builder_.add_endpoint(endpoint);
+  builder_.add_number(number);
   return builder_.Finish();
 }
 
-struct Member::Traits {
-  using type = Member;
-  static auto constexpr Create = CreateMember;
+struct TaskRun::Traits {
+  using type = TaskRun;
+  static auto constexpr Create = CreateTaskRun;
 };
 
-inline flatbuffers::Offset<Member> CreateMemberDirect(
+inline flatbuffers::Offset<TaskRun> CreateTaskRunDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *replica = nullptr,
-    const char *address = nullptr,
-    const char *zone = nullptr,
-    uint64_t identity = 0,
-    bool voter = false) {
-  auto replica__ = replica ? _fbb.CreateString(replica) : 0;
-  auto address__ = address ? _fbb.CreateString(address) : 0;
-  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
-  return dragonflymount::wire::CreateMember(
+    uint32_t number = 0,
+    const char *endpoint = nullptr,
+    uint64_t life = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return dragonflymount::wire::CreateTaskRun(
       _fbb,
-      replica__,
-      address__,
-      zone__,
-      identity,
-      voter);
+      number,
+      endpoint__,
+      life);
 }
 
-flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<TaskRun> CreateTaskRun(flatbuffers::FlatBufferBuilder &_fbb, const TaskRunT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct MemberListT : public flatbuffers::NativeTable {
-  typedef MemberList TableType;
-  std::vector<std::unique_ptr<dragonflymount::wire::MemberT>> members{};
-  MemberListT() = default;
-  MemberListT(const MemberListT &o);
-  MemberListT(MemberListT&&) FLATBUFFERS_NOEXCEPT = default;
-  MemberListT &operator=(MemberListT o) FLATBUFFERS_NOEXCEPT;
+struct JobTaskT : public flatbuffers::NativeTable {
+  typedef JobTask TableType;
+  bool done = false;
+  uint32_t failures = 0;
+  uint32_t last_run = 0;
+  std::string checkpoint{};
+  std::vector<std::unique_ptr<dragonflymount::wire::TaskRunT>> runs{};
+  JobTaskT() = default;
+  JobTaskT(const JobTaskT &o);
+  JobTaskT(JobTaskT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobTaskT &operator=(JobTaskT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct MemberList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef MemberListT NativeTableType;
-  typedef MemberListBuilder Builder;
+struct JobTask FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobTaskT NativeTableType;
+  typedef JobTaskBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_MEMBERS = 4
+    VT_DONE = 4,
+    VT_FAILURES = 6,
+    VT_LAST_RUN = 8,
+    VT_CHECKPOINT = 10,
+    VT_RUNS = 12
   };
-  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Member>> *members() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Member>> *>(VT_MEMBERS);
+  bool done() const {
+    return GetField<uint8_t>(VT_DONE, 0) != 0;
+  }
+  uint32_t failures() const {
+    return GetField<uint32_t>(VT_FAILURES, 0);
+  }
+  uint32_t last_run() const {
+    return GetField<uint32_t>(VT_LAST_RUN, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>> *runs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>> *>(VT_RUNS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_MEMBERS) &&
-           verifier.VerifyVector(members()) &&
-           verifier.VerifyVectorOfTables(members()) &&
+           VerifyField<uint8_t>(verifier, VT_DONE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LAST_RUN, 4) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_RUNS) &&
+           verifier.VerifyVector(runs()) &&
+           verifier.VerifyVectorOfTables(runs()) &&
            verifier.EndTable();
   }
-  MemberListT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(MemberListT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<MemberList> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberListT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  JobTaskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobTaskT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobTask> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct MemberListBuilder {
-  typedef MemberList Table;
+struct JobTaskBuilder {
+  typedef JobTask Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Member>>> members) {
-    fbb_.AddOffset(MemberList::VT_MEMBERS, members);
+  void add_done(bool done) {
+    fbb_.AddElement<uint8_t>(JobTask::VT_DONE, static_cast<uint8_t>(done), 0);
   }
-  explicit MemberListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_failures(uint32_t failures) {
+    fbb_.AddElement<uint32_t>(JobTask::VT_FAILURES, failures, 0);
+  }
+  void add_last_run(uint32_t last_run) {
+    fbb_.AddElement<uint32_t>(JobTask::VT_LAST_RUN, last_run, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(JobTask::VT_CHECKPOINT, checkpoint);
+  }
+  void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>>> runs) {
+    fbb_.AddOffset(JobTask::VT_RUNS, runs);
+  }
+  explicit JobTaskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<MemberList> Finish() {
+  flatbuffers::Offset<JobTask> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<MemberList>(end);
+    auto o = flatbuffers::Offset<JobTask>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<MemberList> CreateMemberList(
+inline flatbuffers::Offset<JobTask> CreateJobTask(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Member>>> members = 0) {
-  MemberListBuilder builder_(_fbb);
-  builder_.add_members(members);
+    bool done = false,
+    uint32_t failures = 0,
+    uint32_t last_run = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>>> runs = 0) {
+  JobTaskBuilder builder_(_fbb);
+  builder_.add_runs(runs);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_last_run(last_run);
+  builder_.add_failures(failures);
+  builder_.add_done(done);
   return builder_.Finish();
 }
 
-struct MemberList::Traits {
-  using type = MemberList;
-  static auto constexpr Create = CreateMemberList;
+struct JobTask::Traits {
+  using type = JobTask;
+  static auto constexpr Create = CreateJobTask;
 };
 
-inline flatbuffers::Offset<MemberList> CreateMemberListDirect(
+inline flatbuffers::Offset<JobTask> CreateJobTaskDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<dragonflymount::wire::Member>> *members = nullptr) {
-  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Member>>(*members) : 0;
-  return dragonflymount::wire::CreateMemberList(
+    bool done = false,
+    uint32_t failures = 0,
+    uint32_t last_run = 0,
+    const char *checkpoint = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>> *runs = nullptr) {
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::TaskRun>>(*runs) : 0;
+  return dragonflymount::wire::CreateJobTask(
       _fbb,
-      members__);
-}
-
-flatbuffers::Offset<MemberList> CreateMemberList(flatbuffers::FlatBufferBuilder &_fbb, const MemberListT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct SnapshotImageT : public flatbuffers::NativeTable {
-  typedef SnapshotImage TableType;
-  uint64_t last_index = 0;
-  uint64_t last_term = 0;
-  std::unique_ptr<dragonflymount::wire::MemberListT> members{};
-  std::vector<uint8_t> state{};
-  SnapshotImageT() = default;
-  SnapshotImageT(const SnapshotImageT &o);
-  SnapshotImageT(SnapshotImageT&&) FLATBUFFERS_NOEXCEPT = default;
-  SnapshotImageT &operator=(SnapshotImageT o) FLATBUFFERS_NOEXCEPT;
-};
-
-struct SnapshotImage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef SnapshotImageT NativeTableType;
-  typedef SnapshotImageBuilder Builder;
+      done,
+      failures,
+      last_run,
+      checkpoint__,
+      runs__);
+}
+
+flatbuffers::Offset<JobTask> CreateJobTask(flatbuffers::FlatBufferBuilder &_fbb, const JobTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StepTasksT : public flatbuffers::NativeTable {
+  typedef StepTasks TableType;
+  std::vector<std::unique_ptr<dragonflymount::wire::JobTaskT>> tasks{};
+  uint32_t done = 0;
+  uint32_t gang_failures = 0;
+  uint32_t gang_failed_run = 0;
+  StepTasksT() = default;
+  StepTasksT(const StepTasksT &o);
+  StepTasksT(StepTasksT&&) FLATBUFFERS_NOEXCEPT = default;
+  StepTasksT &operator=(StepTasksT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct StepTasks FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StepTasksT NativeTableType;
+  typedef StepTasksBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LAST_INDEX = 4,
-    VT_LAST_TERM = 6,
-    VT_MEMBERS = 8,
-    VT_STATE = 10
+    VT_TASKS = 4,
+    VT_DONE = 6,
+    VT_GANG_FAILURES = 8,
+    VT_GANG_FAILED_RUN = 10
   };
-  uint64_t last_index() const {
-    return GetField<uint64_t>(VT_LAST_INDEX, 0);
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobTask>> *tasks() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobTask>> *>(VT_TASKS);
   }
-  uint64_t last_term() const {
-    return GetField<uint64_t>(VT_LAST_TERM, 0);
+  uint32_t done() const {
+    return GetField<uint32_t>(VT_DONE, 0);
   }
-  const dragonflymount::wire::MemberList *members() const {
-    return GetPointer<const dragonflymount::wire::MemberList *>(VT_MEMBERS);
+  uint32_t gang_failures() const {
+    return GetField<uint32_t>(VT_GANG_FAILURES, 0);
   }
-  const flatbuffers::Vector<uint8_t> *state() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_STATE);
+  uint32_t gang_failed_run() const {
+    return GetField<uint32_t>(VT_GANG_FAILED_RUN, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
-           VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
-           VerifyOffset(verifier, VT_MEMBERS) &&
-           verifier.VerifyTable(members()) &&
-           VerifyOffset(verifier, VT_STATE) &&
-           verifier.VerifyVector(state()) &&
+           VerifyOffset(verifier, VT_TASKS) &&
+           verifier.VerifyVector(tasks()) &&
+           verifier.VerifyVectorOfTables(tasks()) &&
+           VerifyField<uint32_t>(verifier, VT_DONE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_GANG_FAILURES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_GANG_FAILED_RUN, 4) &&
            verifier.EndTable();
   }
-  SnapshotImageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(SnapshotImageT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<SnapshotImage> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotImageT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  StepTasksT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StepTasksT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StepTasks> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StepTasksT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct SnapshotImageBuilder {
-  typedef SnapshotImage Table;
+struct StepTasksBuilder {
+  typedef StepTasks Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_last_index(uint64_t last_index) {
-    fbb_.AddElement<uint64_t>(SnapshotImage::VT_LAST_INDEX, last_index, 0);
+  void add_tasks(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobTask>>> tasks) {
+    fbb_.AddOffset(StepTasks::VT_TASKS, tasks);
   }
-  void add_last_term(uint64_t last_term) {
-    fbb_.AddElement<uint64_t>(SnapshotImage::VT_LAST_TERM, last_term, 0);
+  void add_done(uint32_t done) {
+    fbb_.AddElement<uint32_t>(StepTasks::VT_DONE, done, 0);
   }
-  void add_members(flatbuffers::Offset<dragonflymount::wire::MemberList> members) {
-    fbb_.AddOffset(SnapshotImage::VT_MEMBERS, members);
+  void add_gang_failures(uint32_t gang_failures) {
+    fbb_.AddElement<uint32_t>(StepTasks::VT_GANG_FAILURES, gang_failures, 0);
   }
-  void add_state(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> state) {
-    fbb_.AddOffset(SnapshotImage::VT_STATE, state);
+  void add_gang_failed_run(uint32_t gang_failed_run) {
+    fbb_.AddElement<uint32_t>(StepTasks::VT_GANG_FAILED_RUN, gang_failed_run, 0);
   }
-  explicit SnapshotImageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit StepTasksBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<SnapshotImage> Finish() {
+  flatbuffers::Offset<StepTasks> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<SnapshotImage>(end);
+    auto o = flatbuffers::Offset<StepTasks>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<SnapshotImage> CreateSnapshotImage(
+inline flatbuffers::Offset<StepTasks> CreateStepTasks(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t last_index = 0,
-    uint64_t last_term = 0,
-    flatbuffers::Offset<dragonflymount::wire::MemberList> members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> state = 0) {
-  SnapshotImageBuilder builder_(_fbb);
-  builder_.add_last_term(last_term);
-  builder_.add_last_index(last_index);
-  builder_.add_state(state);
-  builder_.add_members(members);
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobTask>>> tasks = 0,
+    uint32_t done = 0,
+    uint32_t gang_failures = 0,
+    uint32_t gang_failed_run = 0) {
+  StepTasksBuilder builder_(_fbb);
+  builder_.add_gang_failed_run(gang_failed_run);
+  builder_.add_gang_failures(gang_failures);
+  builder_.add_done(done);
+  builder_.add_tasks(tasks);
   return builder_.Finish();
 }
 
-struct SnapshotImage::Traits {
-  using type = SnapshotImage;
-  static auto constexpr Create = CreateSnapshotImage;
+struct StepTasks::Traits {
+  using type = StepTasks;
+  static auto constexpr Create = CreateStepTasks;
 };
 
-inline flatbuffers::Offset<SnapshotImage> CreateSnapshotImageDirect(
+inline flatbuffers::Offset<StepTasks> CreateStepTasksDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t last_index = 0,
-    uint64_t last_term = 0,
-    flatbuffers::Offset<dragonflymount::wire::MemberList> members = 0,
-    const std::vector<uint8_t> *state = nullptr) {
-  auto state__ = state ? _fbb.CreateVector<uint8_t>(*state) : 0;
-  return dragonflymount::wire::CreateSnapshotImage(
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::JobTask>> *tasks = nullptr,
+    uint32_t done = 0,
+    uint32_t gang_failures = 0,
+    uint32_t gang_failed_run = 0) {
+  auto tasks__ = tasks ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobTask>>(*tasks) : 0;
+  return dragonflymount::wire::CreateStepTasks(
       _fbb,
-      last_index,
-      last_term,
-      members,
-      state__);
+      tasks__,
+      done,
+      gang_failures,
+      gang_failed_run);
 }
 
-flatbuffers::Offset<SnapshotImage> CreateSnapshotImage(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<StepTasks> CreateStepTasks(flatbuffers::FlatBufferBuilder &_fbb, const StepTasksT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct DataFolderT : public flatbuffers::NativeTable {
-  typedef DataFolder TableType;
-  uint64_t identity = 0;
+struct JobOccurrenceT : public flatbuffers::NativeTable {
+  typedef JobOccurrence TableType;
+  uint32_t number = 0;
+  std::vector<std::unique_ptr<dragonflymount::wire::StepTasksT>> steps{};
+  JobOccurrenceT() = default;
+  JobOccurrenceT(const JobOccurrenceT &o);
+  JobOccurrenceT(JobOccurrenceT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobOccurrenceT &operator=(JobOccurrenceT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct DataFolder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef DataFolderT NativeTableType;
-  typedef DataFolderBuilder Builder;
+struct JobOccurrence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobOccurrenceT NativeTableType;
+  typedef JobOccurrenceBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_IDENTITY = 4
+    VT_NUMBER = 4,
+    VT_STEPS = 6
   };
-  uint64_t identity() const {
-    return GetField<uint64_t>(VT_IDENTITY, 0);
+  uint32_t number() const {
+    return GetField<uint32_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::StepTasks>> *steps() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::StepTasks>> *>(VT_STEPS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
+           VerifyField<uint32_t>(verifier, VT_NUMBER, 4) &&
+           VerifyOffset(verifier, VT_STEPS) &&
+           verifier.VerifyVector(steps()) &&
+           verifier.VerifyVectorOfTables(steps()) &&
            verifier.EndTable();
   }
-  DataFolderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(DataFolderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<DataFolder> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DataFolderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  JobOccurrenceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobOccurrenceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobOccurrence> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobOccurrenceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct DataFolderBuilder {
-  typedef DataFolder Table;
+struct JobOccurrenceBuilder {
+  typedef JobOccurrence Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_identity(uint64_t identity) {
-    fbb_.AddElement<uint64_t>(DataFolder::VT_IDENTITY, identity, 0);
+  void add_number(uint32_t number) {
+    fbb_.AddElement<uint32_t>(JobOccurrence::VT_NUMBER, number, 0);
   }
-  explicit DataFolderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_steps(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::StepTasks>>> steps) {
+    fbb_.AddOffset(JobOccurrence::VT_STEPS, steps);
+  }
+  explicit JobOccurrenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<DataFolder> Finish() {
+  flatbuffers::Offset<JobOccurrence> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<DataFolder>(end);
+    auto o = flatbuffers::Offset<JobOccurrence>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<DataFolder> CreateDataFolder(
+inline flatbuffers::Offset<JobOccurrence> CreateJobOccurrence(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t identity = 0) {
-  DataFolderBuilder builder_(_fbb);
-  builder_.add_identity(identity);
+    uint32_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::StepTasks>>> steps = 0) {
+  JobOccurrenceBuilder builder_(_fbb);
+  builder_.add_steps(steps);
+  builder_.add_number(number);
   return builder_.Finish();
 }
 
-struct DataFolder::Traits {
-  using type = DataFolder;
-  static auto constexpr Create = CreateDataFolder;
+struct JobOccurrence::Traits {
+  using type = JobOccurrence;
+  static auto constexpr Create = CreateJobOccurrence;
 };
 
-flatbuffers::Offset<DataFolder> CreateDataFolder(flatbuffers::FlatBufferBuilder &_fbb, const DataFolderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+inline flatbuffers::Offset<JobOccurrence> CreateJobOccurrenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t number = 0,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::StepTasks>> *steps = nullptr) {
+  auto steps__ = steps ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::StepTasks>>(*steps) : 0;
+  return dragonflymount::wire::CreateJobOccurrence(
+      _fbb,
+      number,
+      steps__);
+}
 
-struct HardStateT : public flatbuffers::NativeTable {
-  typedef HardState TableType;
-  uint64_t term = 0;
-  std::string vote{};
-};
+flatbuffers::Offset<JobOccurrence> CreateJobOccurrence(flatbuffers::FlatBufferBuilder &_fbb, const JobOccurrenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct HardState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef HardStateT NativeTableType;
-  typedef HardStateBuilder Builder;
+struct JobT : public flatbuffers::NativeTable {
+  typedef Job TableType;
+  uint64_t id = 0;
+  std::string queue{};
+  std::string team{};
+  std::unique_ptr<dragonflymount::wire::JobSpecT> spec{};
+  dragonflymount::wire::job_phase phase = dragonflymount::wire::job_phase::active;
+  uint64_t accepted_ms = 0;
+  uint64_t ended_ms = 0;
+  bool begun = false;
+  std::vector<std::unique_ptr<dragonflymount::wire::JobOccurrenceT>> occurrences{};
+  uint32_t next_occurrence = 0;
+  JobT() = default;
+  JobT(const JobT &o);
+  JobT(JobT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobT &operator=(JobT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct Job FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobT NativeTableType;
+  typedef JobBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TERM = 4,
-    VT_VOTE = 6
+    VT_ID = 4,
+    VT_QUEUE = 6,
+    VT_TEAM = 8,
+    VT_SPEC = 10,
+    VT_PHASE = 12,
+    VT_ACCEPTED_MS = 14,
+    VT_ENDED_MS = 16,
+    VT_BEGUN = 18,
+    VT_OCCURRENCES = 20,
+    VT_NEXT_OCCURRENCE = 22
   };
-  uint64_t term() const {
-    return GetField<uint64_t>(VT_TERM, 0);
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
   }
-  const flatbuffers::String *vote() const {
-    return GetPointer<const flatbuffers::String *>(VT_VOTE);
+  const flatbuffers::String *queue() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUEUE);
+  }
+  const flatbuffers::String *team() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEAM);
+  }
+  const dragonflymount::wire::JobSpec *spec() const {
+    return GetPointer<const dragonflymount::wire::JobSpec *>(VT_SPEC);
+  }
+  dragonflymount::wire::job_phase phase() const {
+    return static_cast<dragonflymount::wire::job_phase>(GetField<uint8_t>(VT_PHASE, 0));
+  }
+  uint64_t accepted_ms() const {
+    return GetField<uint64_t>(VT_ACCEPTED_MS, 0);
+  }
+  uint64_t ended_ms() const {
+    return GetField<uint64_t>(VT_ENDED_MS, 0);
+  }
+  bool begun() const {
+    return GetField<uint8_t>(VT_BEGUN, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>> *occurrences() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>> *>(VT_OCCURRENCES);
+  }
+  uint32_t next_occurrence() const {
+    return GetField<uint32_t>(VT_NEXT_OCCURRENCE, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
-           VerifyOffset(verifier, VT_VOTE) &&
-           verifier.VerifyString(vote()) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_QUEUE) &&
+           verifier.VerifyString(queue()) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
+           VerifyOffset(verifier, VT_SPEC) &&
+           verifier.VerifyTable(spec()) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ACCEPTED_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ENDED_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_BEGUN, 1) &&
+           VerifyOffset(verifier, VT_OCCURRENCES) &&
+           verifier.VerifyVector(occurrences()) &&
+           verifier.VerifyVectorOfTables(occurrences()) &&
+           VerifyField<uint32_t>(verifier, VT_NEXT_OCCURRENCE, 4) &&
            verifier.EndTable();
   }
-  HardStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(HardStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<HardState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HardStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  JobT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Job> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct HardStateBuilder {
-  typedef HardState Table;
+struct JobBuilder {
+  typedef Job Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_term(uint64_t term) {
-    fbb_.AddElement<uint64_t>(HardState::VT_TERM, term, 0);
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(Job::VT_ID, id, 0);
   }
-  void add_vote(flatbuffers::Offset<flatbuffers::String> vote) {
-    fbb_.AddOffset(HardState::VT_VOTE, vote);
+  void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
+    fbb_.AddOffset(Job::VT_QUEUE, queue);
   }
-  explicit HardStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
+    fbb_.AddOffset(Job::VT_TEAM, team);
+  }
+  void add_spec(flatbuffers::Offset<dragonflymount::wire::JobSpec> spec) {
+    fbb_.AddOffset(Job::VT_SPEC, spec);
+  }
+  void add_phase(dragonflymount::wire::job_phase phase) {
+    fbb_.AddElement<uint8_t>(Job::VT_PHASE, static_cast<uint8_t>(phase), 0);
+  }
+  void add_accepted_ms(uint64_t accepted_ms) {
+    fbb_.AddElement<uint64_t>(Job::VT_ACCEPTED_MS, accepted_ms, 0);
+  }
+  void add_ended_ms(uint64_t ended_ms) {
+    fbb_.AddElement<uint64_t>(Job::VT_ENDED_MS, ended_ms, 0);
+  }
+  void add_begun(bool begun) {
+    fbb_.AddElement<uint8_t>(Job::VT_BEGUN, static_cast<uint8_t>(begun), 0);
+  }
+  void add_occurrences(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>>> occurrences) {
+    fbb_.AddOffset(Job::VT_OCCURRENCES, occurrences);
+  }
+  void add_next_occurrence(uint32_t next_occurrence) {
+    fbb_.AddElement<uint32_t>(Job::VT_NEXT_OCCURRENCE, next_occurrence, 0);
+  }
+  explicit JobBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<HardState> Finish() {
+  flatbuffers::Offset<Job> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<HardState>(end);
+    auto o = flatbuffers::Offset<Job>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<HardState> CreateHardState(
+inline flatbuffers::Offset<Job> CreateJob(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::String> vote = 0) {
-  HardStateBuilder builder_(_fbb);
-  builder_.add_term(term);
-  builder_.add_vote(vote);
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> queue = 0,
+    flatbuffers::Offset<flatbuffers::String> team = 0,
+    flatbuffers::Offset<dragonflymount::wire::JobSpec> spec = 0,
+    dragonflymount::wire::job_phase phase = dragonflymount::wire::job_phase::active,
+    uint64_t accepted_ms = 0,
+    uint64_t ended_ms = 0,
+    bool begun = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>>> occurrences = 0,
+    uint32_t next_occurrence = 0) {
+  JobBuilder builder_(_fbb);
+  builder_.add_ended_ms(ended_ms);
+  builder_.add_accepted_ms(accepted_ms);
+  builder_.add_id(id);
+  builder_.add_next_occurrence(next_occurrence);
+  builder_.add_occurrences(occurrences);
+  builder_.add_spec(spec);
+  builder_.add_team(team);
+  builder_.add_queue(queue);
+  builder_.add_begun(begun);
+  builder_.add_phase(phase);
   return builder_.Finish();
 }
 
-struct HardState::Traits {
-  using type = HardState;
-  static auto constexpr Create = CreateHardState;
+struct Job::Traits {
+  using type = Job;
+  static auto constexpr Create = CreateJob;
 };
 
-inline flatbuffers::Offset<HardState> CreateHardStateDirect(
+inline flatbuffers::Offset<Job> CreateJobDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    const char *vote = nullptr) {
-  auto vote__ = vote ? _fbb.CreateString(vote) : 0;
-  return dragonflymount::wire::CreateHardState(
+    uint64_t id = 0,
+    const char *queue = nullptr,
+    const char *team = nullptr,
+    flatbuffers::Offset<dragonflymount::wire::JobSpec> spec = 0,
+    dragonflymount::wire::job_phase phase = dragonflymount::wire::job_phase::active,
+    uint64_t accepted_ms = 0,
+    uint64_t ended_ms = 0,
+    bool begun = false,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>> *occurrences = nullptr,
+    uint32_t next_occurrence = 0) {
+  auto queue__ = queue ? _fbb.CreateString(queue) : 0;
+  auto team__ = team ? _fbb.CreateString(team) : 0;
+  auto occurrences__ = occurrences ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>>(*occurrences) : 0;
+  return dragonflymount::wire::CreateJob(
       _fbb,
-      term,
-      vote__);
+      id,
+      queue__,
+      team__,
+      spec,
+      phase,
+      accepted_ms,
+      ended_ms,
+      begun,
+      occurrences__,
+      next_occurrence);
 }
 
-flatbuffers::Offset<HardState> CreateHardState(flatbuffers::FlatBufferBuilder &_fbb, const HardStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<Job> CreateJob(flatbuffers::FlatBufferBuilder &_fbb, const JobT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct VoteRequestT : public flatbuffers::NativeTable {
-  typedef VoteRequest TableType;
-  uint64_t term = 0;
-  std::string candidate{};
-  uint64_t identity = 0;
-  uint64_t last_index = 0;
-  uint64_t last_term = 0;
-  bool pre_vote = false;
+struct QueueAdviceT : public flatbuffers::NativeTable {
+  typedef QueueAdvice TableType;
+  uint32_t decide_ms = 0;
+  uint32_t each_ms = 0;
+  uint32_t valid_ms = 0;
 };
 
-struct VoteRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef VoteRequestT NativeTableType;
-  typedef VoteRequestBuilder Builder;
+struct QueueAdvice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueueAdviceT NativeTableType;
+  typedef QueueAdviceBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TERM = 4,
-    VT_CANDIDATE = 6,
-    VT_IDENTITY = 8,
-    VT_LAST_INDEX = 10,
-    VT_LAST_TERM = 12,
-    VT_PRE_VOTE = 14
+    VT_DECIDE_MS = 4,
+    VT_EACH_MS = 6,
+    VT_VALID_MS = 8
   };
-  uint64_t term() const {
-    return GetField<uint64_t>(VT_TERM, 0);
-  }
-  const flatbuffers::String *candidate() const {
-    return GetPointer<const flatbuffers::String *>(VT_CANDIDATE);
-  }
-  uint64_t identity() const {
-    return GetField<uint64_t>(VT_IDENTITY, 0);
-  }
-  uint64_t last_index() const {
-    return GetField<uint64_t>(VT_LAST_INDEX, 0);
+  uint32_t decide_ms() const {
+    return GetField<uint32_t>(VT_DECIDE_MS, 0);
   }
-  uint64_t last_term() const {
-    return GetField<uint64_t>(VT_LAST_TERM, 0);
+  uint32_t each_ms() const {
+    return GetField<uint32_t>(VT_EACH_MS, 0);
   }
-  bool pre_vote() const {
-    return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
+  uint32_t valid_ms() const {
+    return GetField<uint32_t>(VT_VALID_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
-           VerifyOffset(verifier, VT_CANDIDATE) &&
-           verifier.VerifyString(candidate()) &&
-           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
-           VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
-           VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
-           VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_DECIDE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_EACH_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_VALID_MS, 4) &&
            verifier.EndTable();
   }
-  VoteRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(VoteRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<VoteRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  QueueAdviceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QueueAdviceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QueueAdvice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueAdviceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct VoteRequestBuilder {
-  typedef VoteRequest Table;
+struct QueueAdviceBuilder {
+  typedef QueueAdvice Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_term(uint64_t term) {
-    fbb_.AddElement<uint64_t>(VoteRequest::VT_TERM, term, 0);
-  }
-  void add_candidate(flatbuffers::Offset<flatbuffers::String> candidate) {
-    fbb_.AddOffset(VoteRequest::VT_CANDIDATE, candidate);
-  }
-  void add_identity(uint64_t identity) {
-    fbb_.AddElement<uint64_t>(VoteRequest::VT_IDENTITY, identity, 0);
-  }
-  void add_last_index(uint64_t last_index) {
-    fbb_.AddElement<uint64_t>(VoteRequest::VT_LAST_INDEX, last_index, 0);
+  void add_decide_ms(uint32_t decide_ms) {
+    fbb_.AddElement<uint32_t>(QueueAdvice::VT_DECIDE_MS, decide_ms, 0);
   }
-  void add_last_term(uint64_t last_term) {
-    fbb_.AddElement<uint64_t>(VoteRequest::VT_LAST_TERM, last_term, 0);
+  void add_each_ms(uint32_t each_ms) {
+    fbb_.AddElement<uint32_t>(QueueAdvice::VT_EACH_MS, each_ms, 0);
   }
-  void add_pre_vote(bool pre_vote) {
-    fbb_.AddElement<uint8_t>(VoteRequest::VT_PRE_VOTE, static_cast<uint8_t>(pre_vote), 0);
+  void add_valid_ms(uint32_t valid_ms) {
+    fbb_.AddElement<uint32_t>(QueueAdvice::VT_VALID_MS, valid_ms, 0);
   }
-  explicit VoteRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit QueueAdviceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<VoteRequest> Finish() {
+  flatbuffers::Offset<QueueAdvice> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<VoteRequest>(end);
+    auto o = flatbuffers::Offset<QueueAdvice>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<VoteRequest> CreateVoteRequest(
+inline flatbuffers::Offset<QueueAdvice> CreateQueueAdvice(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::String> candidate = 0,
-    uint64_t identity = 0,
-    uint64_t last_index = 0,
-    uint64_t last_term = 0,
-    bool pre_vote = false) {
-  VoteRequestBuilder builder_(_fbb);
-  builder_.add_last_term(last_term);
-  builder_.add_last_index(last_index);
-  builder_.add_identity(identity);
-  builder_.add_term(term);
-  builder_.add_candidate(candidate);
-  builder_.add_pre_vote(pre_vote);
+    uint32_t decide_ms = 0,
+    uint32_t each_ms = 0,
+    uint32_t valid_ms = 0) {
+  QueueAdviceBuilder builder_(_fbb);
+  builder_.add_valid_ms(valid_ms);
+  builder_.add_each_ms(each_ms);
+  builder_.add_decide_ms(decide_ms);
   return builder_.Finish();
 }
 
-struct VoteRequest::Traits {
-  using type = VoteRequest;
-  static auto constexpr Create = CreateVoteRequest;
+struct QueueAdvice::Traits {
+  using type = QueueAdvice;
+  static auto constexpr Create = CreateQueueAdvice;
 };
 
-inline flatbuffers::Offset<VoteRequest> CreateVoteRequestDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    const char *candidate = nullptr,
-    uint64_t identity = 0,
-    uint64_t last_index = 0,
-    uint64_t last_term = 0,
-    bool pre_vote = false) {
-  auto candidate__ = candidate ? _fbb.CreateString(candidate) : 0;
-  return dragonflymount::wire::CreateVoteRequest(
-      _fbb,
-      term,
-      candidate__,
-      identity,
-      last_index,
-      last_term,
-      pre_vote);
-}
-
-flatbuffers::Offset<VoteRequest> CreateVoteRequest(flatbuffers::FlatBufferBuilder &_fbb, const VoteRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct VoteReplyT : public flatbuffers::NativeTable {
-  typedef VoteReply TableType;
-  uint64_t term = 0;
-  std::string voter{};
-  uint64_t identity = 0;
-  bool granted = false;
-  bool pre_vote = false;
-};
+flatbuffers::Offset<QueueAdvice> CreateQueueAdvice(flatbuffers::FlatBufferBuilder &_fbb, const QueueAdviceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct VoteReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef VoteReplyT NativeTableType;
-  typedef VoteReplyBuilder Builder;
+struct JobQueueT : public flatbuffers::NativeTable {
+  typedef JobQueue TableType;
+  std::string name{};
+  std::string host{};
+  std::string path_prefix{};
+  std::string pool{};
+  uint32_t priority = 0;
+  uint32_t max_attempts = 0;
+  double stretch = 0.0;
+  uint32_t objective_ms = 0;
+  uint32_t timeout_ms = 0;
+  bool open = false;
+  std::unique_ptr<dragonflymount::wire::QueueAdviceT> advice{};
+  JobQueueT() = default;
+  JobQueueT(const JobQueueT &o);
+  JobQueueT(JobQueueT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobQueueT &operator=(JobQueueT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct JobQueue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobQueueT NativeTableType;
+  typedef JobQueueBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TERM = 4,
-    VT_VOTER = 6,
-    VT_IDENTITY = 8,
-    VT_GRANTED = 10,
-    VT_PRE_VOTE = 12
+    VT_NAME = 4,
+    VT_HOST = 6,
+    VT_PATH_PREFIX = 8,
+    VT_POOL = 10,
+    VT_PRIORITY = 12,
+    VT_MAX_ATTEMPTS = 14,
+    VT_STRETCH = 16,
+    VT_OBJECTIVE_MS = 18,
+    VT_TIMEOUT_MS = 20,
+    VT_OPEN = 22,
+    VT_ADVICE = 24
   };
-  uint64_t term() const {
-    return GetField<uint64_t>(VT_TERM, 0);
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
   }
-  const flatbuffers::String *voter() const {
-    return GetPointer<const flatbuffers::String *>(VT_VOTER);
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
   }
-  uint64_t identity() const {
-    return GetField<uint64_t>(VT_IDENTITY, 0);
+  const flatbuffers::String *path_prefix() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATH_PREFIX);
   }
-  bool granted() const {
-    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
   }
-  bool pre_vote() const {
-    return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  uint32_t max_attempts() const {
+    return GetField<uint32_t>(VT_MAX_ATTEMPTS, 0);
+  }
+  double stretch() const {
+    return GetField<double>(VT_STRETCH, 0.0);
+  }
+  uint32_t objective_ms() const {
+    return GetField<uint32_t>(VT_OBJECTIVE_MS, 0);
+  }
+  uint32_t timeout_ms() const {
+    return GetField<uint32_t>(VT_TIMEOUT_MS, 0);
+  }
+  bool open() const {
+    return GetField<uint8_t>(VT_OPEN, 0) != 0;
+  }
+  const dragonflymount::wire::QueueAdvice *advice() const {
+    return GetPointer<const dragonflymount::wire::QueueAdvice *>(VT_ADVICE);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
-           VerifyOffset(verifier, VT_VOTER) &&
-           verifier.VerifyString(voter()) &&
-           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
-           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
-           VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_PATH_PREFIX) &&
+           verifier.VerifyString(path_prefix()) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_ATTEMPTS, 4) &&
+           VerifyField<double>(verifier, VT_STRETCH, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_OPEN, 1) &&
+           VerifyOffset(verifier, VT_ADVICE) &&
+           verifier.VerifyTable(advice()) &&
            verifier.EndTable();
   }
-  VoteReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(VoteReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<VoteReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  JobQueueT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobQueueT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobQueue> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobQueueT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct VoteReplyBuilder {
-  typedef VoteReply Table;
+struct JobQueueBuilder {
+  typedef JobQueue Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_term(uint64_t term) {
-    fbb_.AddElement<uint64_t>(VoteReply::VT_TERM, term, 0);
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(JobQueue::VT_NAME, name);
   }
-  void add_voter(flatbuffers::Offset<flatbuffers::String> voter) {
-    fbb_.AddOffset(VoteReply::VT_VOTER, voter);
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(JobQueue::VT_HOST, host);
   }
-  void add_identity(uint64_t identity) {
-    fbb_.AddElement<uint64_t>(VoteReply::VT_IDENTITY, identity, 0);
+  void add_path_prefix(flatbuffers::Offset<flatbuffers::String> path_prefix) {
+    fbb_.AddOffset(JobQueue::VT_PATH_PREFIX, path_prefix);
   }
-  void add_granted(bool granted) {
-    fbb_.AddElement<uint8_t>(VoteReply::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(JobQueue::VT_POOL, pool);
   }
-  void add_pre_vote(bool pre_vote) {
-    fbb_.AddElement<uint8_t>(VoteReply::VT_PRE_VOTE, static_cast<uint8_t>(pre_vote), 0);
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(JobQueue::VT_PRIORITY, priority, 0);
   }
-  explicit VoteReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_max_attempts(uint32_t max_attempts) {
+    fbb_.AddElement<uint32_t>(JobQueue::VT_MAX_ATTEMPTS, max_attempts, 0);
+  }
+  void add_stretch(double stretch) {
+    fbb_.AddElement<double>(JobQueue::VT_STRETCH, stretch, 0.0);
+  }
+  void add_objective_ms(uint32_t objective_ms) {
+    fbb_.AddElement<uint32_t>(JobQueue::VT_OBJECTIVE_MS, objective_ms, 0);
+  }
+  void add_timeout_ms(uint32_t timeout_ms) {
+    fbb_.AddElement<uint32_t>(JobQueue::VT_TIMEOUT_MS, timeout_ms, 0);
+  }
+  void add_open(bool open) {
+    fbb_.AddElement<uint8_t>(JobQueue::VT_OPEN, static_cast<uint8_t>(open), 0);
+  }
+  void add_advice(flatbuffers::Offset<dragonflymount::wire::QueueAdvice> advice) {
+    fbb_.AddOffset(JobQueue::VT_ADVICE, advice);
+  }
+  explicit JobQueueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<VoteReply> Finish() {
+  flatbuffers::Offset<JobQueue> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<VoteReply>(end);
+    auto o = flatbuffers::Offset<JobQueue>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<VoteReply> CreateVoteReply(
+inline flatbuffers::Offset<JobQueue> CreateJobQueue(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::String> voter = 0,
-    uint64_t identity = 0,
-    bool granted = false,
-    bool pre_vote = false) {
-  VoteReplyBuilder builder_(_fbb);
-  builder_.add_identity(identity);
-  builder_.add_term(term);
-  builder_.add_voter(voter);
-  builder_.add_pre_vote(pre_vote);
-  builder_.add_granted(granted);
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> path_prefix = 0,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    uint32_t priority = 0,
+    uint32_t max_attempts = 0,
+    double stretch = 0.0,
+    uint32_t objective_ms = 0,
+    uint32_t timeout_ms = 0,
+    bool open = false,
+    flatbuffers::Offset<dragonflymount::wire::QueueAdvice> advice = 0) {
+  JobQueueBuilder builder_(_fbb);
+  builder_.add_stretch(stretch);
+  builder_.add_advice(advice);
+  builder_.add_timeout_ms(timeout_ms);
+  builder_.add_objective_ms(objective_ms);
+  builder_.add_max_attempts(max_attempts);
+  builder_.add_priority(priority);
+  builder_.add_pool(pool);
+  builder_.add_path_prefix(path_prefix);
+  builder_.add_host(host);
+  builder_.add_name(name);
+  builder_.add_open(open);
   return builder_.Finish();
 }
 
-struct VoteReply::Traits {
-  using type = VoteReply;
-  static auto constexpr Create = CreateVoteReply;
+struct JobQueue::Traits {
+  using type = JobQueue;
+  static auto constexpr Create = CreateJobQueue;
 };
 
-inline flatbuffers::Offset<VoteReply> CreateVoteReplyDirect(
+inline flatbuffers::Offset<JobQueue> CreateJobQueueDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    const char *voter = nullptr,
-    uint64_t identity = 0,
-    bool granted = false,
-    bool pre_vote = false) {
-  auto voter__ = voter ? _fbb.CreateString(voter) : 0;
-  return dragonflymount::wire::CreateVoteReply(
+    const char *name = nullptr,
+    const char *host = nullptr,
+    const char *path_prefix = nullptr,
+    const char *pool = nullptr,
+    uint32_t priority = 0,
+    uint32_t max_attempts = 0,
+    double stretch = 0.0,
+    uint32_t objective_ms = 0,
+    uint32_t timeout_ms = 0,
+    bool open = false,
+    flatbuffers::Offset<dragonflymount::wire::QueueAdvice> advice = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto path_prefix__ = path_prefix ? _fbb.CreateString(path_prefix) : 0;
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  return dragonflymount::wire::CreateJobQueue(
       _fbb,
-      term,
-      voter__,
-      identity,
-      granted,
-      pre_vote);
+      name__,
+      host__,
+      path_prefix__,
+      pool__,
+      priority,
+      max_attempts,
+      stretch,
+      objective_ms,
+      timeout_ms,
+      open,
+      advice);
 }
 
-flatbuffers::Offset<VoteReply> CreateVoteReply(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<JobQueue> CreateJobQueue(flatbuffers::FlatBufferBuilder &_fbb, const JobQueueT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct AppendRequestT : public flatbuffers::NativeTable {
-  typedef AppendRequest TableType;
-  uint64_t term = 0;
-  std::string leader{};
-  uint64_t previous_index = 0;
-  uint64_t previous_term = 0;
-  uint64_t commit = 0;
-  uint64_t round = 0;
-  std::vector<std::unique_ptr<dragonflymount::wire::LogEntryT>> entries{};
-  AppendRequestT() = default;
-  AppendRequestT(const AppendRequestT &o);
-  AppendRequestT(AppendRequestT&&) FLATBUFFERS_NOEXCEPT = default;
-  AppendRequestT &operator=(AppendRequestT o) FLATBUFFERS_NOEXCEPT;
+struct JobPoolT : public flatbuffers::NativeTable {
+  typedef JobPool TableType;
+  std::string name{};
+  bool guarded = false;
+  bool standby = false;
+  std::string health_path{};
 };
 
-struct AppendRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef AppendRequestT NativeTableType;
-  typedef AppendRequestBuilder Builder;
+struct JobPool FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobPoolT NativeTableType;
+  typedef JobPoolBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TERM = 4,
-    VT_LEADER = 6,
-    VT_PREVIOUS_INDEX = 8,
-    VT_PREVIOUS_TERM = 10,
-    VT_COMMIT = 12,
-    VT_ROUND = 14,
-    VT_ENTRIES = 16
+    VT_NAME = 4,
+    VT_GUARDED = 6,
+    VT_STANDBY = 8,
+    VT_HEALTH_PATH = 10
   };
-  uint64_t term() const {
-    return GetField<uint64_t>(VT_TERM, 0);
-  }
-  const flatbuffers::String *leader() const {
-    return GetPointer<const flatbuffers::String *>(VT_LEADER);
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
   }
-  uint64_t previous_index() const {
-    return GetField<uint64_t>(VT_PREVIOUS_INDEX, 0);
-  }
-  uint64_t previous_term() const {
-    return GetField<uint64_t>(VT_PREVIOUS_TERM, 0);
-  }
-  uint64_t commit() const {
-    return GetField<uint64_t>(VT_COMMIT, 0);
+  bool guarded() const {
+    return GetField<uint8_t>(VT_GUARDED, 0) != 0;
   }
-  uint64_t round() const {
-    return GetField<uint64_t>(VT_ROUND, 0);
+  bool standby() const {
+    return GetField<uint8_t>(VT_STANDBY, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *entries() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *>(VT_ENTRIES);
+  const flatbuffers::String *health_path() const {
+    return GetPointer<const flatbuffers::String *>(VT_HEALTH_PATH);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
-           VerifyOffset(verifier, VT_LEADER) &&
-           verifier.VerifyString(leader()) &&
-           VerifyField<uint64_t>(verifier, VT_PREVIOUS_INDEX, 8) &&
-           VerifyField<uint64_t>(verifier, VT_PREVIOUS_TERM, 8) &&
-           VerifyField<uint64_t>(verifier, VT_COMMIT, 8) &&
-           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
-           VerifyOffset(verifier, VT_ENTRIES) &&
-           verifier.VerifyVector(entries()) &&
-           verifier.VerifyVectorOfTables(entries()) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint8_t>(verifier, VT_GUARDED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_STANDBY, 1) &&
+           VerifyOffset(verifier, VT_HEALTH_PATH) &&
+           verifier.VerifyString(health_path()) &&
            verifier.EndTable();
   }
-  AppendRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(AppendRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<AppendRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  JobPoolT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobPoolT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobPool> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobPoolT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct AppendRequestBuilder {
-  typedef AppendRequest Table;
+struct JobPoolBuilder {
+  typedef JobPool Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_term(uint64_t term) {
-    fbb_.AddElement<uint64_t>(AppendRequest::VT_TERM, term, 0);
-  }
-  void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
-    fbb_.AddOffset(AppendRequest::VT_LEADER, leader);
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(JobPool::VT_NAME, name);
   }
-  void add_previous_index(uint64_t previous_index) {
-    fbb_.AddElement<uint64_t>(AppendRequest::VT_PREVIOUS_INDEX, previous_index, 0);
-  }
-  void add_previous_term(uint64_t previous_term) {
-    fbb_.AddElement<uint64_t>(AppendRequest::VT_PREVIOUS_TERM, previous_term, 0);
-  }
-  void add_commit(uint64_t commit) {
-    fbb_.AddElement<uint64_t>(AppendRequest::VT_COMMIT, commit, 0);
+  void add_guarded(bool guarded) {
+    fbb_.AddElement<uint8_t>(JobPool::VT_GUARDED, static_cast<uint8_t>(guarded), 0);
   }
-  void add_round(uint64_t round) {
-    fbb_.AddElement<uint64_t>(AppendRequest::VT_ROUND, round, 0);
+  void add_standby(bool standby) {
+    fbb_.AddElement<uint8_t>(JobPool::VT_STANDBY, static_cast<uint8_t>(standby), 0);
   }
-  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>> entries) {
-    fbb_.AddOffset(AppendRequest::VT_ENTRIES, entries);
+  void add_health_path(flatbuffers::Offset<flatbuffers::String> health_path) {
+    fbb_.AddOffset(JobPool::VT_HEALTH_PATH, health_path);
   }
-  explicit AppendRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit JobPoolBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<AppendRequest> Finish() {
+  flatbuffers::Offset<JobPool> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<AppendRequest>(end);
+    auto o = flatbuffers::Offset<JobPool>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<AppendRequest> CreateAppendRequest(
+inline flatbuffers::Offset<JobPool> CreateJobPool(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::String> leader = 0,
-    uint64_t previous_index = 0,
-    uint64_t previous_term = 0,
-    uint64_t commit = 0,
-    uint64_t round = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>> entries = 0) {
-  AppendRequestBuilder builder_(_fbb);
-  builder_.add_round(round);
-  builder_.add_commit(commit);
-  builder_.add_previous_term(previous_term);
-  builder_.add_previous_index(previous_index);
-  builder_.add_term(term);
-  builder_.add_entries(entries);
-  builder_.add_leader(leader);
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    bool guarded = false,
+    bool standby = false,
+    flatbuffers::Offset<flatbuffers::String> health_path = 0) {
+  JobPoolBuilder builder_(_fbb);
+  builder_.add_health_path(health_path);
+  builder_.add_name(name);
+  builder_.add_standby(standby);
+  builder_.add_guarded(guarded);
   return builder_.Finish();
 }
 
-struct AppendRequest::Traits {
-  using type = AppendRequest;
-  static auto constexpr Create = CreateAppendRequest;
+struct JobPool::Traits {
+  using type = JobPool;
+  static auto constexpr Create = CreateJobPool;
 };
 
-inline flatbuffers::Offset<AppendRequest> CreateAppendRequestDirect(
+inline flatbuffers::Offset<JobPool> CreateJobPoolDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    const char *leader = nullptr,
-    uint64_t previous_index = 0,
-    uint64_t previous_term = 0,
-    uint64_t commit = 0,
-    uint64_t round = 0,
-    const std::vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *entries = nullptr) {
-  auto leader__ = leader ? _fbb.CreateString(leader) : 0;
-  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>(*entries) : 0;
-  return dragonflymount::wire::CreateAppendRequest(
+    const char *name = nullptr,
+    bool guarded = false,
+    bool standby = false,
+    const char *health_path = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto health_path__ = health_path ? _fbb.CreateString(health_path) : 0;
+  return dragonflymount::wire::CreateJobPool(
       _fbb,
-      term,
-      leader__,
-      previous_index,
-      previous_term,
-      commit,
-      round,
-      entries__);
+      name__,
+      guarded,
+      standby,
+      health_path__);
 }
 
-flatbuffers::Offset<AppendRequest> CreateAppendRequest(flatbuffers::FlatBufferBuilder &_fbb, const AppendRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<JobPool> CreateJobPool(flatbuffers::FlatBufferBuilder &_fbb, const JobPoolT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct AppendReplyT : public flatbuffers::NativeTable {
-  typedef AppendReply TableType;
-  uint64_t term = 0;
-  std::string follower{};
-  uint64_t identity = 0;
-  bool accepted = false;
-  uint64_t match_index = 0;
-  uint64_t round = 0;
+struct JobTeamT : public flatbuffers::NativeTable {
+  typedef JobTeam TableType;
+  std::string name{};
+  std::vector<std::string> keys{};
+  uint32_t priority = 0;
+  double weight = 0.0;
+  uint64_t cpu_limit = 0;
+  uint64_t memory_limit = 0;
+  uint64_t gpu_limit = 0;
 };
 
-struct AppendReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef AppendReplyT NativeTableType;
-  typedef AppendReplyBuilder Builder;
+struct JobTeam FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobTeamT NativeTableType;
+  typedef JobTeamBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TERM = 4,
-    VT_FOLLOWER = 6,
-    VT_IDENTITY = 8,
-    VT_ACCEPTED = 10,
-    VT_MATCH_INDEX = 12,
-    VT_ROUND = 14
+    VT_NAME = 4,
+    VT_KEYS = 6,
+    VT_PRIORITY = 8,
+    VT_WEIGHT = 10,
+    VT_CPU_LIMIT = 12,
+    VT_MEMORY_LIMIT = 14,
+    VT_GPU_LIMIT = 16
   };
-  uint64_t term() const {
-    return GetField<uint64_t>(VT_TERM, 0);
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
   }
-  const flatbuffers::String *follower() const {
-    return GetPointer<const flatbuffers::String *>(VT_FOLLOWER);
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *keys() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KEYS);
   }
-  uint64_t identity() const {
-    return GetField<uint64_t>(VT_IDENTITY, 0);
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
   }
-  bool accepted() const {
-    return GetField<uint8_t>(VT_ACCEPTED, 0) != 0;
+  double weight() const {
+    return GetField<double>(VT_WEIGHT, 0.0);
   }
-  uint64_t match_index() const {
-    return GetField<uint64_t>(VT_MATCH_INDEX, 0);
+  uint64_t cpu_limit() const {
+    return GetField<uint64_t>(VT_CPU_LIMIT, 0);
   }
-  uint64_t round() const {
-    return GetField<uint64_t>(VT_ROUND, 0);
+  uint64_t memory_limit() const {
+    return GetField<uint64_t>(VT_MEMORY_LIMIT, 0);
+  }
+  uint64_t gpu_limit() const {
+    return GetField<uint64_t>(VT_GPU_LIMIT, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
-           VerifyOffset(verifier, VT_FOLLOWER) &&
-           verifier.VerifyString(follower()) &&
-           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
-           VerifyField<uint8_t>(verifier, VT_ACCEPTED, 1) &&
-           VerifyField<uint64_t>(verifier, VT_MATCH_INDEX, 8) &&
-           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_KEYS) &&
+           verifier.VerifyVector(keys()) &&
+           verifier.VerifyVectorOfStrings(keys()) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<double>(verifier, VT_WEIGHT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CPU_LIMIT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MEMORY_LIMIT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GPU_LIMIT, 8) &&
            verifier.EndTable();
   }
-  AppendReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(AppendReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<AppendReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  JobTeamT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobTeamT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobTeam> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobTeamT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct AppendReplyBuilder {
-  typedef AppendReply Table;
+struct JobTeamBuilder {
+  typedef JobTeam Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_term(uint64_t term) {
-    fbb_.AddElement<uint64_t>(AppendReply::VT_TERM, term, 0);
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(JobTeam::VT_NAME, name);
   }
-  void add_follower(flatbuffers::Offset<flatbuffers::String> follower) {
-    fbb_.AddOffset(AppendReply::VT_FOLLOWER, follower);
+  void add_keys(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys) {
+    fbb_.AddOffset(JobTeam::VT_KEYS, keys);
   }
-  void add_identity(uint64_t identity) {
-    fbb_.AddElement<uint64_t>(AppendReply::VT_IDENTITY, identity, 0);
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(JobTeam::VT_PRIORITY, priority, 0);
   }
-  void add_accepted(bool accepted) {
-    fbb_.AddElement<uint8_t>(AppendReply::VT_ACCEPTED, static_cast<uint8_t>(accepted), 0);
+  void add_weight(double weight) {
+    fbb_.AddElement<double>(JobTeam::VT_WEIGHT, weight, 0.0);
   }
-  void add_match_index(uint64_t match_index) {
-    fbb_.AddElement<uint64_t>(AppendReply::VT_MATCH_INDEX, match_index, 0);
+  void add_cpu_limit(uint64_t cpu_limit) {
+    fbb_.AddElement<uint64_t>(JobTeam::VT_CPU_LIMIT, cpu_limit, 0);
   }
-  void add_round(uint64_t round) {
-    fbb_.AddElement<uint64_t>(AppendReply::VT_ROUND, round, 0);
+  void add_memory_limit(uint64_t memory_limit) {
+    fbb_.AddElement<uint64_t>(JobTeam::VT_MEMORY_LIMIT, memory_limit, 0);
   }
-  explicit AppendReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_gpu_limit(uint64_t gpu_limit) {
+    fbb_.AddElement<uint64_t>(JobTeam::VT_GPU_LIMIT, gpu_limit, 0);
+  }
+  explicit JobTeamBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<AppendReply> Finish() {
+  flatbuffers::Offset<JobTeam> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<AppendReply>(end);
+    auto o = flatbuffers::Offset<JobTeam>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<AppendReply> CreateAppendReply(
+inline flatbuffers::Offset<JobTeam> CreateJobTeam(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::String> follower = 0,
-    uint64_t identity = 0,
-    bool accepted = false,
-    uint64_t match_index = 0,
-    uint64_t round = 0) {
-  AppendReplyBuilder builder_(_fbb);
-  builder_.add_round(round);
-  builder_.add_match_index(match_index);
-  builder_.add_identity(identity);
-  builder_.add_term(term);
-  builder_.add_follower(follower);
-  builder_.add_accepted(accepted);
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys = 0,
+    uint32_t priority = 0,
+    double weight = 0.0,
+    uint64_t cpu_limit = 0,
+    uint64_t memory_limit = 0,
+    uint64_t gpu_limit = 0) {
+  JobTeamBuilder builder_(_fbb);
+  builder_.add_gpu_limit(gpu_limit);
+  builder_.add_memory_limit(memory_limit);
+  builder_.add_cpu_limit(cpu_limit);
+  builder_.add_weight(weight);
+  builder_.add_priority(priority);
+  builder_.add_keys(keys);
+  builder_.add_name(name);
   return builder_.Finish();
 }
 
-struct AppendReply::Traits {
-  using type = AppendReply;
-  static auto constexpr Create = CreateAppendReply;
+struct JobTeam::Traits {
+  using type = JobTeam;
+  static auto constexpr Create = CreateJobTeam;
 };
 
-inline flatbuffers::Offset<AppendReply> CreateAppendReplyDirect(
+inline flatbuffers::Offset<JobTeam> CreateJobTeamDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    const char *follower = nullptr,
-    uint64_t identity = 0,
-    bool accepted = false,
-    uint64_t match_index = 0,
-    uint64_t round = 0) {
-  auto follower__ = follower ? _fbb.CreateString(follower) : 0;
-  return dragonflymount::wire::CreateAppendReply(
+    const char *name = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *keys = nullptr,
+    uint32_t priority = 0,
+    double weight = 0.0,
+    uint64_t cpu_limit = 0,
+    uint64_t memory_limit = 0,
+    uint64_t gpu_limit = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*keys) : 0;
+  return dragonflymount::wire::CreateJobTeam(
       _fbb,
-      term,
-      follower__,
-      identity,
-      accepted,
-      match_index,
-      round);
+      name__,
+      keys__,
+      priority,
+      weight,
+      cpu_limit,
+      memory_limit,
+      gpu_limit);
 }
 
-flatbuffers::Offset<AppendReply> CreateAppendReply(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct InstallSnapshotT : public flatbuffers::NativeTable {
-  typedef InstallSnapshot TableType;
-  uint64_t term = 0;
-  std::string leader{};
-  uint64_t round = 0;
-  std::unique_ptr<dragonflymount::wire::SnapshotImageT> image{};
-  InstallSnapshotT() = default;
-  InstallSnapshotT(const InstallSnapshotT &o);
-  InstallSnapshotT(InstallSnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
-  InstallSnapshotT &operator=(InstallSnapshotT o) FLATBUFFERS_NOEXCEPT;
-};
+flatbuffers::Offset<JobTeam> CreateJobTeam(flatbuffers::FlatBufferBuilder &_fbb, const JobTeamT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct InstallSnapshot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef InstallSnapshotT NativeTableType;
-  typedef InstallSnapshotBuilder Builder;
+struct CatalogueT : public flatbuffers::NativeTable {
+  typedef Catalogue TableType;
+  uint64_t version = 0;
+  std::vector<std::unique_ptr<dragonflymount::wire::JobQueueT>> queues{};
+  std::vector<std::unique_ptr<dragonflymount::wire::JobPoolT>> pools{};
+  std::vector<std::unique_ptr<dragonflymount::wire::JobTeamT>> teams{};
+  std::string source{};
+  CatalogueT() = default;
+  CatalogueT(const CatalogueT &o);
+  CatalogueT(CatalogueT&&) FLATBUFFERS_NOEXCEPT = default;
+  CatalogueT &operator=(CatalogueT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct Catalogue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CatalogueT NativeTableType;
+  typedef CatalogueBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TERM = 4,
-    VT_LEADER = 6,
-    VT_ROUND = 8,
-    VT_IMAGE = 10
+    VT_VERSION = 4,
+    VT_QUEUES = 6,
+    VT_POOLS = 8,
+    VT_TEAMS = 10,
+    VT_SOURCE = 12
   };
-  uint64_t term() const {
-    return GetField<uint64_t>(VT_TERM, 0);
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
   }
-  const flatbuffers::String *leader() const {
-    return GetPointer<const flatbuffers::String *>(VT_LEADER);
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobQueue>> *queues() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobQueue>> *>(VT_QUEUES);
   }
-  uint64_t round() const {
-    return GetField<uint64_t>(VT_ROUND, 0);
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobPool>> *pools() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobPool>> *>(VT_POOLS);
   }
-  const dragonflymount::wire::SnapshotImage *image() const {
-    return GetPointer<const dragonflymount::wire::SnapshotImage *>(VT_IMAGE);
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobTeam>> *teams() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobTeam>> *>(VT_TEAMS);
+  }
+  const flatbuffers::String *source() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOURCE);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
-           VerifyOffset(verifier, VT_LEADER) &&
-           verifier.VerifyString(leader()) &&
-           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
-           VerifyOffset(verifier, VT_IMAGE) &&
-           verifier.VerifyTable(image()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_QUEUES) &&
+           verifier.VerifyVector(queues()) &&
+           verifier.VerifyVectorOfTables(queues()) &&
+           VerifyOffset(verifier, VT_POOLS) &&
+           verifier.VerifyVector(pools()) &&
+           verifier.VerifyVectorOfTables(pools()) &&
+           VerifyOffset(verifier, VT_TEAMS) &&
+           verifier.VerifyVector(teams()) &&
+           verifier.VerifyVectorOfTables(teams()) &&
+           VerifyOffset(verifier, VT_SOURCE) &&
+           verifier.VerifyString(source()) &&
            verifier.EndTable();
   }
-  InstallSnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(InstallSnapshotT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<InstallSnapshot> Pack(flatbuffers::FlatBufferBuilder &_fbb, const InstallSnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  CatalogueT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CatalogueT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Catalogue> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CatalogueT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct InstallSnapshotBuilder {
-  typedef InstallSnapshot Table;
+struct CatalogueBuilder {
+  typedef Catalogue Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_term(uint64_t term) {
-    fbb_.AddElement<uint64_t>(InstallSnapshot::VT_TERM, term, 0);
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(Catalogue::VT_VERSION, version, 0);
   }
-  void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
-    fbb_.AddOffset(InstallSnapshot::VT_LEADER, leader);
+  void add_queues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobQueue>>> queues) {
+    fbb_.AddOffset(Catalogue::VT_QUEUES, queues);
   }
-  void add_round(uint64_t round) {
-    fbb_.AddElement<uint64_t>(InstallSnapshot::VT_ROUND, round, 0);
+  void add_pools(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobPool>>> pools) {
+    fbb_.AddOffset(Catalogue::VT_POOLS, pools);
   }
-  void add_image(flatbuffers::Offset<dragonflymount::wire::SnapshotImage> image) {
-    fbb_.AddOffset(InstallSnapshot::VT_IMAGE, image);
+  void add_teams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobTeam>>> teams) {
+    fbb_.AddOffset(Catalogue::VT_TEAMS, teams);
   }
-  explicit InstallSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_source(flatbuffers::Offset<flatbuffers::String> source) {
+    fbb_.AddOffset(Catalogue::VT_SOURCE, source);
+  }
+  explicit CatalogueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<InstallSnapshot> Finish() {
+  flatbuffers::Offset<Catalogue> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<InstallSnapshot>(end);
+    auto o = flatbuffers::Offset<Catalogue>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<InstallSnapshot> CreateInstallSnapshot(
+inline flatbuffers::Offset<Catalogue> CreateCatalogue(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    flatbuffers::Offset<flatbuffers::String> leader = 0,
-    uint64_t round = 0,
-    flatbuffers::Offset<dragonflymount::wire::SnapshotImage> image = 0) {
-  InstallSnapshotBuilder builder_(_fbb);
-  builder_.add_round(round);
-  builder_.add_term(term);
-  builder_.add_image(image);
-  builder_.add_leader(leader);
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobQueue>>> queues = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobPool>>> pools = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobTeam>>> teams = 0,
+    flatbuffers::Offset<flatbuffers::String> source = 0) {
+  CatalogueBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_source(source);
+  builder_.add_teams(teams);
+  builder_.add_pools(pools);
+  builder_.add_queues(queues);
   return builder_.Finish();
 }
 
-struct InstallSnapshot::Traits {
-  using type = InstallSnapshot;
-  static auto constexpr Create = CreateInstallSnapshot;
+struct Catalogue::Traits {
+  using type = Catalogue;
+  static auto constexpr Create = CreateCatalogue;
 };
 
-inline flatbuffers::Offset<InstallSnapshot> CreateInstallSnapshotDirect(
+inline flatbuffers::Offset<Catalogue> CreateCatalogueDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t term = 0,
-    const char *leader = nullptr,
-    uint64_t round = 0,
-    flatbuffers::Offset<dragonflymount::wire::SnapshotImage> image = 0) {
-  auto leader__ = leader ? _fbb.CreateString(leader) : 0;
-  return dragonflymount::wire::CreateInstallSnapshot(
+    uint64_t version = 0,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::JobQueue>> *queues = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::JobPool>> *pools = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::JobTeam>> *teams = nullptr,
+    const char *source = nullptr) {
+  auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobQueue>>(*queues) : 0;
+  auto pools__ = pools ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobPool>>(*pools) : 0;
+  auto teams__ = teams ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobTeam>>(*teams) : 0;
+  auto source__ = source ? _fbb.CreateString(source) : 0;
+  return dragonflymount::wire::CreateCatalogue(
       _fbb,
-      term,
-      leader__,
-      round,
-      image);
+      version,
+      queues__,
+      pools__,
+      teams__,
+      source__);
 }
 
-flatbuffers::Offset<InstallSnapshot> CreateInstallSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const InstallSnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<Catalogue> CreateCatalogue(flatbuffers::FlatBufferBuilder &_fbb, const CatalogueT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct ProposeT : public flatbuffers::NativeTable {
-  typedef Propose TableType;
-  std::vector<uint8_t> command{};
+struct TaskNameT : public flatbuffers::NativeTable {
+  typedef TaskName TableType;
+  uint64_t job = 0;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
 };
 
-struct Propose FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ProposeT NativeTableType;
-  typedef ProposeBuilder Builder;
+struct TaskName FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TaskNameT NativeTableType;
+  typedef TaskNameBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_COMMAND = 4
+    VT_JOB = 4,
+    VT_OCCURRENCE = 6,
+    VT_STEP = 8,
+    VT_INDEX = 10
   };
-  const flatbuffers::Vector<uint8_t> *command() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COMMAND);
+  uint64_t job() const {
+    return GetField<uint64_t>(VT_JOB, 0);
+  }
+  uint32_t occurrence() const {
+    return GetField<uint32_t>(VT_OCCURRENCE, 0);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_COMMAND) &&
-           verifier.VerifyVector(command()) &&
+           VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
            verifier.EndTable();
   }
-  ProposeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(ProposeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Propose> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProposeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  TaskNameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TaskNameT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TaskName> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskNameT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct ProposeBuilder {
-  typedef Propose Table;
+struct TaskNameBuilder {
+  typedef TaskName Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_command(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> command) {
-    fbb_.AddOffset(Propose::VT_COMMAND, command);
+  void add_job(uint64_t job) {
+    fbb_.AddElement<uint64_t>(TaskName::VT_JOB, job, 0);
   }
-  explicit ProposeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_occurrence(uint32_t occurrence) {
+    fbb_.AddElement<uint32_t>(TaskName::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(TaskName::VT_STEP, step, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(TaskName::VT_INDEX, index, 0);
+  }
+  explicit TaskNameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Propose> Finish() {
+  flatbuffers::Offset<TaskName> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Propose>(end);
+    auto o = flatbuffers::Offset<TaskName>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Propose> CreatePropose(
+inline flatbuffers::Offset<TaskName> CreateTaskName(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> command = 0) {
-  ProposeBuilder builder_(_fbb);
-  builder_.add_command(command);
+    uint64_t job = 0,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t index = 0) {
+  TaskNameBuilder builder_(_fbb);
+  builder_.add_job(job);
+  builder_.add_index(index);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
   return builder_.Finish();
 }
 
-struct Propose::Traits {
-  using type = Propose;
-  static auto constexpr Create = CreatePropose;
+struct TaskName::Traits {
+  using type = TaskName;
+  static auto constexpr Create = CreateTaskName;
 };
 
-inline flatbuffers::Offset<Propose> CreateProposeDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<uint8_t> *command = nullptr) {
-  auto command__ = command ? _fbb.CreateVector<uint8_t>(*command) : 0;
-  return dragonflymount::wire::CreatePropose(
-      _fbb,
-      command__);
-}
-
-flatbuffers::Offset<Propose> CreatePropose(flatbuffers::FlatBufferBuilder &_fbb, const ProposeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<TaskName> CreateTaskName(flatbuffers::FlatBufferBuilder &_fbb, const TaskNameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct ProposeReplyT : public flatbuffers::NativeTable {
-  typedef ProposeReply TableType;
-  dragonflymount::wire::proposal_result result = dragonflymount::wire::proposal_result::accepted;
-  uint64_t version = 0;
-  std::string detail{};
-  std::string leader_address{};
-  std::vector<uint8_t> granted{};
-  std::vector<std::string> owners{};
+struct RunStartT : public flatbuffers::NativeTable {
+  typedef RunStart TableType;
+  std::unique_ptr<dragonflymount::wire::TaskNameT> task{};
+  uint32_t run = 0;
+  std::string endpoint{};
+  uint64_t life = 0;
+  RunStartT() = default;
+  RunStartT(const RunStartT &o);
+  RunStartT(RunStartT&&) FLATBUFFERS_NOEXCEPT = default;
+  RunStartT &operator=(RunStartT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct ProposeReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ProposeReplyT NativeTableType;
-  typedef ProposeReplyBuilder Builder;
+struct RunStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunStartT NativeTableType;
+  typedef RunStartBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_RESULT = 4,
-    VT_VERSION = 6,
-    VT_DETAIL = 8,
-    VT_LEADER_ADDRESS = 10,
-    VT_GRANTED = 12,
-    VT_OWNERS = 14
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_ENDPOINT = 8,
+    VT_LIFE = 10
   };
-  dragonflymount::wire::proposal_result result() const {
-    return static_cast<dragonflymount::wire::proposal_result>(GetField<uint8_t>(VT_RESULT, 0));
-  }
-  uint64_t version() const {
-    return GetField<uint64_t>(VT_VERSION, 0);
+  const dragonflymount::wire::TaskName *task() const {
+    return GetPointer<const dragonflymount::wire::TaskName *>(VT_TASK);
   }
-  const flatbuffers::String *detail() const {
-    return GetPointer<const flatbuffers::String *>(VT_DETAIL);
-  }
-  const flatbuffers::String *leader_address() const {
-    return GetPointer<const flatbuffers::String *>(VT_LEADER_ADDRESS);
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
   }
-  const flatbuffers::Vector<uint8_t> *granted() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_GRANTED);
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *owners() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_OWNERS);
+  uint64_t life() const {
+    return GetField<uint64_t>(VT_LIFE, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
-           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
-           VerifyOffset(verifier, VT_DETAIL) &&
-           verifier.VerifyString(detail()) &&
-           VerifyOffset(verifier, VT_LEADER_ADDRESS) &&
-           verifier.VerifyString(leader_address()) &&
-           VerifyOffset(verifier, VT_GRANTED) &&
-           verifier.VerifyVector(granted()) &&
-           VerifyOffset(verifier, VT_OWNERS) &&
-           verifier.VerifyVector(owners()) &&
-           verifier.VerifyVectorOfStrings(owners()) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
            verifier.EndTable();
   }
-  ProposeReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(ProposeReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<ProposeReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProposeReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  RunStartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RunStartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RunStart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunStartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct ProposeReplyBuilder {
-  typedef ProposeReply Table;
+struct RunStartBuilder {
+  typedef RunStart Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_result(dragonflymount::wire::proposal_result result) {
-    fbb_.AddElement<uint8_t>(ProposeReply::VT_RESULT, static_cast<uint8_t>(result), 0);
-  }
-  void add_version(uint64_t version) {
-    fbb_.AddElement<uint64_t>(ProposeReply::VT_VERSION, version, 0);
-  }
-  void add_detail(flatbuffers::Offset<flatbuffers::String> detail) {
-    fbb_.AddOffset(ProposeReply::VT_DETAIL, detail);
+  void add_task(flatbuffers::Offset<dragonflymount::wire::TaskName> task) {
+    fbb_.AddOffset(RunStart::VT_TASK, task);
   }
-  void add_leader_address(flatbuffers::Offset<flatbuffers::String> leader_address) {
-    fbb_.AddOffset(ProposeReply::VT_LEADER_ADDRESS, leader_address);
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(RunStart::VT_RUN, run, 0);
   }
-  void add_granted(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> granted) {
-    fbb_.AddOffset(ProposeReply::VT_GRANTED, granted);
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(RunStart::VT_ENDPOINT, endpoint);
   }
-  void add_owners(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> owners) {
-    fbb_.AddOffset(ProposeReply::VT_OWNERS, owners);
+  void add_life(uint64_t life) {
+    fbb_.AddElement<uint64_t>(RunStart::VT_LIFE, life, 0);
   }
-  explicit ProposeReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit RunStartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<ProposeReply> Finish() {
+  flatbuffers::Offset<RunStart> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ProposeReply>(end);
+    auto o = flatbuffers::Offset<RunStart>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<ProposeReply> CreateProposeReply(
+inline flatbuffers::Offset<RunStart> CreateRunStart(
     flatbuffers::FlatBufferBuilder &_fbb,
-    dragonflymount::wire::proposal_result result = dragonflymount::wire::proposal_result::accepted,
-    uint64_t version = 0,
-    flatbuffers::Offset<flatbuffers::String> detail = 0,
-    flatbuffers::Offset<flatbuffers::String> leader_address = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> granted = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> owners = 0) {
-  ProposeReplyBuilder builder_(_fbb);
-  builder_.add_version(version);
-  builder_.add_owners(owners);
-  builder_.add_granted(granted);
-  builder_.add_leader_address(leader_address);
-  builder_.add_detail(detail);
-  builder_.add_result(result);
+    flatbuffers::Offset<dragonflymount::wire::TaskName> task = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t life = 0) {
+  RunStartBuilder builder_(_fbb);
+  builder_.add_life(life);
+  builder_.add_endpoint(endpoint);
+  builder_.add_run(run);
+  builder_.add_task(task);
   return builder_.Finish();
 }
 
-struct ProposeReply::Traits {
-  using type = ProposeReply;
-  static auto constexpr Create = CreateProposeReply;
+struct RunStart::Traits {
+  using type = RunStart;
+  static auto constexpr Create = CreateRunStart;
 };
 
-inline flatbuffers::Offset<ProposeReply> CreateProposeReplyDirect(
+inline flatbuffers::Offset<RunStart> CreateRunStartDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    dragonflymount::wire::proposal_result result = dragonflymount::wire::proposal_result::accepted,
-    uint64_t version = 0,
-    const char *detail = nullptr,
-    const char *leader_address = nullptr,
-    const std::vector<uint8_t> *granted = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *owners = nullptr) {
-  auto detail__ = detail ? _fbb.CreateString(detail) : 0;
-  auto leader_address__ = leader_address ? _fbb.CreateString(leader_address) : 0;
-  auto granted__ = granted ? _fbb.CreateVector<uint8_t>(*granted) : 0;
-  auto owners__ = owners ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*owners) : 0;
-  return dragonflymount::wire::CreateProposeReply(
+    flatbuffers::Offset<dragonflymount::wire::TaskName> task = 0,
+    uint32_t run = 0,
+    const char *endpoint = nullptr,
+    uint64_t life = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return dragonflymount::wire::CreateRunStart(
       _fbb,
-      result,
-      version,
-      detail__,
-      leader_address__,
-      granted__,
-      owners__);
-}
-
-flatbuffers::Offset<ProposeReply> CreateProposeReply(flatbuffers::FlatBufferBuilder &_fbb, const ProposeReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
-struct ChangeReplicaT : public flatbuffers::NativeTable {
-  typedef ChangeReplica TableType;
-  dragonflymount::wire::replica_change change = dragonflymount::wire::replica_change::admit;
-  std::unique_ptr<dragonflymount::wire::MemberT> member{};
-  std::string author{};
-  ChangeReplicaT() = default;
-  ChangeReplicaT(const ChangeReplicaT &o);
-  ChangeReplicaT(ChangeReplicaT&&) FLATBUFFERS_NOEXCEPT = default;
-  ChangeReplicaT &operator=(ChangeReplicaT o) FLATBUFFERS_NOEXCEPT;
-};
-
-struct ChangeReplica FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ChangeReplicaT NativeTableType;
-  typedef ChangeReplicaBuilder Builder;
+      task,
+      run,
+      endpoint__,
+      life);
+}
+
+flatbuffers::Offset<RunStart> CreateRunStart(flatbuffers::FlatBufferBuilder &_fbb, const RunStartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RunEndT : public flatbuffers::NativeTable {
+  typedef RunEnd TableType;
+  std::unique_ptr<dragonflymount::wire::TaskNameT> task{};
+  uint32_t run = 0;
+  dragonflymount::wire::run_end how = dragonflymount::wire::run_end::done;
+  std::string checkpoint{};
+  std::string endpoint{};
+  uint64_t life = 0;
+  uint64_t number = 0;
+  RunEndT() = default;
+  RunEndT(const RunEndT &o);
+  RunEndT(RunEndT&&) FLATBUFFERS_NOEXCEPT = default;
+  RunEndT &operator=(RunEndT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RunEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunEndT NativeTableType;
+  typedef RunEndBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_CHANGE = 4,
-    VT_MEMBER = 6,
-    VT_AUTHOR = 8
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_HOW = 8,
+    VT_CHECKPOINT = 10,
+    VT_ENDPOINT = 12,
+    VT_LIFE = 14,
+    VT_NUMBER = 16
   };
-  dragonflymount::wire::replica_change change() const {
-    return static_cast<dragonflymount::wire::replica_change>(GetField<uint8_t>(VT_CHANGE, 0));
+  const dragonflymount::wire::TaskName *task() const {
+    return GetPointer<const dragonflymount::wire::TaskName *>(VT_TASK);
   }
-  const dragonflymount::wire::Member *member() const {
-    return GetPointer<const dragonflymount::wire::Member *>(VT_MEMBER);
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
   }
-  const flatbuffers::String *author() const {
-    return GetPointer<const flatbuffers::String *>(VT_AUTHOR);
+  dragonflymount::wire::run_end how() const {
+    return static_cast<dragonflymount::wire::run_end>(GetField<uint8_t>(VT_HOW, 0));
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  uint64_t life() const {
+    return GetField<uint64_t>(VT_LIFE, 0);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_CHANGE, 1) &&
-           VerifyOffset(verifier, VT_MEMBER) &&
-           verifier.VerifyTable(member()) &&
-           VerifyOffset(verifier, VT_AUTHOR) &&
-           verifier.VerifyString(author()) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyTable(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HOW, 1) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            verifier.EndTable();
   }
-  ChangeReplicaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(ChangeReplicaT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<ChangeReplica> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChangeReplicaT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  RunEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RunEndT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RunEnd> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunEndT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct ChangeReplicaBuilder {
-  typedef ChangeReplica Table;
+struct RunEndBuilder {
+  typedef RunEnd Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_change(dragonflymount::wire::replica_change change) {
-    fbb_.AddElement<uint8_t>(ChangeReplica::VT_CHANGE, static_cast<uint8_t>(change), 0);
+  void add_task(flatbuffers::Offset<dragonflymount::wire::TaskName> task) {
+    fbb_.AddOffset(RunEnd::VT_TASK, task);
   }
-  void add_member(flatbuffers::Offset<dragonflymount::wire::Member> member) {
-    fbb_.AddOffset(ChangeReplica::VT_MEMBER, member);
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(RunEnd::VT_RUN, run, 0);
   }
-  void add_author(flatbuffers::Offset<flatbuffers::String> author) {
-    fbb_.AddOffset(ChangeReplica::VT_AUTHOR, author);
+  void add_how(dragonflymount::wire::run_end how) {
+    fbb_.AddElement<uint8_t>(RunEnd::VT_HOW, static_cast<uint8_t>(how), 0);
   }
-  explicit ChangeReplicaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(RunEnd::VT_CHECKPOINT, checkpoint);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(RunEnd::VT_ENDPOINT, endpoint);
+  }
+  void add_life(uint64_t life) {
+    fbb_.AddElement<uint64_t>(RunEnd::VT_LIFE, life, 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RunEnd::VT_NUMBER, number, 0);
+  }
+  explicit RunEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<ChangeReplica> Finish() {
+  flatbuffers::Offset<RunEnd> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ChangeReplica>(end);
+    auto o = flatbuffers::Offset<RunEnd>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<ChangeReplica> CreateChangeReplica(
+inline flatbuffers::Offset<RunEnd> CreateRunEnd(
     flatbuffers::FlatBufferBuilder &_fbb,
-    dragonflymount::wire::replica_change change = dragonflymount::wire::replica_change::admit,
-    flatbuffers::Offset<dragonflymount::wire::Member> member = 0,
-    flatbuffers::Offset<flatbuffers::String> author = 0) {
-  ChangeReplicaBuilder builder_(_fbb);
-  builder_.add_author(author);
-  builder_.add_member(member);
-  builder_.add_change(change);
+    flatbuffers::Offset<dragonflymount::wire::TaskName> task = 0,
+    uint32_t run = 0,
+    dragonflymount::wire::run_end how = dragonflymount::wire::run_end::done,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t life = 0,
+    uint64_t number = 0) {
+  RunEndBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_life(life);
+  builder_.add_endpoint(endpoint);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  builder_.add_how(how);
   return builder_.Finish();
 }
 
-struct ChangeReplica::Traits {
-  using type = ChangeReplica;
-  static auto constexpr Create = CreateChangeReplica;
+struct RunEnd::Traits {
+  using type = RunEnd;
+  static auto constexpr Create = CreateRunEnd;
 };
 
-inline flatbuffers::Offset<ChangeReplica> CreateChangeReplicaDirect(
+inline flatbuffers::Offset<RunEnd> CreateRunEndDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    dragonflymount::wire::replica_change change = dragonflymount::wire::replica_change::admit,
-    flatbuffers::Offset<dragonflymount::wire::Member> member = 0,
-    const char *author = nullptr) {
-  auto author__ = author ? _fbb.CreateString(author) : 0;
-  return dragonflymount::wire::CreateChangeReplica(
+    flatbuffers::Offset<dragonflymount::wire::TaskName> task = 0,
+    uint32_t run = 0,
+    dragonflymount::wire::run_end how = dragonflymount::wire::run_end::done,
+    const char *checkpoint = nullptr,
+    const char *endpoint = nullptr,
+    uint64_t life = 0,
+    uint64_t number = 0) {
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return dragonflymount::wire::CreateRunEnd(
       _fbb,
-      change,
-      member,
-      author__);
+      task,
+      run,
+      how,
+      checkpoint__,
+      endpoint__,
+      life,
+      number);
 }
 
-flatbuffers::Offset<ChangeReplica> CreateChangeReplica(flatbuffers::FlatBufferBuilder &_fbb, const ChangeReplicaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<RunEnd> CreateRunEnd(flatbuffers::FlatBufferBuilder &_fbb, const RunEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct QueryT : public flatbuffers::NativeTable {
-  typedef Query TableType;
-  std::string subject{};
-  std::string argument{};
+struct JobCancelT : public flatbuffers::NativeTable {
+  typedef JobCancel TableType;
+  uint64_t job = 0;
 };
 
-struct Query FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef QueryT NativeTableType;
-  typedef QueryBuilder Builder;
+struct JobCancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobCancelT NativeTableType;
+  typedef JobCancelBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SUBJECT = 4,
-    VT_ARGUMENT = 6
+    VT_JOB = 4
   };
-  const flatbuffers::String *subject() const {
-    return GetPointer<const flatbuffers::String *>(VT_SUBJECT);
-  }
-  const flatbuffers::String *argument() const {
-    return GetPointer<const flatbuffers::String *>(VT_ARGUMENT);
+  uint64_t job() const {
+    return GetField<uint64_t>(VT_JOB, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_SUBJECT) &&
-           verifier.VerifyString(subject()) &&
-           VerifyOffset(verifier, VT_ARGUMENT) &&
-           verifier.VerifyString(argument()) &&
+           VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
            verifier.EndTable();
   }
-  QueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(QueryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Query> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  JobCancelT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobCancelT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobCancel> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCancelT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct QueryBuilder {
-  typedef Query Table;
+struct JobCancelBuilder {
+  typedef JobCancel Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_subject(flatbuffers::Offset<flatbuffers::String> subject) {
-    fbb_.AddOffset(Query::VT_SUBJECT, subject);
-  }
-  void add_argument(flatbuffers::Offset<flatbuffers::String> argument) {
-    fbb_.AddOffset(Query::VT_ARGUMENT, argument);
+  void add_job(uint64_t job) {
+    fbb_.AddElement<uint64_t>(JobCancel::VT_JOB, job, 0);
   }
-  explicit QueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit JobCancelBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Query> Finish() {
+  flatbuffers::Offset<JobCancel> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Query>(end);
+    auto o = flatbuffers::Offset<JobCancel>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Query> CreateQuery(
+inline flatbuffers::Offset<JobCancel> CreateJobCancel(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> subject = 0,
-    flatbuffers::Offset<flatbuffers::String> argument = 0) {
-  QueryBuilder builder_(_fbb);
-  builder_.add_argument(argument);
-  builder_.add_subject(subject);
+    uint64_t job = 0) {
+  JobCancelBuilder builder_(_fbb);
+  builder_.add_job(job);
   return builder_.Finish();
 }
 
-struct Query::Traits {
-  using type = Query;
-  static auto constexpr Create = CreateQuery;
+struct JobCancel::Traits {
+  using type = JobCancel;
+  static auto constexpr Create = CreateJobCancel;
 };
 
-inline flatbuffers::Offset<Query> CreateQueryDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *subject = nullptr,
-    const char *argument = nullptr) {
-  auto subject__ = subject ? _fbb.CreateString(subject) : 0;
-  auto argument__ = argument ? _fbb.CreateString(argument) : 0;
-  return dragonflymount::wire::CreateQuery(
-      _fbb,
-      subject__,
-      argument__);
-}
-
-flatbuffers::Offset<Query> CreateQuery(flatbuffers::FlatBufferBuilder &_fbb, const QueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<JobCancel> CreateJobCancel(flatbuffers::FlatBufferBuilder &_fbb, const JobCancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct QueryReplyT : public flatbuffers::NativeTable {
-  typedef QueryReply TableType;
-  bool ok = false;
-  std::string json{};
-  std::string leader_address{};
+struct OccurrenceDueT : public flatbuffers::NativeTable {
+  typedef OccurrenceDue TableType;
+  uint64_t job = 0;
+  uint32_t number = 0;
 };
 
-struct QueryReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef QueryReplyT NativeTableType;
-  typedef QueryReplyBuilder Builder;
+struct OccurrenceDue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OccurrenceDueT NativeTableType;
+  typedef OccurrenceDueBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_OK = 4,
-    VT_JSON = 6,
-    VT_LEADER_ADDRESS = 8
+    VT_JOB = 4,
+    VT_NUMBER = 6
   };
-  bool ok() const {
-    return GetField<uint8_t>(VT_OK, 0) != 0;
-  }
-  const flatbuffers::String *json() const {
-    return GetPointer<const flatbuffers::String *>(VT_JSON);
+  uint64_t job() const {
+    return GetField<uint64_t>(VT_JOB, 0);
   }
-  const flatbuffers::String *leader_address() const {
-    return GetPointer<const flatbuffers::String *>(VT_LEADER_ADDRESS);
+  uint32_t number() const {
+    return GetField<uint32_t>(VT_NUMBER, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_OK, 1) &&
-           VerifyOffset(verifier, VT_JSON) &&
-           verifier.VerifyString(json()) &&
-           VerifyOffset(verifier, VT_LEADER_ADDRESS) &&
-           verifier.VerifyString(leader_address()) &&
+           VerifyField<uint64_t>(verifier, VT_JOB, 8) &&
+           VerifyField<uint32_t>(verifier, VT_NUMBER, 4) &&
            verifier.EndTable();
   }
-  QueryReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(QueryReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<QueryReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueryReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  OccurrenceDueT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OccurrenceDueT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OccurrenceDue> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OccurrenceDueT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct QueryReplyBuilder {
-  typedef QueryReply Table;
+struct OccurrenceDueBuilder {
+  typedef OccurrenceDue Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_ok(bool ok) {
-    fbb_.AddElement<uint8_t>(QueryReply::VT_OK, static_cast<uint8_t>(ok), 0);
+  void add_job(uint64_t job) {
+    fbb_.AddElement<uint64_t>(OccurrenceDue::VT_JOB, job, 0);
   }
-  void add_json(flatbuffers::Offset<flatbuffers::String> json) {
-    fbb_.AddOffset(QueryReply::VT_JSON, json);
-  }
-  void add_leader_address(flatbuffers::Offset<flatbuffers::String> leader_address) {
-    fbb_.AddOffset(QueryReply::VT_LEADER_ADDRESS, leader_address);
+  void add_number(uint32_t number) {
+    fbb_.AddElement<uint32_t>(OccurrenceDue::VT_NUMBER, number, 0);
   }
-  explicit QueryReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit OccurrenceDueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<QueryReply> Finish() {
+  flatbuffers::Offset<OccurrenceDue> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<QueryReply>(end);
+    auto o = flatbuffers::Offset<OccurrenceDue>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<QueryReply> CreateQueryReply(
+inline flatbuffers::Offset<OccurrenceDue> CreateOccurrenceDue(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bool ok = false,
-    flatbuffers::Offset<flatbuffers::String> json = 0,
-    flatbuffers::Offset<flatbuffers::String> leader_address = 0) {
-  QueryReplyBuilder builder_(_fbb);
-  builder_.add_leader_address(leader_address);
-  builder_.add_json(json);
-  builder_.add_ok(ok);
+    uint64_t job = 0,
+    uint32_t number = 0) {
+  OccurrenceDueBuilder builder_(_fbb);
+  builder_.add_job(job);
+  builder_.add_number(number);
   return builder_.Finish();
 }
 
-struct QueryReply::Traits {
-  using type = QueryReply;
-  static auto constexpr Create = CreateQueryReply;
+struct OccurrenceDue::Traits {
+  using type = OccurrenceDue;
+  static auto constexpr Create = CreateOccurrenceDue;
 };
 
-inline flatbuffers::Offset<QueryReply> CreateQueryReplyDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    bool ok = false,
-    const char *json = nullptr,
-    const char *leader_address = nullptr) {
-  auto json__ = json ? _fbb.CreateString(json) : 0;
-  auto leader_address__ = leader_address ? _fbb.CreateString(leader_address) : 0;
-  return dragonflymount::wire::CreateQueryReply(
-      _fbb,
-      ok,
-      json__,
-      leader_address__);
-}
-
-flatbuffers::Offset<QueryReply> CreateQueryReply(flatbuffers::FlatBufferBuilder &_fbb, const QueryReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<OccurrenceDue> CreateOccurrenceDue(flatbuffers::FlatBufferBuilder &_fbb, const OccurrenceDueT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct WithdrawT : public flatbuffers::NativeTable {
-  typedef Withdraw TableType;
-  std::string digest{};
-  std::string author{};
+struct MaintenanceWaveT : public flatbuffers::NativeTable {
+  typedef MaintenanceWave TableType;
+  uint64_t number = 0;
+  std::vector<std::string> vms{};
+  uint64_t duration_ms = 0;
+  uint32_t most_down = 0;
+  uint64_t started_ms = 0;
+  std::vector<std::unique_ptr<dragonflymount::wire::MaintenanceStepT>> steps{};
+  MaintenanceWaveT() = default;
+  MaintenanceWaveT(const MaintenanceWaveT &o);
+  MaintenanceWaveT(MaintenanceWaveT&&) FLATBUFFERS_NOEXCEPT = default;
+  MaintenanceWaveT &operator=(MaintenanceWaveT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct Withdraw FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef WithdrawT NativeTableType;
-  typedef WithdrawBuilder Builder;
+struct MaintenanceWave FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MaintenanceWaveT NativeTableType;
+  typedef MaintenanceWaveBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_DIGEST = 4,
-    VT_AUTHOR = 6
+    VT_NUMBER = 4,
+    VT_VMS = 6,
+    VT_DURATION_MS = 8,
+    VT_MOST_DOWN = 10,
+    VT_STARTED_MS = 12,
+    VT_STEPS = 14
   };
-  const flatbuffers::String *digest() const {
-    return GetPointer<const flatbuffers::String *>(VT_DIGEST);
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
   }
-  const flatbuffers::String *author() const {
-    return GetPointer<const flatbuffers::String *>(VT_AUTHOR);
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *vms() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_VMS);
+  }
+  uint64_t duration_ms() const {
+    return GetField<uint64_t>(VT_DURATION_MS, 0);
+  }
+  uint32_t most_down() const {
+    return GetField<uint32_t>(VT_MOST_DOWN, 0);
+  }
+  uint64_t started_ms() const {
+    return GetField<uint64_t>(VT_STARTED_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *steps() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *>(VT_STEPS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_DIGEST) &&
-           verifier.VerifyString(digest()) &&
-           VerifyOffset(verifier, VT_AUTHOR) &&
-           verifier.VerifyString(author()) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_VMS) &&
+           verifier.VerifyVector(vms()) &&
+           verifier.VerifyVectorOfStrings(vms()) &&
+           VerifyField<uint64_t>(verifier, VT_DURATION_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_MOST_DOWN, 4) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_MS, 8) &&
+           VerifyOffset(verifier, VT_STEPS) &&
+           verifier.VerifyVector(steps()) &&
+           verifier.VerifyVectorOfTables(steps()) &&
            verifier.EndTable();
   }
-  WithdrawT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(WithdrawT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Withdraw> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  MaintenanceWaveT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MaintenanceWaveT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MaintenanceWave> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MaintenanceWaveT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct WithdrawBuilder {
-  typedef Withdraw Table;
+struct MaintenanceWaveBuilder {
+  typedef MaintenanceWave Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_digest(flatbuffers::Offset<flatbuffers::String> digest) {
-    fbb_.AddOffset(Withdraw::VT_DIGEST, digest);
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(MaintenanceWave::VT_NUMBER, number, 0);
   }
-  void add_author(flatbuffers::Offset<flatbuffers::String> author) {
-    fbb_.AddOffset(Withdraw::VT_AUTHOR, author);
+  void add_vms(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> vms) {
+    fbb_.AddOffset(MaintenanceWave::VT_VMS, vms);
   }
-  explicit WithdrawBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_duration_ms(uint64_t duration_ms) {
+    fbb_.AddElement<uint64_t>(MaintenanceWave::VT_DURATION_MS, duration_ms, 0);
+  }
+  void add_most_down(uint32_t most_down) {
+    fbb_.AddElement<uint32_t>(MaintenanceWave::VT_MOST_DOWN, most_down, 0);
+  }
+  void add_started_ms(uint64_t started_ms) {
+    fbb_.AddElement<uint64_t>(MaintenanceWave::VT_STARTED_MS, started_ms, 0);
+  }
+  void add_steps(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>> steps) {
+    fbb_.AddOffset(MaintenanceWave::VT_STEPS, steps);
+  }
+  explicit MaintenanceWaveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Withdraw> Finish() {
+  flatbuffers::Offset<MaintenanceWave> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Withdraw>(end);
+    auto o = flatbuffers::Offset<MaintenanceWave>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Withdraw> CreateWithdraw(
+inline flatbuffers::Offset<MaintenanceWave> CreateMaintenanceWave(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> digest = 0,
-    flatbuffers::Offset<flatbuffers::String> author = 0) {
-  WithdrawBuilder builder_(_fbb);
-  builder_.add_author(author);
-  builder_.add_digest(digest);
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> vms = 0,
+    uint64_t duration_ms = 0,
+    uint32_t most_down = 0,
+    uint64_t started_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>> steps = 0) {
+  MaintenanceWaveBuilder builder_(_fbb);
+  builder_.add_started_ms(started_ms);
+  builder_.add_duration_ms(duration_ms);
+  builder_.add_number(number);
+  builder_.add_steps(steps);
+  builder_.add_most_down(most_down);
+  builder_.add_vms(vms);
   return builder_.Finish();
 }
 
-struct Withdraw::Traits {
-  using type = Withdraw;
-  static auto constexpr Create = CreateWithdraw;
+struct MaintenanceWave::Traits {
+  using type = MaintenanceWave;
+  static auto constexpr Create = CreateMaintenanceWave;
 };
 
-inline flatbuffers::Offset<Withdraw> CreateWithdrawDirect(
+inline flatbuffers::Offset<MaintenanceWave> CreateMaintenanceWaveDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *digest = nullptr,
-    const char *author = nullptr) {
-  auto digest__ = digest ? _fbb.CreateString(digest) : 0;
-  auto author__ = author ? _fbb.CreateString(author) : 0;
-  return dragonflymount::wire::CreateWithdraw(
+    uint64_t number = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *vms = nullptr,
+    uint64_t duration_ms = 0,
+    uint32_t most_down = 0,
+    uint64_t started_ms = 0,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *steps = nullptr) {
+  auto vms__ = vms ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*vms) : 0;
+  auto steps__ = steps ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>(*steps) : 0;
+  return dragonflymount::wire::CreateMaintenanceWave(
       _fbb,
-      digest__,
-      author__);
+      number,
+      vms__,
+      duration_ms,
+      most_down,
+      started_ms,
+      steps__);
 }
 
-flatbuffers::Offset<Withdraw> CreateWithdraw(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<MaintenanceWave> CreateMaintenanceWave(flatbuffers::FlatBufferBuilder &_fbb, const MaintenanceWaveT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct EnvelopeT : public flatbuffers::NativeTable {
-  typedef Envelope TableType;
-  uint64_t correlation = 0;
-  dragonflymount::wire::BodyUnion body{};
+struct MaintenanceStepT : public flatbuffers::NativeTable {
+  typedef MaintenanceStep TableType;
+  uint64_t wave = 0;
+  std::string vm{};
+  dragonflymount::wire::maintenance_phase phase = dragonflymount::wire::maintenance_phase::waiting;
+  std::string endpoint{};
+  uint64_t life = 0;
 };
 
-struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EnvelopeT NativeTableType;
-  typedef EnvelopeBuilder Builder;
+struct MaintenanceStep FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MaintenanceStepT NativeTableType;
+  typedef MaintenanceStepBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_CORRELATION = 4,
-    VT_BODY_TYPE = 6,
-    VT_BODY = 8
+    VT_WAVE = 4,
+    VT_VM = 6,
+    VT_PHASE = 8,
+    VT_ENDPOINT = 10,
+    VT_LIFE = 12
   };
-  uint64_t correlation() const {
-    return GetField<uint64_t>(VT_CORRELATION, 0);
+  uint64_t wave() const {
+    return GetField<uint64_t>(VT_WAVE, 0);
   }
-  dragonflymount::wire::Body body_type() const {
-    return static_cast<dragonflymount::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  const flatbuffers::String *vm() const {
+    return GetPointer<const flatbuffers::String *>(VT_VM);
   }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
+  dragonflymount::wire::maintenance_phase phase() const {
+    return static_cast<dragonflymount::wire::maintenance_phase>(GetField<uint8_t>(VT_PHASE, 0));
   }
-  template<typename T> const T *body_as() const;
-  const dragonflymount::wire::Submit *body_as_Submit() const {
-    return body_type() == dragonflymount::wire::Body::Submit ? static_cast<const dragonflymount::wire::Submit *>(body()) : nullptr;
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
   }
-  const dragonflymount::wire::Answer *body_as_Answer() const {
-    return body_type() == dragonflymount::wire::Body::Answer ? static_cast<const dragonflymount::wire::Answer *>(body()) : nullptr;
+  uint64_t life() const {
+    return GetField<uint64_t>(VT_LIFE, 0);
   }
-  const dragonflymount::wire::Fetch *body_as_Fetch() const {
-    return body_type() == dragonflymount::wire::Body::Fetch ? static_cast<const dragonflymount::wire::Fetch *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_WAVE, 8) &&
+           VerifyOffset(verifier, VT_VM) &&
+           verifier.VerifyString(vm()) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
+           verifier.EndTable();
   }
-  const dragonflymount::wire::Cancel *body_as_Cancel() const {
-    return body_type() == dragonflymount::wire::Body::Cancel ? static_cast<const dragonflymount::wire::Cancel *>(body()) : nullptr;
+  MaintenanceStepT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MaintenanceStepT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MaintenanceStep> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MaintenanceStepT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MaintenanceStepBuilder {
+  typedef MaintenanceStep Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_wave(uint64_t wave) {
+    fbb_.AddElement<uint64_t>(MaintenanceStep::VT_WAVE, wave, 0);
   }
-  const dragonflymount::wire::Pending *body_as_Pending() const {
-    return body_type() == dragonflymount::wire::Body::Pending ? static_cast<const dragonflymount::wire::Pending *>(body()) : nullptr;
+  void add_vm(flatbuffers::Offset<flatbuffers::String> vm) {
+    fbb_.AddOffset(MaintenanceStep::VT_VM, vm);
   }
-  const dragonflymount::wire::Announce *body_as_Announce() const {
-    return body_type() == dragonflymount::wire::Body::Announce ? static_cast<const dragonflymount::wire::Announce *>(body()) : nullptr;
+  void add_phase(dragonflymount::wire::maintenance_phase phase) {
+    fbb_.AddElement<uint8_t>(MaintenanceStep::VT_PHASE, static_cast<uint8_t>(phase), 0);
   }
-  const dragonflymount::wire::AnnounceReply *body_as_AnnounceReply() const {
-    return body_type() == dragonflymount::wire::Body::AnnounceReply ? static_cast<const dragonflymount::wire::AnnounceReply *>(body()) : nullptr;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(MaintenanceStep::VT_ENDPOINT, endpoint);
   }
-  const dragonflymount::wire::StartTask *body_as_StartTask() const {
-    return body_type() == dragonflymount::wire::Body::StartTask ? static_cast<const dragonflymount::wire::StartTask *>(body()) : nullptr;
+  void add_life(uint64_t life) {
+    fbb_.AddElement<uint64_t>(MaintenanceStep::VT_LIFE, life, 0);
   }
-  const dragonflymount::wire::TaskRejected *body_as_TaskRejected() const {
-    return body_type() == dragonflymount::wire::Body::TaskRejected ? static_cast<const dragonflymount::wire::TaskRejected *>(body()) : nullptr;
+  explicit MaintenanceStepBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const dragonflymount::wire::TaskEnded *body_as_TaskEnded() const {
-    return body_type() == dragonflymount::wire::Body::TaskEnded ? static_cast<const dragonflymount::wire::TaskEnded *>(body()) : nullptr;
+  flatbuffers::Offset<MaintenanceStep> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MaintenanceStep>(end);
+    return o;
   }
-  const dragonflymount::wire::ConfirmTasks *body_as_ConfirmTasks() const {
-    return body_type() == dragonflymount::wire::Body::ConfirmTasks ? static_cast<const dragonflymount::wire::ConfirmTasks *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<MaintenanceStep> CreateMaintenanceStep(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t wave = 0,
+    flatbuffers::Offset<flatbuffers::String> vm = 0,
+    dragonflymount::wire::maintenance_phase phase = dragonflymount::wire::maintenance_phase::waiting,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t life = 0) {
+  MaintenanceStepBuilder builder_(_fbb);
+  builder_.add_life(life);
+  builder_.add_wave(wave);
+  builder_.add_endpoint(endpoint);
+  builder_.add_vm(vm);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+struct MaintenanceStep::Traits {
+  using type = MaintenanceStep;
+  static auto constexpr Create = CreateMaintenanceStep;
+};
+
+inline flatbuffers::Offset<MaintenanceStep> CreateMaintenanceStepDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t wave = 0,
+    const char *vm = nullptr,
+    dragonflymount::wire::maintenance_phase phase = dragonflymount::wire::maintenance_phase::waiting,
+    const char *endpoint = nullptr,
+    uint64_t life = 0) {
+  auto vm__ = vm ? _fbb.CreateString(vm) : 0;
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return dragonflymount::wire::CreateMaintenanceStep(
+      _fbb,
+      wave,
+      vm__,
+      phase,
+      endpoint__,
+      life);
+}
+
+flatbuffers::Offset<MaintenanceStep> CreateMaintenanceStep(flatbuffers::FlatBufferBuilder &_fbb, const MaintenanceStepT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobBatchT : public flatbuffers::NativeTable {
+  typedef JobBatch TableType;
+  uint64_t time_ms = 0;
+  std::unique_ptr<dragonflymount::wire::CatalogueT> catalogue{};
+  std::vector<std::unique_ptr<dragonflymount::wire::JobT>> submitted{};
+  std::vector<std::unique_ptr<dragonflymount::wire::JobCancelT>> cancelled{};
+  std::vector<std::unique_ptr<dragonflymount::wire::RunEndT>> ended{};
+  std::vector<std::unique_ptr<dragonflymount::wire::OccurrenceDueT>> due{};
+  std::vector<std::unique_ptr<dragonflymount::wire::RunStartT>> started{};
+  std::vector<std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>> waves{};
+  std::vector<std::unique_ptr<dragonflymount::wire::MaintenanceStepT>> maintained{};
+  JobBatchT() = default;
+  JobBatchT(const JobBatchT &o);
+  JobBatchT(JobBatchT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobBatchT &operator=(JobBatchT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct JobBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobBatchT NativeTableType;
+  typedef JobBatchBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TIME_MS = 4,
+    VT_CATALOGUE = 6,
+    VT_SUBMITTED = 8,
+    VT_CANCELLED = 10,
+    VT_ENDED = 12,
+    VT_DUE = 14,
+    VT_STARTED = 16,
+    VT_WAVES = 18,
+    VT_MAINTAINED = 20
+  };
+  uint64_t time_ms() const {
+    return GetField<uint64_t>(VT_TIME_MS, 0);
   }
-  const dragonflymount::wire::RenewTasks *body_as_RenewTasks() const {
-    return body_type() == dragonflymount::wire::Body::RenewTasks ? static_cast<const dragonflymount::wire::RenewTasks *>(body()) : nullptr;
+  const dragonflymount::wire::Catalogue *catalogue() const {
+    return GetPointer<const dragonflymount::wire::Catalogue *>(VT_CATALOGUE);
   }
-  const dragonflymount::wire::StopTask *body_as_StopTask() const {
-    return body_type() == dragonflymount::wire::Body::StopTask ? static_cast<const dragonflymount::wire::StopTask *>(body()) : nullptr;
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>> *submitted() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>> *>(VT_SUBMITTED);
   }
-  const dragonflymount::wire::QueryTask *body_as_QueryTask() const {
-    return body_type() == dragonflymount::wire::Body::QueryTask ? static_cast<const dragonflymount::wire::QueryTask *>(body()) : nullptr;
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobCancel>> *cancelled() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobCancel>> *>(VT_CANCELLED);
   }
-  const dragonflymount::wire::Reboot *body_as_Reboot() const {
-    return body_type() == dragonflymount::wire::Body::Reboot ? static_cast<const dragonflymount::wire::Reboot *>(body()) : nullptr;
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::RunEnd>> *ended() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::RunEnd>> *>(VT_ENDED);
   }
-  const dragonflymount::wire::Ping *body_as_Ping() const {
-    return body_type() == dragonflymount::wire::Body::Ping ? static_cast<const dragonflymount::wire::Ping *>(body()) : nullptr;
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::OccurrenceDue>> *due() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::OccurrenceDue>> *>(VT_DUE);
   }
-  const dragonflymount::wire::Pong *body_as_Pong() const {
-    return body_type() == dragonflymount::wire::Body::Pong ? static_cast<const dragonflymount::wire::Pong *>(body()) : nullptr;
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::RunStart>> *started() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::RunStart>> *>(VT_STARTED);
   }
-  const dragonflymount::wire::EntryBeat *body_as_EntryBeat() const {
-    return body_type() == dragonflymount::wire::Body::EntryBeat ? static_cast<const dragonflymount::wire::EntryBeat *>(body()) : nullptr;
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *waves() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *>(VT_WAVES);
   }
-  const dragonflymount::wire::EntryLease *body_as_EntryLease() const {
-    return body_type() == dragonflymount::wire::Body::EntryLease ? static_cast<const dragonflymount::wire::EntryLease *>(body()) : nullptr;
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *maintained() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *>(VT_MAINTAINED);
   }
-  const dragonflymount::wire::Propose *body_as_Propose() const {
-    return body_type() == dragonflymount::wire::Body::Propose ? static_cast<const dragonflymount::wire::Propose *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TIME_MS, 8) &&
+           VerifyOffset(verifier, VT_CATALOGUE) &&
+           verifier.VerifyTable(catalogue()) &&
+           VerifyOffset(verifier, VT_SUBMITTED) &&
+           verifier.VerifyVector(submitted()) &&
+           verifier.VerifyVectorOfTables(submitted()) &&
+           VerifyOffset(verifier, VT_CANCELLED) &&
+           verifier.VerifyVector(cancelled()) &&
+           verifier.VerifyVectorOfTables(cancelled()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           verifier.VerifyVectorOfTables(ended()) &&
+           VerifyOffset(verifier, VT_DUE) &&
+           verifier.VerifyVector(due()) &&
+           verifier.VerifyVectorOfTables(due()) &&
+           VerifyOffset(verifier, VT_STARTED) &&
+           verifier.VerifyVector(started()) &&
+           verifier.VerifyVectorOfTables(started()) &&
+           VerifyOffset(verifier, VT_WAVES) &&
+           verifier.VerifyVector(waves()) &&
+           verifier.VerifyVectorOfTables(waves()) &&
+           VerifyOffset(verifier, VT_MAINTAINED) &&
+           verifier.VerifyVector(maintained()) &&
+           verifier.VerifyVectorOfTables(maintained()) &&
+           verifier.EndTable();
   }
-  const dragonflymount::wire::ProposeReply *body_as_ProposeReply() const {
-    return body_type() == dragonflymount::wire::Body::ProposeReply ? static_cast<const dragonflymount::wire::ProposeReply *>(body()) : nullptr;
+  JobBatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobBatchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobBatch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobBatchBuilder {
+  typedef JobBatch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_time_ms(uint64_t time_ms) {
+    fbb_.AddElement<uint64_t>(JobBatch::VT_TIME_MS, time_ms, 0);
   }
-  const dragonflymount::wire::Query *body_as_Query() const {
-    return body_type() == dragonflymount::wire::Body::Query ? static_cast<const dragonflymount::wire::Query *>(body()) : nullptr;
+  void add_catalogue(flatbuffers::Offset<dragonflymount::wire::Catalogue> catalogue) {
+    fbb_.AddOffset(JobBatch::VT_CATALOGUE, catalogue);
   }
-  const dragonflymount::wire::QueryReply *body_as_QueryReply() const {
-    return body_type() == dragonflymount::wire::Body::QueryReply ? static_cast<const dragonflymount::wire::QueryReply *>(body()) : nullptr;
+  void add_submitted(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>>> submitted) {
+    fbb_.AddOffset(JobBatch::VT_SUBMITTED, submitted);
   }
-  const dragonflymount::wire::VoteRequest *body_as_VoteRequest() const {
-    return body_type() == dragonflymount::wire::Body::VoteRequest ? static_cast<const dragonflymount::wire::VoteRequest *>(body()) : nullptr;
+  void add_cancelled(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobCancel>>> cancelled) {
+    fbb_.AddOffset(JobBatch::VT_CANCELLED, cancelled);
   }
-  const dragonflymount::wire::VoteReply *body_as_VoteReply() const {
-    return body_type() == dragonflymount::wire::Body::VoteReply ? static_cast<const dragonflymount::wire::VoteReply *>(body()) : nullptr;
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::RunEnd>>> ended) {
+    fbb_.AddOffset(JobBatch::VT_ENDED, ended);
   }
-  const dragonflymount::wire::AppendRequest *body_as_AppendRequest() const {
-    return body_type() == dragonflymount::wire::Body::AppendRequest ? static_cast<const dragonflymount::wire::AppendRequest *>(body()) : nullptr;
+  void add_due(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::OccurrenceDue>>> due) {
+    fbb_.AddOffset(JobBatch::VT_DUE, due);
   }
-  const dragonflymount::wire::AppendReply *body_as_AppendReply() const {
-    return body_type() == dragonflymount::wire::Body::AppendReply ? static_cast<const dragonflymount::wire::AppendReply *>(body()) : nullptr;
+  void add_started(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::RunStart>>> started) {
+    fbb_.AddOffset(JobBatch::VT_STARTED, started);
   }
-  const dragonflymount::wire::InstallSnapshot *body_as_InstallSnapshot() const {
-    return body_type() == dragonflymount::wire::Body::InstallSnapshot ? static_cast<const dragonflymount::wire::InstallSnapshot *>(body()) : nullptr;
+  void add_waves(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>> waves) {
+    fbb_.AddOffset(JobBatch::VT_WAVES, waves);
   }
-  const dragonflymount::wire::ChangeReplica *body_as_ChangeReplica() const {
-    return body_type() == dragonflymount::wire::Body::ChangeReplica ? static_cast<const dragonflymount::wire::ChangeReplica *>(body()) : nullptr;
+  void add_maintained(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>> maintained) {
+    fbb_.AddOffset(JobBatch::VT_MAINTAINED, maintained);
   }
-  const dragonflymount::wire::Withdraw *body_as_Withdraw() const {
-    return body_type() == dragonflymount::wire::Body::Withdraw ? static_cast<const dragonflymount::wire::Withdraw *>(body()) : nullptr;
+  explicit JobBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           VerifyBody(verifier, body(), body_type()) &&
-           verifier.EndTable();
+  flatbuffers::Offset<JobBatch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobBatch>(end);
+    return o;
   }
-  EnvelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EnvelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const dragonflymount::wire::Submit *Envelope::body_as<dragonflymount::wire::Submit>() const {
-  return body_as_Submit();
+inline flatbuffers::Offset<JobBatch> CreateJobBatch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t time_ms = 0,
+    flatbuffers::Offset<dragonflymount::wire::Catalogue> catalogue = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>>> submitted = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobCancel>>> cancelled = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::RunEnd>>> ended = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::OccurrenceDue>>> due = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::RunStart>>> started = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>> waves = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>> maintained = 0) {
+  JobBatchBuilder builder_(_fbb);
+  builder_.add_time_ms(time_ms);
+  builder_.add_maintained(maintained);
+  builder_.add_waves(waves);
+  builder_.add_started(started);
+  builder_.add_due(due);
+  builder_.add_ended(ended);
+  builder_.add_cancelled(cancelled);
+  builder_.add_submitted(submitted);
+  builder_.add_catalogue(catalogue);
+  return builder_.Finish();
 }
 
-template<> inline const dragonflymount::wire::Answer *Envelope::body_as<dragonflymount::wire::Answer>() const {
-  return body_as_Answer();
-}
+struct JobBatch::Traits {
+  using type = JobBatch;
+  static auto constexpr Create = CreateJobBatch;
+};
 
-template<> inline const dragonflymount::wire::Fetch *Envelope::body_as<dragonflymount::wire::Fetch>() const {
-  return body_as_Fetch();
+inline flatbuffers::Offset<JobBatch> CreateJobBatchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t time_ms = 0,
+    flatbuffers::Offset<dragonflymount::wire::Catalogue> catalogue = 0,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::Job>> *submitted = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::JobCancel>> *cancelled = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::RunEnd>> *ended = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::OccurrenceDue>> *due = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::RunStart>> *started = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *waves = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *maintained = nullptr) {
+  auto submitted__ = submitted ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Job>>(*submitted) : 0;
+  auto cancelled__ = cancelled ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobCancel>>(*cancelled) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::RunEnd>>(*ended) : 0;
+  auto due__ = due ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::OccurrenceDue>>(*due) : 0;
+  auto started__ = started ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::RunStart>>(*started) : 0;
+  auto waves__ = waves ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>(*waves) : 0;
+  auto maintained__ = maintained ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>(*maintained) : 0;
+  return dragonflymount::wire::CreateJobBatch(
+      _fbb,
+      time_ms,
+      catalogue,
+      submitted__,
+      cancelled__,
+      ended__,
+      due__,
+      started__,
+      waves__,
+      maintained__);
 }
 
-template<> inline const dragonflymount::wire::Cancel *Envelope::body_as<dragonflymount::wire::Cancel>() const {
-  return body_as_Cancel();
-}
+flatbuffers::Offset<JobBatch> CreateJobBatch(flatbuffers::FlatBufferBuilder &_fbb, const JobBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-template<> inline const dragonflymount::wire::Pending *Envelope::body_as<dragonflymount::wire::Pending>() const {
-  return body_as_Pending();
-}
+struct EndpointAckT : public flatbuffers::NativeTable {
+  typedef EndpointAck TableType;
+  std::string endpoint{};
+  uint64_t life = 0;
+  uint64_t number = 0;
+  uint64_t touched_ms = 0;
+};
 
-template<> inline const dragonflymount::wire::Announce *Envelope::body_as<dragonflymount::wire::Announce>() const {
-  return body_as_Announce();
-}
+struct EndpointAck FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndpointAckT NativeTableType;
+  typedef EndpointAckBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_LIFE = 6,
+    VT_NUMBER = 8,
+    VT_TOUCHED_MS = 10
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  uint64_t life() const {
+    return GetField<uint64_t>(VT_LIFE, 0);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t touched_ms() const {
+    return GetField<uint64_t>(VT_TOUCHED_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOUCHED_MS, 8) &&
+           verifier.EndTable();
+  }
+  EndpointAckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EndpointAckT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EndpointAck> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointAckT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-template<> inline const dragonflymount::wire::AnnounceReply *Envelope::body_as<dragonflymount::wire::AnnounceReply>() const {
-  return body_as_AnnounceReply();
-}
+struct EndpointAckBuilder {
+  typedef EndpointAck Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(EndpointAck::VT_ENDPOINT, endpoint);
+  }
+  void add_life(uint64_t life) {
+    fbb_.AddElement<uint64_t>(EndpointAck::VT_LIFE, life, 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(EndpointAck::VT_NUMBER, number, 0);
+  }
+  void add_touched_ms(uint64_t touched_ms) {
+    fbb_.AddElement<uint64_t>(EndpointAck::VT_TOUCHED_MS, touched_ms, 0);
+  }
+  explicit EndpointAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndpointAck> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndpointAck>(end);
+    return o;
+  }
+};
 
-template<> inline const dragonflymount::wire::StartTask *Envelope::body_as<dragonflymount::wire::StartTask>() const {
-  return body_as_StartTask();
+inline flatbuffers::Offset<EndpointAck> CreateEndpointAck(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t life = 0,
+    uint64_t number = 0,
+    uint64_t touched_ms = 0) {
+  EndpointAckBuilder builder_(_fbb);
+  builder_.add_touched_ms(touched_ms);
+  builder_.add_number(number);
+  builder_.add_life(life);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
 }
 
-template<> inline const dragonflymount::wire::TaskRejected *Envelope::body_as<dragonflymount::wire::TaskRejected>() const {
-  return body_as_TaskRejected();
-}
+struct EndpointAck::Traits {
+  using type = EndpointAck;
+  static auto constexpr Create = CreateEndpointAck;
+};
 
-template<> inline const dragonflymount::wire::TaskEnded *Envelope::body_as<dragonflymount::wire::TaskEnded>() const {
-  return body_as_TaskEnded();
+inline flatbuffers::Offset<EndpointAck> CreateEndpointAckDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    uint64_t life = 0,
+    uint64_t number = 0,
+    uint64_t touched_ms = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return dragonflymount::wire::CreateEndpointAck(
+      _fbb,
+      endpoint__,
+      life,
+      number,
+      touched_ms);
 }
 
-template<> inline const dragonflymount::wire::ConfirmTasks *Envelope::body_as<dragonflymount::wire::ConfirmTasks>() const {
-  return body_as_ConfirmTasks();
-}
+flatbuffers::Offset<EndpointAck> CreateEndpointAck(flatbuffers::FlatBufferBuilder &_fbb, const EndpointAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-template<> inline const dragonflymount::wire::RenewTasks *Envelope::body_as<dragonflymount::wire::RenewTasks>() const {
+struct SchedulerImageT : public flatbuffers::NativeTable {
+  typedef SchedulerImage TableType;
+  uint64_t time_ms = 0;
+  std::unique_ptr<dragonflymount::wire::CatalogueT> catalogue{};
+  std::vector<std::unique_ptr<dragonflymount::wire::JobT>> jobs{};
+  std::vector<std::unique_ptr<dragonflymount::wire::EndpointAckT>> acks{};
+  std::vector<std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>> waves{};
+  SchedulerImageT() = default;
+  SchedulerImageT(const SchedulerImageT &o);
+  SchedulerImageT(SchedulerImageT&&) FLATBUFFERS_NOEXCEPT = default;
+  SchedulerImageT &operator=(SchedulerImageT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct SchedulerImage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SchedulerImageT NativeTableType;
+  typedef SchedulerImageBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TIME_MS = 4,
+    VT_CATALOGUE = 6,
+    VT_JOBS = 8,
+    VT_ACKS = 10,
+    VT_WAVES = 12
+  };
+  uint64_t time_ms() const {
+    return GetField<uint64_t>(VT_TIME_MS, 0);
+  }
+  const dragonflymount::wire::Catalogue *catalogue() const {
+    return GetPointer<const dragonflymount::wire::Catalogue *>(VT_CATALOGUE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>> *jobs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>> *>(VT_JOBS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>> *acks() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>> *>(VT_ACKS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *waves() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *>(VT_WAVES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TIME_MS, 8) &&
+           VerifyOffset(verifier, VT_CATALOGUE) &&
+           verifier.VerifyTable(catalogue()) &&
+           VerifyOffset(verifier, VT_JOBS) &&
+           verifier.VerifyVector(jobs()) &&
+           verifier.VerifyVectorOfTables(jobs()) &&
+           VerifyOffset(verifier, VT_ACKS) &&
+           verifier.VerifyVector(acks()) &&
+           verifier.VerifyVectorOfTables(acks()) &&
+           VerifyOffset(verifier, VT_WAVES) &&
+           verifier.VerifyVector(waves()) &&
+           verifier.VerifyVectorOfTables(waves()) &&
+           verifier.EndTable();
+  }
+  SchedulerImageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SchedulerImageT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SchedulerImage> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SchedulerImageT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SchedulerImageBuilder {
+  typedef SchedulerImage Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_time_ms(uint64_t time_ms) {
+    fbb_.AddElement<uint64_t>(SchedulerImage::VT_TIME_MS, time_ms, 0);
+  }
+  void add_catalogue(flatbuffers::Offset<dragonflymount::wire::Catalogue> catalogue) {
+    fbb_.AddOffset(SchedulerImage::VT_CATALOGUE, catalogue);
+  }
+  void add_jobs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>>> jobs) {
+    fbb_.AddOffset(SchedulerImage::VT_JOBS, jobs);
+  }
+  void add_acks(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>>> acks) {
+    fbb_.AddOffset(SchedulerImage::VT_ACKS, acks);
+  }
+  void add_waves(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>> waves) {
+    fbb_.AddOffset(SchedulerImage::VT_WAVES, waves);
+  }
+  explicit SchedulerImageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SchedulerImage> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SchedulerImage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SchedulerImage> CreateSchedulerImage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t time_ms = 0,
+    flatbuffers::Offset<dragonflymount::wire::Catalogue> catalogue = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>>> jobs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>>> acks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>> waves = 0) {
+  SchedulerImageBuilder builder_(_fbb);
+  builder_.add_time_ms(time_ms);
+  builder_.add_waves(waves);
+  builder_.add_acks(acks);
+  builder_.add_jobs(jobs);
+  builder_.add_catalogue(catalogue);
+  return builder_.Finish();
+}
+
+struct SchedulerImage::Traits {
+  using type = SchedulerImage;
+  static auto constexpr Create = CreateSchedulerImage;
+};
+
+inline flatbuffers::Offset<SchedulerImage> CreateSchedulerImageDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t time_ms = 0,
+    flatbuffers::Offset<dragonflymount::wire::Catalogue> catalogue = 0,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::Job>> *jobs = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>> *acks = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *waves = nullptr) {
+  auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Job>>(*jobs) : 0;
+  auto acks__ = acks ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>>(*acks) : 0;
+  auto waves__ = waves ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>(*waves) : 0;
+  return dragonflymount::wire::CreateSchedulerImage(
+      _fbb,
+      time_ms,
+      catalogue,
+      jobs__,
+      acks__,
+      waves__);
+}
+
+flatbuffers::Offset<SchedulerImage> CreateSchedulerImage(flatbuffers::FlatBufferBuilder &_fbb, const SchedulerImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobCallT : public flatbuffers::NativeTable {
+  typedef JobCall TableType;
+  dragonflymount::wire::job_verb verb = dragonflymount::wire::job_verb::submit;
+  std::string host{};
+  std::string path{};
+  std::string key{};
+  std::unique_ptr<dragonflymount::wire::JobSpecT> spec{};
+  JobCallT() = default;
+  JobCallT(const JobCallT &o);
+  JobCallT(JobCallT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobCallT &operator=(JobCallT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct JobCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobCallT NativeTableType;
+  typedef JobCallBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERB = 4,
+    VT_HOST = 6,
+    VT_PATH = 8,
+    VT_KEY = 10,
+    VT_SPEC = 12
+  };
+  dragonflymount::wire::job_verb verb() const {
+    return static_cast<dragonflymount::wire::job_verb>(GetField<uint8_t>(VT_VERB, 0));
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *path() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATH);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const dragonflymount::wire::JobSpec *spec() const {
+    return GetPointer<const dragonflymount::wire::JobSpec *>(VT_SPEC);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_VERB, 1) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyString(path()) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_SPEC) &&
+           verifier.VerifyTable(spec()) &&
+           verifier.EndTable();
+  }
+  JobCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobCallBuilder {
+  typedef JobCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_verb(dragonflymount::wire::job_verb verb) {
+    fbb_.AddElement<uint8_t>(JobCall::VT_VERB, static_cast<uint8_t>(verb), 0);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(JobCall::VT_HOST, host);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::String> path) {
+    fbb_.AddOffset(JobCall::VT_PATH, path);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(JobCall::VT_KEY, key);
+  }
+  void add_spec(flatbuffers::Offset<dragonflymount::wire::JobSpec> spec) {
+    fbb_.AddOffset(JobCall::VT_SPEC, spec);
+  }
+  explicit JobCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobCall> CreateJobCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    dragonflymount::wire::job_verb verb = dragonflymount::wire::job_verb::submit,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> path = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<dragonflymount::wire::JobSpec> spec = 0) {
+  JobCallBuilder builder_(_fbb);
+  builder_.add_spec(spec);
+  builder_.add_key(key);
+  builder_.add_path(path);
+  builder_.add_host(host);
+  builder_.add_verb(verb);
+  return builder_.Finish();
+}
+
+struct JobCall::Traits {
+  using type = JobCall;
+  static auto constexpr Create = CreateJobCall;
+};
+
+inline flatbuffers::Offset<JobCall> CreateJobCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    dragonflymount::wire::job_verb verb = dragonflymount::wire::job_verb::submit,
+    const char *host = nullptr,
+    const char *path = nullptr,
+    const char *key = nullptr,
+    flatbuffers::Offset<dragonflymount::wire::JobSpec> spec = 0) {
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto path__ = path ? _fbb.CreateString(path) : 0;
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  return dragonflymount::wire::CreateJobCall(
+      _fbb,
+      verb,
+      host__,
+      path__,
+      key__,
+      spec);
+}
+
+flatbuffers::Offset<JobCall> CreateJobCall(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobReplyT : public flatbuffers::NativeTable {
+  typedef JobReply TableType;
+  dragonflymount::wire::job_status status = dragonflymount::wire::job_status::accepted;
+  dragonflymount::wire::job_phase phase = dragonflymount::wire::job_phase::active;
+  bool begun = false;
+  uint64_t pending = 0;
+  uint32_t retry_after_ms = 0;
+  std::string detail{};
+  std::string leader_address{};
+  std::vector<std::string> replicas{};
+};
+
+struct JobReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobReplyT NativeTableType;
+  typedef JobReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STATUS = 4,
+    VT_PHASE = 6,
+    VT_BEGUN = 8,
+    VT_PENDING = 10,
+    VT_RETRY_AFTER_MS = 12,
+    VT_DETAIL = 14,
+    VT_LEADER_ADDRESS = 16,
+    VT_REPLICAS = 18
+  };
+  dragonflymount::wire::job_status status() const {
+    return static_cast<dragonflymount::wire::job_status>(GetField<uint8_t>(VT_STATUS, 0));
+  }
+  dragonflymount::wire::job_phase phase() const {
+    return static_cast<dragonflymount::wire::job_phase>(GetField<uint8_t>(VT_PHASE, 0));
+  }
+  bool begun() const {
+    return GetField<uint8_t>(VT_BEGUN, 0) != 0;
+  }
+  uint64_t pending() const {
+    return GetField<uint64_t>(VT_PENDING, 0);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  const flatbuffers::String *detail() const {
+    return GetPointer<const flatbuffers::String *>(VT_DETAIL);
+  }
+  const flatbuffers::String *leader_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER_ADDRESS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *replicas() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REPLICAS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_BEGUN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_PENDING, 8) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyOffset(verifier, VT_DETAIL) &&
+           verifier.VerifyString(detail()) &&
+           VerifyOffset(verifier, VT_LEADER_ADDRESS) &&
+           verifier.VerifyString(leader_address()) &&
+           VerifyOffset(verifier, VT_REPLICAS) &&
+           verifier.VerifyVector(replicas()) &&
+           verifier.VerifyVectorOfStrings(replicas()) &&
+           verifier.EndTable();
+  }
+  JobReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobReplyBuilder {
+  typedef JobReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_status(dragonflymount::wire::job_status status) {
+    fbb_.AddElement<uint8_t>(JobReply::VT_STATUS, static_cast<uint8_t>(status), 0);
+  }
+  void add_phase(dragonflymount::wire::job_phase phase) {
+    fbb_.AddElement<uint8_t>(JobReply::VT_PHASE, static_cast<uint8_t>(phase), 0);
+  }
+  void add_begun(bool begun) {
+    fbb_.AddElement<uint8_t>(JobReply::VT_BEGUN, static_cast<uint8_t>(begun), 0);
+  }
+  void add_pending(uint64_t pending) {
+    fbb_.AddElement<uint64_t>(JobReply::VT_PENDING, pending, 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(JobReply::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  void add_detail(flatbuffers::Offset<flatbuffers::String> detail) {
+    fbb_.AddOffset(JobReply::VT_DETAIL, detail);
+  }
+  void add_leader_address(flatbuffers::Offset<flatbuffers::String> leader_address) {
+    fbb_.AddOffset(JobReply::VT_LEADER_ADDRESS, leader_address);
+  }
+  void add_replicas(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> replicas) {
+    fbb_.AddOffset(JobReply::VT_REPLICAS, replicas);
+  }
+  explicit JobReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobReply> CreateJobReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    dragonflymount::wire::job_status status = dragonflymount::wire::job_status::accepted,
+    dragonflymount::wire::job_phase phase = dragonflymount::wire::job_phase::active,
+    bool begun = false,
+    uint64_t pending = 0,
+    uint32_t retry_after_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> detail = 0,
+    flatbuffers::Offset<flatbuffers::String> leader_address = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> replicas = 0) {
+  JobReplyBuilder builder_(_fbb);
+  builder_.add_pending(pending);
+  builder_.add_replicas(replicas);
+  builder_.add_leader_address(leader_address);
+  builder_.add_detail(detail);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_begun(begun);
+  builder_.add_phase(phase);
+  builder_.add_status(status);
+  return builder_.Finish();
+}
+
+struct JobReply::Traits {
+  using type = JobReply;
+  static auto constexpr Create = CreateJobReply;
+};
+
+inline flatbuffers::Offset<JobReply> CreateJobReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    dragonflymount::wire::job_status status = dragonflymount::wire::job_status::accepted,
+    dragonflymount::wire::job_phase phase = dragonflymount::wire::job_phase::active,
+    bool begun = false,
+    uint64_t pending = 0,
+    uint32_t retry_after_ms = 0,
+    const char *detail = nullptr,
+    const char *leader_address = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *replicas = nullptr) {
+  auto detail__ = detail ? _fbb.CreateString(detail) : 0;
+  auto leader_address__ = leader_address ? _fbb.CreateString(leader_address) : 0;
+  auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*replicas) : 0;
+  return dragonflymount::wire::CreateJobReply(
+      _fbb,
+      status,
+      phase,
+      begun,
+      pending,
+      retry_after_ms,
+      detail__,
+      leader_address__,
+      replicas__);
+}
+
+flatbuffers::Offset<JobReply> CreateJobReply(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JoinReplicaT : public flatbuffers::NativeTable {
+  typedef JoinReplica TableType;
+  std::unique_ptr<dragonflymount::wire::MemberT> member{};
+  JoinReplicaT() = default;
+  JoinReplicaT(const JoinReplicaT &o);
+  JoinReplicaT(JoinReplicaT&&) FLATBUFFERS_NOEXCEPT = default;
+  JoinReplicaT &operator=(JoinReplicaT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct JoinReplica FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JoinReplicaT NativeTableType;
+  typedef JoinReplicaBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MEMBER = 4
+  };
+  const dragonflymount::wire::Member *member() const {
+    return GetPointer<const dragonflymount::wire::Member *>(VT_MEMBER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_MEMBER) &&
+           verifier.VerifyTable(member()) &&
+           verifier.EndTable();
+  }
+  JoinReplicaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JoinReplicaT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JoinReplica> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JoinReplicaT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JoinReplicaBuilder {
+  typedef JoinReplica Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_member(flatbuffers::Offset<dragonflymount::wire::Member> member) {
+    fbb_.AddOffset(JoinReplica::VT_MEMBER, member);
+  }
+  explicit JoinReplicaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JoinReplica> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JoinReplica>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JoinReplica> CreateJoinReplica(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<dragonflymount::wire::Member> member = 0) {
+  JoinReplicaBuilder builder_(_fbb);
