+  builder_.add_member(member);
+  return builder_.Finish();
+}
+
+struct JoinReplica::Traits {
+  using type = JoinReplica;
+  static auto constexpr Create = CreateJoinReplica;
+};
+
+flatbuffers::Offset<JoinReplica> CreateJoinReplica(flatbuffers::FlatBufferBuilder &_fbb, const JoinReplicaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LogCommandT : public flatbuffers::NativeTable {
+  typedef LogCommand TableType;
+  dragonflymount::wire::CommandUnion command{};
+};
+
+struct LogCommand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LogCommandT NativeTableType;
+  typedef LogCommandBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COMMAND_TYPE = 4,
+    VT_COMMAND = 6
+  };
+  dragonflymount::wire::Command command_type() const {
+    return static_cast<dragonflymount::wire::Command>(GetField<uint8_t>(VT_COMMAND_TYPE, 0));
+  }
+  const void *command() const {
+    return GetPointer<const void *>(VT_COMMAND);
+  }
+  template<typename T> const T *command_as() const;
+  const dragonflymount::wire::NoOp *command_as_NoOp() const {
+    return command_type() == dragonflymount::wire::Command::NoOp ? static_cast<const dragonflymount::wire::NoOp *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::ApplyRules *command_as_ApplyRules() const {
+    return command_type() == dragonflymount::wire::Command::ApplyRules ? static_cast<const dragonflymount::wire::ApplyRules *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::WithdrawKey *command_as_WithdrawKey() const {
+    return command_type() == dragonflymount::wire::Command::WithdrawKey ? static_cast<const dragonflymount::wire::WithdrawKey *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::AppointCoordinator *command_as_AppointCoordinator() const {
+    return command_type() == dragonflymount::wire::Command::AppointCoordinator ? static_cast<const dragonflymount::wire::AppointCoordinator *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::SetGrant *command_as_SetGrant() const {
+    return command_type() == dragonflymount::wire::Command::SetGrant ? static_cast<const dragonflymount::wire::SetGrant *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::ClaimBatch *command_as_ClaimBatch() const {
+    return command_type() == dragonflymount::wire::Command::ClaimBatch ? static_cast<const dragonflymount::wire::ClaimBatch *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::EndClaims *command_as_EndClaims() const {
+    return command_type() == dragonflymount::wire::Command::EndClaims ? static_cast<const dragonflymount::wire::EndClaims *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::AssignVm *command_as_AssignVm() const {
+    return command_type() == dragonflymount::wire::Command::AssignVm ? static_cast<const dragonflymount::wire::AssignVm *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::ForgetVm *command_as_ForgetVm() const {
+    return command_type() == dragonflymount::wire::Command::ForgetVm ? static_cast<const dragonflymount::wire::ForgetVm *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::WaveCommand *command_as_WaveCommand() const {
+    return command_type() == dragonflymount::wire::Command::WaveCommand ? static_cast<const dragonflymount::wire::WaveCommand *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::WaveProgress *command_as_WaveProgress() const {
+    return command_type() == dragonflymount::wire::Command::WaveProgress ? static_cast<const dragonflymount::wire::WaveProgress *>(command()) : nullptr;
+  }
+  const dragonflymount::wire::JobBatch *command_as_JobBatch() const {
+    return command_type() == dragonflymount::wire::Command::JobBatch ? static_cast<const dragonflymount::wire::JobBatch *>(command()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_COMMAND_TYPE, 1) &&
+           VerifyOffset(verifier, VT_COMMAND) &&
+           VerifyCommand(verifier, command(), command_type()) &&
+           verifier.EndTable();
+  }
+  LogCommandT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LogCommandT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LogCommand> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LogCommandT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const dragonflymount::wire::NoOp *LogCommand::command_as<dragonflymount::wire::NoOp>() const {
+  return command_as_NoOp();
+}
+
+template<> inline const dragonflymount::wire::ApplyRules *LogCommand::command_as<dragonflymount::wire::ApplyRules>() const {
+  return command_as_ApplyRules();
+}
+
+template<> inline const dragonflymount::wire::WithdrawKey *LogCommand::command_as<dragonflymount::wire::WithdrawKey>() const {
+  return command_as_WithdrawKey();
+}
+
+template<> inline const dragonflymount::wire::AppointCoordinator *LogCommand::command_as<dragonflymount::wire::AppointCoordinator>() const {
+  return command_as_AppointCoordinator();
+}
+
+template<> inline const dragonflymount::wire::SetGrant *LogCommand::command_as<dragonflymount::wire::SetGrant>() const {
+  return command_as_SetGrant();
+}
+
+template<> inline const dragonflymount::wire::ClaimBatch *LogCommand::command_as<dragonflymount::wire::ClaimBatch>() const {
+  return command_as_ClaimBatch();
+}
+
+template<> inline const dragonflymount::wire::EndClaims *LogCommand::command_as<dragonflymount::wire::EndClaims>() const {
+  return command_as_EndClaims();
+}
+
+template<> inline const dragonflymount::wire::AssignVm *LogCommand::command_as<dragonflymount::wire::AssignVm>() const {
+  return command_as_AssignVm();
+}
+
+template<> inline const dragonflymount::wire::ForgetVm *LogCommand::command_as<dragonflymount::wire::ForgetVm>() const {
+  return command_as_ForgetVm();
+}
+
+template<> inline const dragonflymount::wire::WaveCommand *LogCommand::command_as<dragonflymount::wire::WaveCommand>() const {
+  return command_as_WaveCommand();
+}
+
+template<> inline const dragonflymount::wire::WaveProgress *LogCommand::command_as<dragonflymount::wire::WaveProgress>() const {
+  return command_as_WaveProgress();
+}
+
+template<> inline const dragonflymount::wire::JobBatch *LogCommand::command_as<dragonflymount::wire::JobBatch>() const {
+  return command_as_JobBatch();
+}
+
+struct LogCommandBuilder {
+  typedef LogCommand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_command_type(dragonflymount::wire::Command command_type) {
+    fbb_.AddElement<uint8_t>(LogCommand::VT_COMMAND_TYPE, static_cast<uint8_t>(command_type), 0);
+  }
+  void add_command(flatbuffers::Offset<void> command) {
+    fbb_.AddOffset(LogCommand::VT_COMMAND, command);
+  }
+  explicit LogCommandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LogCommand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LogCommand>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LogCommand> CreateLogCommand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    dragonflymount::wire::Command command_type = dragonflymount::wire::Command::NONE,
+    flatbuffers::Offset<void> command = 0) {
+  LogCommandBuilder builder_(_fbb);
+  builder_.add_command(command);
+  builder_.add_command_type(command_type);
+  return builder_.Finish();
+}
+
+struct LogCommand::Traits {
+  using type = LogCommand;
+  static auto constexpr Create = CreateLogCommand;
+};
+
+flatbuffers::Offset<LogCommand> CreateLogCommand(flatbuffers::FlatBufferBuilder &_fbb, const LogCommandT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LogEntryT : public flatbuffers::NativeTable {
+  typedef LogEntry TableType;
+  uint64_t term = 0;
+  uint64_t index = 0;
+  dragonflymount::wire::record_kind kind = dragonflymount::wire::record_kind::command;
+  std::vector<uint8_t> payload{};
+};
+
+struct LogEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LogEntryT NativeTableType;
+  typedef LogEntryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TERM = 4,
+    VT_INDEX = 6,
+    VT_KIND = 8,
+    VT_PAYLOAD = 10
+  };
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  uint64_t index() const {
+    return GetField<uint64_t>(VT_INDEX, 0);
+  }
+  dragonflymount::wire::record_kind kind() const {
+    return static_cast<dragonflymount::wire::record_kind>(GetField<uint8_t>(VT_KIND, 0));
+  }
+  const flatbuffers::Vector<uint8_t> *payload() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PAYLOAD);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INDEX, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_PAYLOAD) &&
+           verifier.VerifyVector(payload()) &&
+           verifier.EndTable();
+  }
+  LogEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LogEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LogEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LogEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LogEntryBuilder {
+  typedef LogEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(LogEntry::VT_TERM, term, 0);
+  }
+  void add_index(uint64_t index) {
+    fbb_.AddElement<uint64_t>(LogEntry::VT_INDEX, index, 0);
+  }
+  void add_kind(dragonflymount::wire::record_kind kind) {
+    fbb_.AddElement<uint8_t>(LogEntry::VT_KIND, static_cast<uint8_t>(kind), 0);
+  }
+  void add_payload(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload) {
+    fbb_.AddOffset(LogEntry::VT_PAYLOAD, payload);
+  }
+  explicit LogEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LogEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LogEntry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LogEntry> CreateLogEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    uint64_t index = 0,
+    dragonflymount::wire::record_kind kind = dragonflymount::wire::record_kind::command,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
+  LogEntryBuilder builder_(_fbb);
+  builder_.add_index(index);
+  builder_.add_term(term);
+  builder_.add_payload(payload);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct LogEntry::Traits {
+  using type = LogEntry;
+  static auto constexpr Create = CreateLogEntry;
+};
+
+inline flatbuffers::Offset<LogEntry> CreateLogEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    uint64_t index = 0,
+    dragonflymount::wire::record_kind kind = dragonflymount::wire::record_kind::command,
+    const std::vector<uint8_t> *payload = nullptr) {
+  auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
+  return dragonflymount::wire::CreateLogEntry(
+      _fbb,
+      term,
+      index,
+      kind,
+      payload__);
+}
+
+flatbuffers::Offset<LogEntry> CreateLogEntry(flatbuffers::FlatBufferBuilder &_fbb, const LogEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct MemberT : public flatbuffers::NativeTable {
+  typedef Member TableType;
+  std::string replica{};
+  std::string address{};
+  std::string zone{};
+  uint64_t identity = 0;
+  bool voter = false;
+};
+
+struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MemberT NativeTableType;
+  typedef MemberBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPLICA = 4,
+    VT_ADDRESS = 6,
+    VT_ZONE = 8,
+    VT_IDENTITY = 10,
+    VT_VOTER = 12
+  };
+  const flatbuffers::String *replica() const {
+    return GetPointer<const flatbuffers::String *>(VT_REPLICA);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint64_t identity() const {
+    return GetField<uint64_t>(VT_IDENTITY, 0);
+  }
+  bool voter() const {
+    return GetField<uint8_t>(VT_VOTER, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REPLICA) &&
+           verifier.VerifyString(replica()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
+           VerifyField<uint8_t>(verifier, VT_VOTER, 1) &&
+           verifier.EndTable();
+  }
+  MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MemberT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Member> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MemberBuilder {
+  typedef Member Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_replica(flatbuffers::Offset<flatbuffers::String> replica) {
+    fbb_.AddOffset(Member::VT_REPLICA, replica);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(Member::VT_ADDRESS, address);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Member::VT_ZONE, zone);
+  }
+  void add_identity(uint64_t identity) {
+    fbb_.AddElement<uint64_t>(Member::VT_IDENTITY, identity, 0);
+  }
+  void add_voter(bool voter) {
+    fbb_.AddElement<uint8_t>(Member::VT_VOTER, static_cast<uint8_t>(voter), 0);
+  }
+  explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Member> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Member>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Member> CreateMember(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> replica = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint64_t identity = 0,
+    bool voter = false) {
+  MemberBuilder builder_(_fbb);
+  builder_.add_identity(identity);
+  builder_.add_zone(zone);
+  builder_.add_address(address);
+  builder_.add_replica(replica);
+  builder_.add_voter(voter);
+  return builder_.Finish();
+}
+
+struct Member::Traits {
+  using type = Member;
+  static auto constexpr Create = CreateMember;
+};
+
+inline flatbuffers::Offset<Member> CreateMemberDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *replica = nullptr,
+    const char *address = nullptr,
+    const char *zone = nullptr,
+    uint64_t identity = 0,
+    bool voter = false) {
+  auto replica__ = replica ? _fbb.CreateString(replica) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return dragonflymount::wire::CreateMember(
+      _fbb,
+      replica__,
+      address__,
+      zone__,
+      identity,
+      voter);
+}
+
+flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct MemberListT : public flatbuffers::NativeTable {
+  typedef MemberList TableType;
+  std::vector<std::unique_ptr<dragonflymount::wire::MemberT>> members{};
+  MemberListT() = default;
+  MemberListT(const MemberListT &o);
+  MemberListT(MemberListT&&) FLATBUFFERS_NOEXCEPT = default;
+  MemberListT &operator=(MemberListT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct MemberList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MemberListT NativeTableType;
+  typedef MemberListBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MEMBERS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Member>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Member>> *>(VT_MEMBERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfTables(members()) &&
+           verifier.EndTable();
+  }
+  MemberListT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MemberListT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MemberList> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberListT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MemberListBuilder {
+  typedef MemberList Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Member>>> members) {
+    fbb_.AddOffset(MemberList::VT_MEMBERS, members);
+  }
+  explicit MemberListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MemberList> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MemberList>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MemberList> CreateMemberList(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Member>>> members = 0) {
+  MemberListBuilder builder_(_fbb);
+  builder_.add_members(members);
+  return builder_.Finish();
+}
+
+struct MemberList::Traits {
+  using type = MemberList;
+  static auto constexpr Create = CreateMemberList;
+};
+
+inline flatbuffers::Offset<MemberList> CreateMemberListDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::Member>> *members = nullptr) {
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Member>>(*members) : 0;
+  return dragonflymount::wire::CreateMemberList(
+      _fbb,
+      members__);
+}
+
+flatbuffers::Offset<MemberList> CreateMemberList(flatbuffers::FlatBufferBuilder &_fbb, const MemberListT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct SnapshotImageT : public flatbuffers::NativeTable {
+  typedef SnapshotImage TableType;
+  uint64_t last_index = 0;
+  uint64_t last_term = 0;
+  std::unique_ptr<dragonflymount::wire::MemberListT> members{};
+  std::vector<uint8_t> state{};
+  SnapshotImageT() = default;
+  SnapshotImageT(const SnapshotImageT &o);
+  SnapshotImageT(SnapshotImageT&&) FLATBUFFERS_NOEXCEPT = default;
+  SnapshotImageT &operator=(SnapshotImageT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct SnapshotImage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SnapshotImageT NativeTableType;
+  typedef SnapshotImageBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LAST_INDEX = 4,
+    VT_LAST_TERM = 6,
+    VT_MEMBERS = 8,
+    VT_STATE = 10
+  };
+  uint64_t last_index() const {
+    return GetField<uint64_t>(VT_LAST_INDEX, 0);
+  }
+  uint64_t last_term() const {
+    return GetField<uint64_t>(VT_LAST_TERM, 0);
+  }
+  const dragonflymount::wire::MemberList *members() const {
+    return GetPointer<const dragonflymount::wire::MemberList *>(VT_MEMBERS);
+  }
+  const flatbuffers::Vector<uint8_t> *state() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_STATE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyTable(members()) &&
+           VerifyOffset(verifier, VT_STATE) &&
+           verifier.VerifyVector(state()) &&
+           verifier.EndTable();
+  }
+  SnapshotImageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SnapshotImageT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SnapshotImage> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotImageT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SnapshotImageBuilder {
+  typedef SnapshotImage Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_last_index(uint64_t last_index) {
+    fbb_.AddElement<uint64_t>(SnapshotImage::VT_LAST_INDEX, last_index, 0);
+  }
+  void add_last_term(uint64_t last_term) {
+    fbb_.AddElement<uint64_t>(SnapshotImage::VT_LAST_TERM, last_term, 0);
+  }
+  void add_members(flatbuffers::Offset<dragonflymount::wire::MemberList> members) {
+    fbb_.AddOffset(SnapshotImage::VT_MEMBERS, members);
+  }
+  void add_state(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> state) {
+    fbb_.AddOffset(SnapshotImage::VT_STATE, state);
+  }
+  explicit SnapshotImageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SnapshotImage> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SnapshotImage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SnapshotImage> CreateSnapshotImage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t last_index = 0,
+    uint64_t last_term = 0,
+    flatbuffers::Offset<dragonflymount::wire::MemberList> members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> state = 0) {
+  SnapshotImageBuilder builder_(_fbb);
+  builder_.add_last_term(last_term);
+  builder_.add_last_index(last_index);
+  builder_.add_state(state);
+  builder_.add_members(members);
+  return builder_.Finish();
+}
+
+struct SnapshotImage::Traits {
+  using type = SnapshotImage;
+  static auto constexpr Create = CreateSnapshotImage;
+};
+
+inline flatbuffers::Offset<SnapshotImage> CreateSnapshotImageDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t last_index = 0,
+    uint64_t last_term = 0,
+    flatbuffers::Offset<dragonflymount::wire::MemberList> members = 0,
+    const std::vector<uint8_t> *state = nullptr) {
+  auto state__ = state ? _fbb.CreateVector<uint8_t>(*state) : 0;
+  return dragonflymount::wire::CreateSnapshotImage(
+      _fbb,
+      last_index,
+      last_term,
+      members,
+      state__);
+}
+
+flatbuffers::Offset<SnapshotImage> CreateSnapshotImage(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DataFolderT : public flatbuffers::NativeTable {
+  typedef DataFolder TableType;
+  uint64_t identity = 0;
+};
+
+struct DataFolder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DataFolderT NativeTableType;
+  typedef DataFolderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_IDENTITY = 4
+  };
+  uint64_t identity() const {
+    return GetField<uint64_t>(VT_IDENTITY, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
+           verifier.EndTable();
+  }
+  DataFolderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DataFolderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DataFolder> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DataFolderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DataFolderBuilder {
+  typedef DataFolder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_identity(uint64_t identity) {
+    fbb_.AddElement<uint64_t>(DataFolder::VT_IDENTITY, identity, 0);
+  }
+  explicit DataFolderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DataFolder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DataFolder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DataFolder> CreateDataFolder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t identity = 0) {
+  DataFolderBuilder builder_(_fbb);
+  builder_.add_identity(identity);
+  return builder_.Finish();
+}
+
+struct DataFolder::Traits {
+  using type = DataFolder;
+  static auto constexpr Create = CreateDataFolder;
+};
+
+flatbuffers::Offset<DataFolder> CreateDataFolder(flatbuffers::FlatBufferBuilder &_fbb, const DataFolderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct HardStateT : public flatbuffers::NativeTable {
+  typedef HardState TableType;
+  uint64_t term = 0;
+  std::string vote{};
+};
+
+struct HardState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HardStateT NativeTableType;
+  typedef HardStateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TERM = 4,
+    VT_VOTE = 6
+  };
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  const flatbuffers::String *vote() const {
+    return GetPointer<const flatbuffers::String *>(VT_VOTE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_VOTE) &&
+           verifier.VerifyString(vote()) &&
+           verifier.EndTable();
+  }
+  HardStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HardStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HardState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HardStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HardStateBuilder {
+  typedef HardState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(HardState::VT_TERM, term, 0);
+  }
+  void add_vote(flatbuffers::Offset<flatbuffers::String> vote) {
+    fbb_.AddOffset(HardState::VT_VOTE, vote);
+  }
+  explicit HardStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HardState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HardState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HardState> CreateHardState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    flatbuffers::Offset<flatbuffers::String> vote = 0) {
+  HardStateBuilder builder_(_fbb);
+  builder_.add_term(term);
+  builder_.add_vote(vote);
+  return builder_.Finish();
+}
+
+struct HardState::Traits {
+  using type = HardState;
+  static auto constexpr Create = CreateHardState;
+};
+
+inline flatbuffers::Offset<HardState> CreateHardStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    const char *vote = nullptr) {
+  auto vote__ = vote ? _fbb.CreateString(vote) : 0;
+  return dragonflymount::wire::CreateHardState(
+      _fbb,
+      term,
+      vote__);
+}
+
+flatbuffers::Offset<HardState> CreateHardState(flatbuffers::FlatBufferBuilder &_fbb, const HardStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct VoteRequestT : public flatbuffers::NativeTable {
+  typedef VoteRequest TableType;
+  uint64_t term = 0;
+  std::string candidate{};
+  uint64_t identity = 0;
+  uint64_t last_index = 0;
+  uint64_t last_term = 0;
+  bool pre_vote = false;
+};
+
+struct VoteRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VoteRequestT NativeTableType;
+  typedef VoteRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TERM = 4,
+    VT_CANDIDATE = 6,
+    VT_IDENTITY = 8,
+    VT_LAST_INDEX = 10,
+    VT_LAST_TERM = 12,
+    VT_PRE_VOTE = 14
+  };
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  const flatbuffers::String *candidate() const {
+    return GetPointer<const flatbuffers::String *>(VT_CANDIDATE);
+  }
+  uint64_t identity() const {
+    return GetField<uint64_t>(VT_IDENTITY, 0);
+  }
+  uint64_t last_index() const {
+    return GetField<uint64_t>(VT_LAST_INDEX, 0);
+  }
+  uint64_t last_term() const {
+    return GetField<uint64_t>(VT_LAST_TERM, 0);
+  }
+  bool pre_vote() const {
+    return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_CANDIDATE) &&
+           verifier.VerifyString(candidate()) &&
+           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
+           verifier.EndTable();
+  }
+  VoteRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(VoteRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<VoteRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct VoteRequestBuilder {
+  typedef VoteRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(VoteRequest::VT_TERM, term, 0);
+  }
+  void add_candidate(flatbuffers::Offset<flatbuffers::String> candidate) {
+    fbb_.AddOffset(VoteRequest::VT_CANDIDATE, candidate);
+  }
+  void add_identity(uint64_t identity) {
+    fbb_.AddElement<uint64_t>(VoteRequest::VT_IDENTITY, identity, 0);
+  }
+  void add_last_index(uint64_t last_index) {
+    fbb_.AddElement<uint64_t>(VoteRequest::VT_LAST_INDEX, last_index, 0);
+  }
+  void add_last_term(uint64_t last_term) {
+    fbb_.AddElement<uint64_t>(VoteRequest::VT_LAST_TERM, last_term, 0);
+  }
+  void add_pre_vote(bool pre_vote) {
+    fbb_.AddElement<uint8_t>(VoteRequest::VT_PRE_VOTE, static_cast<uint8_t>(pre_vote), 0);
+  }
+  explicit VoteRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VoteRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VoteRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VoteRequest> CreateVoteRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    flatbuffers::Offset<flatbuffers::String> candidate = 0,
+    uint64_t identity = 0,
+    uint64_t last_index = 0,
+    uint64_t last_term = 0,
+    bool pre_vote = false) {
+  VoteRequestBuilder builder_(_fbb);
+  builder_.add_last_term(last_term);
+  builder_.add_last_index(last_index);
+  builder_.add_identity(identity);
+  builder_.add_term(term);
+  builder_.add_candidate(candidate);
+  builder_.add_pre_vote(pre_vote);
+  return builder_.Finish();
+}
+
+struct VoteRequest::Traits {
+  using type = VoteRequest;
+  static auto constexpr Create = CreateVoteRequest;
+};
+
+inline flatbuffers::Offset<VoteRequest> CreateVoteRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    const char *candidate = nullptr,
+    uint64_t identity = 0,
+    uint64_t last_index = 0,
+    uint64_t last_term = 0,
+    bool pre_vote = false) {
+  auto candidate__ = candidate ? _fbb.CreateString(candidate) : 0;
+  return dragonflymount::wire::CreateVoteRequest(
+      _fbb,
+      term,
+      candidate__,
+      identity,
+      last_index,
+      last_term,
+      pre_vote);
+}
+
+flatbuffers::Offset<VoteRequest> CreateVoteRequest(flatbuffers::FlatBufferBuilder &_fbb, const VoteRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct VoteReplyT : public flatbuffers::NativeTable {
+  typedef VoteReply TableType;
+  uint64_t term = 0;
+  std::string voter{};
+  uint64_t identity = 0;
+  bool granted = false;
+  bool pre_vote = false;
+};
+
+struct VoteReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VoteReplyT NativeTableType;
+  typedef VoteReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TERM = 4,
+    VT_VOTER = 6,
+    VT_IDENTITY = 8,
+    VT_GRANTED = 10,
+    VT_PRE_VOTE = 12
+  };
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  const flatbuffers::String *voter() const {
+    return GetPointer<const flatbuffers::String *>(VT_VOTER);
+  }
+  uint64_t identity() const {
+    return GetField<uint64_t>(VT_IDENTITY, 0);
+  }
+  bool granted() const {
+    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  }
+  bool pre_vote() const {
+    return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_VOTER) &&
+           verifier.VerifyString(voter()) &&
+           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
+           verifier.EndTable();
+  }
+  VoteReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(VoteReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<VoteReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct VoteReplyBuilder {
+  typedef VoteReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(VoteReply::VT_TERM, term, 0);
+  }
+  void add_voter(flatbuffers::Offset<flatbuffers::String> voter) {
+    fbb_.AddOffset(VoteReply::VT_VOTER, voter);
+  }
+  void add_identity(uint64_t identity) {
+    fbb_.AddElement<uint64_t>(VoteReply::VT_IDENTITY, identity, 0);
+  }
+  void add_granted(bool granted) {
+    fbb_.AddElement<uint8_t>(VoteReply::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  }
+  void add_pre_vote(bool pre_vote) {
+    fbb_.AddElement<uint8_t>(VoteReply::VT_PRE_VOTE, static_cast<uint8_t>(pre_vote), 0);
+  }
+  explicit VoteReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VoteReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VoteReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VoteReply> CreateVoteReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    flatbuffers::Offset<flatbuffers::String> voter = 0,
+    uint64_t identity = 0,
+    bool granted = false,
+    bool pre_vote = false) {
+  VoteReplyBuilder builder_(_fbb);
+  builder_.add_identity(identity);
+  builder_.add_term(term);
+  builder_.add_voter(voter);
+  builder_.add_pre_vote(pre_vote);
+  builder_.add_granted(granted);
+  return builder_.Finish();
+}
+
+struct VoteReply::Traits {
+  using type = VoteReply;
+  static auto constexpr Create = CreateVoteReply;
+};
+
+inline flatbuffers::Offset<VoteReply> CreateVoteReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    const char *voter = nullptr,
+    uint64_t identity = 0,
+    bool granted = false,
+    bool pre_vote = false) {
+  auto voter__ = voter ? _fbb.CreateString(voter) : 0;
+  return dragonflymount::wire::CreateVoteReply(
+      _fbb,
+      term,
+      voter__,
+      identity,
+      granted,
+      pre_vote);
+}
+
+flatbuffers::Offset<VoteReply> CreateVoteReply(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AppendRequestT : public flatbuffers::NativeTable {
+  typedef AppendRequest TableType;
+  uint64_t term = 0;
+  std::string leader{};
+  uint64_t previous_index = 0;
+  uint64_t previous_term = 0;
+  uint64_t commit = 0;
+  uint64_t round = 0;
+  std::vector<std::unique_ptr<dragonflymount::wire::LogEntryT>> entries{};
+  AppendRequestT() = default;
+  AppendRequestT(const AppendRequestT &o);
+  AppendRequestT(AppendRequestT&&) FLATBUFFERS_NOEXCEPT = default;
+  AppendRequestT &operator=(AppendRequestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct AppendRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AppendRequestT NativeTableType;
+  typedef AppendRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TERM = 4,
+    VT_LEADER = 6,
+    VT_PREVIOUS_INDEX = 8,
+    VT_PREVIOUS_TERM = 10,
+    VT_COMMIT = 12,
+    VT_ROUND = 14,
+    VT_ENTRIES = 16
+  };
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  const flatbuffers::String *leader() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER);
+  }
+  uint64_t previous_index() const {
+    return GetField<uint64_t>(VT_PREVIOUS_INDEX, 0);
+  }
+  uint64_t previous_term() const {
+    return GetField<uint64_t>(VT_PREVIOUS_TERM, 0);
+  }
+  uint64_t commit() const {
+    return GetField<uint64_t>(VT_COMMIT, 0);
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_LEADER) &&
+           verifier.VerifyString(leader()) &&
+           VerifyField<uint64_t>(verifier, VT_PREVIOUS_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PREVIOUS_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_COMMIT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           verifier.EndTable();
+  }
+  AppendRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AppendRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AppendRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AppendRequestBuilder {
+  typedef AppendRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(AppendRequest::VT_TERM, term, 0);
+  }
+  void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
+    fbb_.AddOffset(AppendRequest::VT_LEADER, leader);
+  }
+  void add_previous_index(uint64_t previous_index) {
+    fbb_.AddElement<uint64_t>(AppendRequest::VT_PREVIOUS_INDEX, previous_index, 0);
+  }
+  void add_previous_term(uint64_t previous_term) {
+    fbb_.AddElement<uint64_t>(AppendRequest::VT_PREVIOUS_TERM, previous_term, 0);
+  }
+  void add_commit(uint64_t commit) {
+    fbb_.AddElement<uint64_t>(AppendRequest::VT_COMMIT, commit, 0);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(AppendRequest::VT_ROUND, round, 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>> entries) {
+    fbb_.AddOffset(AppendRequest::VT_ENTRIES, entries);
+  }
+  explicit AppendRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AppendRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AppendRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AppendRequest> CreateAppendRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    flatbuffers::Offset<flatbuffers::String> leader = 0,
+    uint64_t previous_index = 0,
+    uint64_t previous_term = 0,
+    uint64_t commit = 0,
+    uint64_t round = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>> entries = 0) {
+  AppendRequestBuilder builder_(_fbb);
+  builder_.add_round(round);
+  builder_.add_commit(commit);
+  builder_.add_previous_term(previous_term);
+  builder_.add_previous_index(previous_index);
+  builder_.add_term(term);
+  builder_.add_entries(entries);
+  builder_.add_leader(leader);
+  return builder_.Finish();
+}
+
+struct AppendRequest::Traits {
+  using type = AppendRequest;
+  static auto constexpr Create = CreateAppendRequest;
+};
+
+inline flatbuffers::Offset<AppendRequest> CreateAppendRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    const char *leader = nullptr,
+    uint64_t previous_index = 0,
+    uint64_t previous_term = 0,
+    uint64_t commit = 0,
+    uint64_t round = 0,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *entries = nullptr) {
+  auto leader__ = leader ? _fbb.CreateString(leader) : 0;
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>(*entries) : 0;
+  return dragonflymount::wire::CreateAppendRequest(
+      _fbb,
+      term,
+      leader__,
+      previous_index,
+      previous_term,
+      commit,
+      round,
+      entries__);
+}
+
+flatbuffers::Offset<AppendRequest> CreateAppendRequest(flatbuffers::FlatBufferBuilder &_fbb, const AppendRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AppendReplyT : public flatbuffers::NativeTable {
+  typedef AppendReply TableType;
+  uint64_t term = 0;
+  std::string follower{};
+  uint64_t identity = 0;
+  bool accepted = false;
+  uint64_t match_index = 0;
+  uint64_t round = 0;
+};
+
+struct AppendReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AppendReplyT NativeTableType;
+  typedef AppendReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TERM = 4,
+    VT_FOLLOWER = 6,
+    VT_IDENTITY = 8,
+    VT_ACCEPTED = 10,
+    VT_MATCH_INDEX = 12,
+    VT_ROUND = 14
+  };
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  const flatbuffers::String *follower() const {
+    return GetPointer<const flatbuffers::String *>(VT_FOLLOWER);
+  }
+  uint64_t identity() const {
+    return GetField<uint64_t>(VT_IDENTITY, 0);
+  }
+  bool accepted() const {
+    return GetField<uint8_t>(VT_ACCEPTED, 0) != 0;
+  }
+  uint64_t match_index() const {
+    return GetField<uint64_t>(VT_MATCH_INDEX, 0);
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_FOLLOWER) &&
+           verifier.VerifyString(follower()) &&
+           VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_MATCH_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           verifier.EndTable();
+  }
+  AppendReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AppendReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AppendReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AppendReplyBuilder {
+  typedef AppendReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(AppendReply::VT_TERM, term, 0);
+  }
+  void add_follower(flatbuffers::Offset<flatbuffers::String> follower) {
+    fbb_.AddOffset(AppendReply::VT_FOLLOWER, follower);
+  }
+  void add_identity(uint64_t identity) {
+    fbb_.AddElement<uint64_t>(AppendReply::VT_IDENTITY, identity, 0);
+  }
+  void add_accepted(bool accepted) {
+    fbb_.AddElement<uint8_t>(AppendReply::VT_ACCEPTED, static_cast<uint8_t>(accepted), 0);
+  }
+  void add_match_index(uint64_t match_index) {
+    fbb_.AddElement<uint64_t>(AppendReply::VT_MATCH_INDEX, match_index, 0);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(AppendReply::VT_ROUND, round, 0);
+  }
+  explicit AppendReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AppendReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AppendReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AppendReply> CreateAppendReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    flatbuffers::Offset<flatbuffers::String> follower = 0,
+    uint64_t identity = 0,
+    bool accepted = false,
+    uint64_t match_index = 0,
+    uint64_t round = 0) {
+  AppendReplyBuilder builder_(_fbb);
+  builder_.add_round(round);
+  builder_.add_match_index(match_index);
+  builder_.add_identity(identity);
+  builder_.add_term(term);
+  builder_.add_follower(follower);
+  builder_.add_accepted(accepted);
+  return builder_.Finish();
+}
+
+struct AppendReply::Traits {
+  using type = AppendReply;
+  static auto constexpr Create = CreateAppendReply;
+};
+
+inline flatbuffers::Offset<AppendReply> CreateAppendReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    const char *follower = nullptr,
+    uint64_t identity = 0,
+    bool accepted = false,
+    uint64_t match_index = 0,
+    uint64_t round = 0) {
+  auto follower__ = follower ? _fbb.CreateString(follower) : 0;
+  return dragonflymount::wire::CreateAppendReply(
+      _fbb,
+      term,
+      follower__,
+      identity,
+      accepted,
+      match_index,
+      round);
+}
+
+flatbuffers::Offset<AppendReply> CreateAppendReply(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct InstallSnapshotT : public flatbuffers::NativeTable {
+  typedef InstallSnapshot TableType;
+  uint64_t term = 0;
+  std::string leader{};
+  uint64_t round = 0;
+  std::unique_ptr<dragonflymount::wire::SnapshotImageT> image{};
+  InstallSnapshotT() = default;
+  InstallSnapshotT(const InstallSnapshotT &o);
+  InstallSnapshotT(InstallSnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
+  InstallSnapshotT &operator=(InstallSnapshotT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct InstallSnapshot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef InstallSnapshotT NativeTableType;
+  typedef InstallSnapshotBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TERM = 4,
+    VT_LEADER = 6,
+    VT_ROUND = 8,
+    VT_IMAGE = 10
+  };
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  const flatbuffers::String *leader() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER);
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  const dragonflymount::wire::SnapshotImage *image() const {
+    return GetPointer<const dragonflymount::wire::SnapshotImage *>(VT_IMAGE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_LEADER) &&
+           verifier.VerifyString(leader()) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyOffset(verifier, VT_IMAGE) &&
+           verifier.VerifyTable(image()) &&
+           verifier.EndTable();
+  }
+  InstallSnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(InstallSnapshotT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<InstallSnapshot> Pack(flatbuffers::FlatBufferBuilder &_fbb, const InstallSnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct InstallSnapshotBuilder {
+  typedef InstallSnapshot Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(InstallSnapshot::VT_TERM, term, 0);
+  }
+  void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
+    fbb_.AddOffset(InstallSnapshot::VT_LEADER, leader);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(InstallSnapshot::VT_ROUND, round, 0);
+  }
+  void add_image(flatbuffers::Offset<dragonflymount::wire::SnapshotImage> image) {
+    fbb_.AddOffset(InstallSnapshot::VT_IMAGE, image);
+  }
+  explicit InstallSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<InstallSnapshot> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<InstallSnapshot>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<InstallSnapshot> CreateInstallSnapshot(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    flatbuffers::Offset<flatbuffers::String> leader = 0,
+    uint64_t round = 0,
+    flatbuffers::Offset<dragonflymount::wire::SnapshotImage> image = 0) {
+  InstallSnapshotBuilder builder_(_fbb);
+  builder_.add_round(round);
+  builder_.add_term(term);
+  builder_.add_image(image);
+  builder_.add_leader(leader);
+  return builder_.Finish();
+}
+
+struct InstallSnapshot::Traits {
+  using type = InstallSnapshot;
+  static auto constexpr Create = CreateInstallSnapshot;
+};
+
+inline flatbuffers::Offset<InstallSnapshot> CreateInstallSnapshotDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t term = 0,
+    const char *leader = nullptr,
+    uint64_t round = 0,
+    flatbuffers::Offset<dragonflymount::wire::SnapshotImage> image = 0) {
+  auto leader__ = leader ? _fbb.CreateString(leader) : 0;
+  return dragonflymount::wire::CreateInstallSnapshot(
+      _fbb,
+      term,
+      leader__,
+      round,
+      image);
+}
+
+flatbuffers::Offset<InstallSnapshot> CreateInstallSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const InstallSnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ProposeT : public flatbuffers::NativeTable {
+  typedef Propose TableType;
+  std::vector<uint8_t> command{};
+};
+
+struct Propose FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProposeT NativeTableType;
+  typedef ProposeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COMMAND = 4
+  };
+  const flatbuffers::Vector<uint8_t> *command() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COMMAND);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_COMMAND) &&
+           verifier.VerifyVector(command()) &&
+           verifier.EndTable();
+  }
+  ProposeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ProposeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Propose> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProposeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ProposeBuilder {
+  typedef Propose Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_command(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> command) {
+    fbb_.AddOffset(Propose::VT_COMMAND, command);
+  }
+  explicit ProposeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Propose> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Propose>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Propose> CreatePropose(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> command = 0) {
+  ProposeBuilder builder_(_fbb);
+  builder_.add_command(command);
+  return builder_.Finish();
+}
+
+struct Propose::Traits {
+  using type = Propose;
+  static auto constexpr Create = CreatePropose;
+};
+
+inline flatbuffers::Offset<Propose> CreateProposeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *command = nullptr) {
+  auto command__ = command ? _fbb.CreateVector<uint8_t>(*command) : 0;
+  return dragonflymount::wire::CreatePropose(
+      _fbb,
+      command__);
+}
+
+flatbuffers::Offset<Propose> CreatePropose(flatbuffers::FlatBufferBuilder &_fbb, const ProposeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ProposeReplyT : public flatbuffers::NativeTable {
+  typedef ProposeReply TableType;
+  dragonflymount::wire::proposal_result result = dragonflymount::wire::proposal_result::accepted;
+  uint64_t version = 0;
+  std::string detail{};
+  std::string leader_address{};
+  std::vector<uint8_t> granted{};
+  std::vector<std::string> owners{};
+};
+
+struct ProposeReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProposeReplyT NativeTableType;
+  typedef ProposeReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RESULT = 4,
+    VT_VERSION = 6,
+    VT_DETAIL = 8,
+    VT_LEADER_ADDRESS = 10,
+    VT_GRANTED = 12,
+    VT_OWNERS = 14
+  };
+  dragonflymount::wire::proposal_result result() const {
+    return static_cast<dragonflymount::wire::proposal_result>(GetField<uint8_t>(VT_RESULT, 0));
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::String *detail() const {
+    return GetPointer<const flatbuffers::String *>(VT_DETAIL);
+  }
+  const flatbuffers::String *leader_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER_ADDRESS);
+  }
+  const flatbuffers::Vector<uint8_t> *granted() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_GRANTED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *owners() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_OWNERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_DETAIL) &&
+           verifier.VerifyString(detail()) &&
+           VerifyOffset(verifier, VT_LEADER_ADDRESS) &&
+           verifier.VerifyString(leader_address()) &&
+           VerifyOffset(verifier, VT_GRANTED) &&
+           verifier.VerifyVector(granted()) &&
+           VerifyOffset(verifier, VT_OWNERS) &&
+           verifier.VerifyVector(owners()) &&
+           verifier.VerifyVectorOfStrings(owners()) &&
+           verifier.EndTable();
+  }
+  ProposeReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ProposeReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ProposeReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProposeReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ProposeReplyBuilder {
+  typedef ProposeReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_result(dragonflymount::wire::proposal_result result) {
+    fbb_.AddElement<uint8_t>(ProposeReply::VT_RESULT, static_cast<uint8_t>(result), 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(ProposeReply::VT_VERSION, version, 0);
+  }
+  void add_detail(flatbuffers::Offset<flatbuffers::String> detail) {
+    fbb_.AddOffset(ProposeReply::VT_DETAIL, detail);
+  }
+  void add_leader_address(flatbuffers::Offset<flatbuffers::String> leader_address) {
+    fbb_.AddOffset(ProposeReply::VT_LEADER_ADDRESS, leader_address);
+  }
+  void add_granted(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> granted) {
+    fbb_.AddOffset(ProposeReply::VT_GRANTED, granted);
+  }
+  void add_owners(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> owners) {
+    fbb_.AddOffset(ProposeReply::VT_OWNERS, owners);
+  }
+  explicit ProposeReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProposeReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProposeReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProposeReply> CreateProposeReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    dragonflymount::wire::proposal_result result = dragonflymount::wire::proposal_result::accepted,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::String> detail = 0,
+    flatbuffers::Offset<flatbuffers::String> leader_address = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> granted = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> owners = 0) {
+  ProposeReplyBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_owners(owners);
+  builder_.add_granted(granted);
+  builder_.add_leader_address(leader_address);
+  builder_.add_detail(detail);
+  builder_.add_result(result);
+  return builder_.Finish();
+}
+
+struct ProposeReply::Traits {
+  using type = ProposeReply;
+  static auto constexpr Create = CreateProposeReply;
+};
+
+inline flatbuffers::Offset<ProposeReply> CreateProposeReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    dragonflymount::wire::proposal_result result = dragonflymount::wire::proposal_result::accepted,
+    uint64_t version = 0,
+    const char *detail = nullptr,
+    const char *leader_address = nullptr,
+    const std::vector<uint8_t> *granted = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *owners = nullptr) {
+  auto detail__ = detail ? _fbb.CreateString(detail) : 0;
+  auto leader_address__ = leader_address ? _fbb.CreateString(leader_address) : 0;
+  auto granted__ = granted ? _fbb.CreateVector<uint8_t>(*granted) : 0;
+  auto owners__ = owners ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*owners) : 0;
+  return dragonflymount::wire::CreateProposeReply(
+      _fbb,
+      result,
+      version,
+      detail__,
+      leader_address__,
+      granted__,
+      owners__);
+}
+
+flatbuffers::Offset<ProposeReply> CreateProposeReply(flatbuffers::FlatBufferBuilder &_fbb, const ProposeReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ChangeReplicaT : public flatbuffers::NativeTable {
+  typedef ChangeReplica TableType;
+  dragonflymount::wire::replica_change change = dragonflymount::wire::replica_change::admit;
+  std::unique_ptr<dragonflymount::wire::MemberT> member{};
+  std::string author{};
+  ChangeReplicaT() = default;
+  ChangeReplicaT(const ChangeReplicaT &o);
+  ChangeReplicaT(ChangeReplicaT&&) FLATBUFFERS_NOEXCEPT = default;
+  ChangeReplicaT &operator=(ChangeReplicaT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ChangeReplica FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ChangeReplicaT NativeTableType;
+  typedef ChangeReplicaBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CHANGE = 4,
+    VT_MEMBER = 6,
+    VT_AUTHOR = 8
+  };
+  dragonflymount::wire::replica_change change() const {
+    return static_cast<dragonflymount::wire::replica_change>(GetField<uint8_t>(VT_CHANGE, 0));
+  }
+  const dragonflymount::wire::Member *member() const {
+    return GetPointer<const dragonflymount::wire::Member *>(VT_MEMBER);
+  }
+  const flatbuffers::String *author() const {
+    return GetPointer<const flatbuffers::String *>(VT_AUTHOR);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_CHANGE, 1) &&
+           VerifyOffset(verifier, VT_MEMBER) &&
+           verifier.VerifyTable(member()) &&
+           VerifyOffset(verifier, VT_AUTHOR) &&
+           verifier.VerifyString(author()) &&
+           verifier.EndTable();
+  }
+  ChangeReplicaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ChangeReplicaT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ChangeReplica> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ChangeReplicaT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ChangeReplicaBuilder {
+  typedef ChangeReplica Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_change(dragonflymount::wire::replica_change change) {
+    fbb_.AddElement<uint8_t>(ChangeReplica::VT_CHANGE, static_cast<uint8_t>(change), 0);
+  }
+  void add_member(flatbuffers::Offset<dragonflymount::wire::Member> member) {
+    fbb_.AddOffset(ChangeReplica::VT_MEMBER, member);
+  }
+  void add_author(flatbuffers::Offset<flatbuffers::String> author) {
+    fbb_.AddOffset(ChangeReplica::VT_AUTHOR, author);
+  }
+  explicit ChangeReplicaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ChangeReplica> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ChangeReplica>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ChangeReplica> CreateChangeReplica(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    dragonflymount::wire::replica_change change = dragonflymount::wire::replica_change::admit,
+    flatbuffers::Offset<dragonflymount::wire::Member> member = 0,
+    flatbuffers::Offset<flatbuffers::String> author = 0) {
+  ChangeReplicaBuilder builder_(_fbb);
+  builder_.add_author(author);
+  builder_.add_member(member);
+  builder_.add_change(change);
+  return builder_.Finish();
+}
+
+struct ChangeReplica::Traits {
+  using type = ChangeReplica;
+  static auto constexpr Create = CreateChangeReplica;
+};
+
+inline flatbuffers::Offset<ChangeReplica> CreateChangeReplicaDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    dragonflymount::wire::replica_change change = dragonflymount::wire::replica_change::admit,
+    flatbuffers::Offset<dragonflymount::wire::Member> member = 0,
+    const char *author = nullptr) {
+  auto author__ = author ? _fbb.CreateString(author) : 0;
+  return dragonflymount::wire::CreateChangeReplica(
+      _fbb,
+      change,
+      member,
+      author__);
+}
+
+flatbuffers::Offset<ChangeReplica> CreateChangeReplica(flatbuffers::FlatBufferBuilder &_fbb, const ChangeReplicaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QueryT : public flatbuffers::NativeTable {
+  typedef Query TableType;
+  std::string subject{};
+  std::string argument{};
+};
+
+struct Query FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueryT NativeTableType;
+  typedef QueryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SUBJECT = 4,
+    VT_ARGUMENT = 6
+  };
+  const flatbuffers::String *subject() const {
+    return GetPointer<const flatbuffers::String *>(VT_SUBJECT);
+  }
+  const flatbuffers::String *argument() const {
+    return GetPointer<const flatbuffers::String *>(VT_ARGUMENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SUBJECT) &&
+           verifier.VerifyString(subject()) &&
+           VerifyOffset(verifier, VT_ARGUMENT) &&
+           verifier.VerifyString(argument()) &&
+           verifier.EndTable();
+  }
+  QueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QueryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Query> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QueryBuilder {
+  typedef Query Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_subject(flatbuffers::Offset<flatbuffers::String> subject) {
+    fbb_.AddOffset(Query::VT_SUBJECT, subject);
+  }
+  void add_argument(flatbuffers::Offset<flatbuffers::String> argument) {
+    fbb_.AddOffset(Query::VT_ARGUMENT, argument);
+  }
+  explicit QueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Query> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Query>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Query> CreateQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> subject = 0,
+    flatbuffers::Offset<flatbuffers::String> argument = 0) {
+  QueryBuilder builder_(_fbb);
+  builder_.add_argument(argument);
+  builder_.add_subject(subject);
+  return builder_.Finish();
+}
+
+struct Query::Traits {
+  using type = Query;
+  static auto constexpr Create = CreateQuery;
+};
+
+inline flatbuffers::Offset<Query> CreateQueryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *subject = nullptr,
+    const char *argument = nullptr) {
+  auto subject__ = subject ? _fbb.CreateString(subject) : 0;
+  auto argument__ = argument ? _fbb.CreateString(argument) : 0;
+  return dragonflymount::wire::CreateQuery(
+      _fbb,
+      subject__,
+      argument__);
+}
+
+flatbuffers::Offset<Query> CreateQuery(flatbuffers::FlatBufferBuilder &_fbb, const QueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QueryReplyT : public flatbuffers::NativeTable {
+  typedef QueryReply TableType;
+  bool ok = false;
+  std::string json{};
+  std::string leader_address{};
+};
+
+struct QueryReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueryReplyT NativeTableType;
+  typedef QueryReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OK = 4,
+    VT_JSON = 6,
+    VT_LEADER_ADDRESS = 8
+  };
+  bool ok() const {
+    return GetField<uint8_t>(VT_OK, 0) != 0;
+  }
+  const flatbuffers::String *json() const {
+    return GetPointer<const flatbuffers::String *>(VT_JSON);
+  }
+  const flatbuffers::String *leader_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER_ADDRESS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_OK, 1) &&
+           VerifyOffset(verifier, VT_JSON) &&
+           verifier.VerifyString(json()) &&
+           VerifyOffset(verifier, VT_LEADER_ADDRESS) &&
+           verifier.VerifyString(leader_address()) &&
+           verifier.EndTable();
+  }
+  QueryReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QueryReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QueryReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueryReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QueryReplyBuilder {
+  typedef QueryReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_ok(bool ok) {
+    fbb_.AddElement<uint8_t>(QueryReply::VT_OK, static_cast<uint8_t>(ok), 0);
+  }
+  void add_json(flatbuffers::Offset<flatbuffers::String> json) {
+    fbb_.AddOffset(QueryReply::VT_JSON, json);
+  }
+  void add_leader_address(flatbuffers::Offset<flatbuffers::String> leader_address) {
+    fbb_.AddOffset(QueryReply::VT_LEADER_ADDRESS, leader_address);
+  }
+  explicit QueryReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QueryReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QueryReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QueryReply> CreateQueryReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool ok = false,
+    flatbuffers::Offset<flatbuffers::String> json = 0,
+    flatbuffers::Offset<flatbuffers::String> leader_address = 0) {
+  QueryReplyBuilder builder_(_fbb);
+  builder_.add_leader_address(leader_address);
+  builder_.add_json(json);
+  builder_.add_ok(ok);
+  return builder_.Finish();
+}
+
+struct QueryReply::Traits {
+  using type = QueryReply;
+  static auto constexpr Create = CreateQueryReply;
+};
+
+inline flatbuffers::Offset<QueryReply> CreateQueryReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool ok = false,
+    const char *json = nullptr,
+    const char *leader_address = nullptr) {
+  auto json__ = json ? _fbb.CreateString(json) : 0;
+  auto leader_address__ = leader_address ? _fbb.CreateString(leader_address) : 0;
+  return dragonflymount::wire::CreateQueryReply(
+      _fbb,
+      ok,
+      json__,
+      leader_address__);
+}
+
+flatbuffers::Offset<QueryReply> CreateQueryReply(flatbuffers::FlatBufferBuilder &_fbb, const QueryReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WithdrawT : public flatbuffers::NativeTable {
+  typedef Withdraw TableType;
+  std::string digest{};
+  std::string author{};
+};
+
+struct Withdraw FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WithdrawT NativeTableType;
+  typedef WithdrawBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DIGEST = 4,
+    VT_AUTHOR = 6
+  };
+  const flatbuffers::String *digest() const {
+    return GetPointer<const flatbuffers::String *>(VT_DIGEST);
+  }
+  const flatbuffers::String *author() const {
+    return GetPointer<const flatbuffers::String *>(VT_AUTHOR);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DIGEST) &&
+           verifier.VerifyString(digest()) &&
+           VerifyOffset(verifier, VT_AUTHOR) &&
+           verifier.VerifyString(author()) &&
+           verifier.EndTable();
+  }
+  WithdrawT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WithdrawT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Withdraw> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WithdrawBuilder {
+  typedef Withdraw Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_digest(flatbuffers::Offset<flatbuffers::String> digest) {
+    fbb_.AddOffset(Withdraw::VT_DIGEST, digest);
+  }
+  void add_author(flatbuffers::Offset<flatbuffers::String> author) {
+    fbb_.AddOffset(Withdraw::VT_AUTHOR, author);
+  }
+  explicit WithdrawBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Withdraw> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Withdraw>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Withdraw> CreateWithdraw(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> digest = 0,
+    flatbuffers::Offset<flatbuffers::String> author = 0) {
+  WithdrawBuilder builder_(_fbb);
+  builder_.add_author(author);
+  builder_.add_digest(digest);
+  return builder_.Finish();
+}
+
+struct Withdraw::Traits {
+  using type = Withdraw;
+  static auto constexpr Create = CreateWithdraw;
+};
+
+inline flatbuffers::Offset<Withdraw> CreateWithdrawDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *digest = nullptr,
+    const char *author = nullptr) {
+  auto digest__ = digest ? _fbb.CreateString(digest) : 0;
+  auto author__ = author ? _fbb.CreateString(author) : 0;
+  return dragonflymount::wire::CreateWithdraw(
+      _fbb,
+      digest__,
+      author__);
+}
+
+flatbuffers::Offset<Withdraw> CreateWithdraw(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EnvelopeT : public flatbuffers::NativeTable {
+  typedef Envelope TableType;
+  uint64_t correlation = 0;
+  dragonflymount::wire::BodyUnion body{};
+};
+
+struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EnvelopeT NativeTableType;
+  typedef EnvelopeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CORRELATION = 4,
+    VT_BODY_TYPE = 6,
+    VT_BODY = 8
+  };
+  uint64_t correlation() const {
+    return GetField<uint64_t>(VT_CORRELATION, 0);
+  }
+  dragonflymount::wire::Body body_type() const {
+    return static_cast<dragonflymount::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const dragonflymount::wire::Submit *body_as_Submit() const {
+    return body_type() == dragonflymount::wire::Body::Submit ? static_cast<const dragonflymount::wire::Submit *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Answer *body_as_Answer() const {
+    return body_type() == dragonflymount::wire::Body::Answer ? static_cast<const dragonflymount::wire::Answer *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Fetch *body_as_Fetch() const {
+    return body_type() == dragonflymount::wire::Body::Fetch ? static_cast<const dragonflymount::wire::Fetch *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Cancel *body_as_Cancel() const {
+    return body_type() == dragonflymount::wire::Body::Cancel ? static_cast<const dragonflymount::wire::Cancel *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Pending *body_as_Pending() const {
+    return body_type() == dragonflymount::wire::Body::Pending ? static_cast<const dragonflymount::wire::Pending *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Announce *body_as_Announce() const {
+    return body_type() == dragonflymount::wire::Body::Announce ? static_cast<const dragonflymount::wire::Announce *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::AnnounceReply *body_as_AnnounceReply() const {
+    return body_type() == dragonflymount::wire::Body::AnnounceReply ? static_cast<const dragonflymount::wire::AnnounceReply *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::StartTask *body_as_StartTask() const {
+    return body_type() == dragonflymount::wire::Body::StartTask ? static_cast<const dragonflymount::wire::StartTask *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::TaskRejected *body_as_TaskRejected() const {
+    return body_type() == dragonflymount::wire::Body::TaskRejected ? static_cast<const dragonflymount::wire::TaskRejected *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::TaskEnded *body_as_TaskEnded() const {
+    return body_type() == dragonflymount::wire::Body::TaskEnded ? static_cast<const dragonflymount::wire::TaskEnded *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::ConfirmTasks *body_as_ConfirmTasks() const {
+    return body_type() == dragonflymount::wire::Body::ConfirmTasks ? static_cast<const dragonflymount::wire::ConfirmTasks *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::RenewTasks *body_as_RenewTasks() const {
+    return body_type() == dragonflymount::wire::Body::RenewTasks ? static_cast<const dragonflymount::wire::RenewTasks *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::StopTask *body_as_StopTask() const {
+    return body_type() == dragonflymount::wire::Body::StopTask ? static_cast<const dragonflymount::wire::StopTask *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::QueryTask *body_as_QueryTask() const {
+    return body_type() == dragonflymount::wire::Body::QueryTask ? static_cast<const dragonflymount::wire::QueryTask *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Reboot *body_as_Reboot() const {
+    return body_type() == dragonflymount::wire::Body::Reboot ? static_cast<const dragonflymount::wire::Reboot *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Ping *body_as_Ping() const {
+    return body_type() == dragonflymount::wire::Body::Ping ? static_cast<const dragonflymount::wire::Ping *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Pong *body_as_Pong() const {
+    return body_type() == dragonflymount::wire::Body::Pong ? static_cast<const dragonflymount::wire::Pong *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::EntryBeat *body_as_EntryBeat() const {
+    return body_type() == dragonflymount::wire::Body::EntryBeat ? static_cast<const dragonflymount::wire::EntryBeat *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::EntryLease *body_as_EntryLease() const {
+    return body_type() == dragonflymount::wire::Body::EntryLease ? static_cast<const dragonflymount::wire::EntryLease *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Propose *body_as_Propose() const {
+    return body_type() == dragonflymount::wire::Body::Propose ? static_cast<const dragonflymount::wire::Propose *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::ProposeReply *body_as_ProposeReply() const {
+    return body_type() == dragonflymount::wire::Body::ProposeReply ? static_cast<const dragonflymount::wire::ProposeReply *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Query *body_as_Query() const {
+    return body_type() == dragonflymount::wire::Body::Query ? static_cast<const dragonflymount::wire::Query *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::QueryReply *body_as_QueryReply() const {
+    return body_type() == dragonflymount::wire::Body::QueryReply ? static_cast<const dragonflymount::wire::QueryReply *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::VoteRequest *body_as_VoteRequest() const {
+    return body_type() == dragonflymount::wire::Body::VoteRequest ? static_cast<const dragonflymount::wire::VoteRequest *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::VoteReply *body_as_VoteReply() const {
+    return body_type() == dragonflymount::wire::Body::VoteReply ? static_cast<const dragonflymount::wire::VoteReply *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::AppendRequest *body_as_AppendRequest() const {
+    return body_type() == dragonflymount::wire::Body::AppendRequest ? static_cast<const dragonflymount::wire::AppendRequest *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::AppendReply *body_as_AppendReply() const {
+    return body_type() == dragonflymount::wire::Body::AppendReply ? static_cast<const dragonflymount::wire::AppendReply *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::InstallSnapshot *body_as_InstallSnapshot() const {
+    return body_type() == dragonflymount::wire::Body::InstallSnapshot ? static_cast<const dragonflymount::wire::InstallSnapshot *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::ChangeReplica *body_as_ChangeReplica() const {
+    return body_type() == dragonflymount::wire::Body::ChangeReplica ? static_cast<const dragonflymount::wire::ChangeReplica *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::Withdraw *body_as_Withdraw() const {
+    return body_type() == dragonflymount::wire::Body::Withdraw ? static_cast<const dragonflymount::wire::Withdraw *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::JobCall *body_as_JobCall() const {
+    return body_type() == dragonflymount::wire::Body::JobCall ? static_cast<const dragonflymount::wire::JobCall *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::JobReply *body_as_JobReply() const {
+    return body_type() == dragonflymount::wire::Body::JobReply ? static_cast<const dragonflymount::wire::JobReply *>(body()) : nullptr;
+  }
+  const dragonflymount::wire::JoinReplica *body_as_JoinReplica() const {
+    return body_type() == dragonflymount::wire::Body::JoinReplica ? static_cast<const dragonflymount::wire::JoinReplica *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           VerifyBody(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+  EnvelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EnvelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const dragonflymount::wire::Submit *Envelope::body_as<dragonflymount::wire::Submit>() const {
+  return body_as_Submit();
+}
+
+template<> inline const dragonflymount::wire::Answer *Envelope::body_as<dragonflymount::wire::Answer>() const {
+  return body_as_Answer();
+}
+
+template<> inline const dragonflymount::wire::Fetch *Envelope::body_as<dragonflymount::wire::Fetch>() const {
+  return body_as_Fetch();
+}
+
+template<> inline const dragonflymount::wire::Cancel *Envelope::body_as<dragonflymount::wire::Cancel>() const {
+  return body_as_Cancel();
+}
+
+template<> inline const dragonflymount::wire::Pending *Envelope::body_as<dragonflymount::wire::Pending>() const {
+  return body_as_Pending();
+}
+
+template<> inline const dragonflymount::wire::Announce *Envelope::body_as<dragonflymount::wire::Announce>() const {
+  return body_as_Announce();
+}
+
+template<> inline const dragonflymount::wire::AnnounceReply *Envelope::body_as<dragonflymount::wire::AnnounceReply>() const {
+  return body_as_AnnounceReply();
+}
+
+template<> inline const dragonflymount::wire::StartTask *Envelope::body_as<dragonflymount::wire::StartTask>() const {
+  return body_as_StartTask();
+}
+
+template<> inline const dragonflymount::wire::TaskRejected *Envelope::body_as<dragonflymount::wire::TaskRejected>() const {
+  return body_as_TaskRejected();
+}
+
+template<> inline const dragonflymount::wire::TaskEnded *Envelope::body_as<dragonflymount::wire::TaskEnded>() const {
+  return body_as_TaskEnded();
+}
+
+template<> inline const dragonflymount::wire::ConfirmTasks *Envelope::body_as<dragonflymount::wire::ConfirmTasks>() const {
+  return body_as_ConfirmTasks();
+}
+
+template<> inline const dragonflymount::wire::RenewTasks *Envelope::body_as<dragonflymount::wire::RenewTasks>() const {
   return body_as_RenewTasks();
 }
 
-template<> inline const dragonflymount::wire::StopTask *Envelope::body_as<dragonflymount::wire::StopTask>() const {
-  return body_as_StopTask();
+template<> inline const dragonflymount::wire::StopTask *Envelope::body_as<dragonflymount::wire::StopTask>() const {
+  return body_as_StopTask();
+}
+
+template<> inline const dragonflymount::wire::QueryTask *Envelope::body_as<dragonflymount::wire::QueryTask>() const {
+  return body_as_QueryTask();
+}
+
+template<> inline const dragonflymount::wire::Reboot *Envelope::body_as<dragonflymount::wire::Reboot>() const {
+  return body_as_Reboot();
+}
+
+template<> inline const dragonflymount::wire::Ping *Envelope::body_as<dragonflymount::wire::Ping>() const {
+  return body_as_Ping();
+}
+
+template<> inline const dragonflymount::wire::Pong *Envelope::body_as<dragonflymount::wire::Pong>() const {
+  return body_as_Pong();
+}
+
+template<> inline const dragonflymount::wire::EntryBeat *Envelope::body_as<dragonflymount::wire::EntryBeat>() const {
+  return body_as_EntryBeat();
+}
+
+template<> inline const dragonflymount::wire::EntryLease *Envelope::body_as<dragonflymount::wire::EntryLease>() const {
+  return body_as_EntryLease();
+}
+
+template<> inline const dragonflymount::wire::Propose *Envelope::body_as<dragonflymount::wire::Propose>() const {
+  return body_as_Propose();
+}
+
+template<> inline const dragonflymount::wire::ProposeReply *Envelope::body_as<dragonflymount::wire::ProposeReply>() const {
+  return body_as_ProposeReply();
+}
+
+template<> inline const dragonflymount::wire::Query *Envelope::body_as<dragonflymount::wire::Query>() const {
+  return body_as_Query();
+}
+
+template<> inline const dragonflymount::wire::QueryReply *Envelope::body_as<dragonflymount::wire::QueryReply>() const {
+  return body_as_QueryReply();
+}
+
+template<> inline const dragonflymount::wire::VoteRequest *Envelope::body_as<dragonflymount::wire::VoteRequest>() const {
+  return body_as_VoteRequest();
+}
+
+template<> inline const dragonflymount::wire::VoteReply *Envelope::body_as<dragonflymount::wire::VoteReply>() const {
+  return body_as_VoteReply();
+}
+
+template<> inline const dragonflymount::wire::AppendRequest *Envelope::body_as<dragonflymount::wire::AppendRequest>() const {
+  return body_as_AppendRequest();
+}
+
+template<> inline const dragonflymount::wire::AppendReply *Envelope::body_as<dragonflymount::wire::AppendReply>() const {
+  return body_as_AppendReply();
+}
+
+template<> inline const dragonflymount::wire::InstallSnapshot *Envelope::body_as<dragonflymount::wire::InstallSnapshot>() const {
+  return body_as_InstallSnapshot();
+}
+
+template<> inline const dragonflymount::wire::ChangeReplica *Envelope::body_as<dragonflymount::wire::ChangeReplica>() const {
+  return body_as_ChangeReplica();
+}
+
+template<> inline const dragonflymount::wire::Withdraw *Envelope::body_as<dragonflymount::wire::Withdraw>() const {
+  return body_as_Withdraw();
+}
+
+template<> inline const dragonflymount::wire::JobCall *Envelope::body_as<dragonflymount::wire::JobCall>() const {
+  return body_as_JobCall();
+}
+
+template<> inline const dragonflymount::wire::JobReply *Envelope::body_as<dragonflymount::wire::JobReply>() const {
+  return body_as_JobReply();
+}
+
+template<> inline const dragonflymount::wire::JoinReplica *Envelope::body_as<dragonflymount::wire::JoinReplica>() const {
+  return body_as_JoinReplica();
+}
+
+struct EnvelopeBuilder {
+  typedef Envelope Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_correlation(uint64_t correlation) {
+    fbb_.AddElement<uint64_t>(Envelope::VT_CORRELATION, correlation, 0);
+  }
+  void add_body_type(dragonflymount::wire::Body body_type) {
+    fbb_.AddElement<uint8_t>(Envelope::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  }
+  void add_body(flatbuffers::Offset<void> body) {
+    fbb_.AddOffset(Envelope::VT_BODY, body);
+  }
+  explicit EnvelopeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Envelope> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Envelope>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Envelope> CreateEnvelope(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t correlation = 0,
+    dragonflymount::wire::Body body_type = dragonflymount::wire::Body::NONE,
+    flatbuffers::Offset<void> body = 0) {
+  EnvelopeBuilder builder_(_fbb);
+  builder_.add_correlation(correlation);
+  builder_.add_body(body);
+  builder_.add_body_type(body_type);
+  return builder_.Finish();
+}
+
+struct Envelope::Traits {
+  using type = Envelope;
+  static auto constexpr Create = CreateEnvelope;
+};
+
+flatbuffers::Offset<Envelope> CreateEnvelope(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+inline RequestT *Request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Request::UnPackTo(RequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = idempotent(); _o->idempotent = _e; }
+  { auto _e = urgent(); _o->urgent = _e; }
+  { auto _e = deadline_ms(); _o->deadline_ms = _e; }
+  { auto _e = declared_size(); _o->declared_size = _e; }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = digest(); if (_e) { _o->digest.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->digest.begin()); } }
+}
+
+inline flatbuffers::Offset<Request> Request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Request> CreateRequest(flatbuffers::FlatBufferBuilder &_fbb, const RequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _idempotent = _o->idempotent;
+  auto _urgent = _o->urgent;
+  auto _deadline_ms = _o->deadline_ms;
+  auto _declared_size = _o->declared_size;
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _digest = _o->digest.size() ? _fbb.CreateVector(_o->digest) : 0;
+  return dragonflymount::wire::CreateRequest(
+      _fbb,
+      _team,
+      _id,
+      _service,
+      _idempotent,
+      _urgent,
+      _deadline_ms,
+      _declared_size,
+      _body,
+      _digest);
+}
+
+inline AnswerT *Answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AnswerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Answer::UnPackTo(AnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = outcome(); _o->outcome = _e; }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = digest(); if (_e) { _o->digest.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->digest.begin()); } }
+}
+
+inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _attempt = _o->attempt;
+  auto _outcome = _o->outcome;
+  auto _retry_after_ms = _o->retry_after_ms;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _digest = _o->digest.size() ? _fbb.CreateVector(_o->digest) : 0;
+  return dragonflymount::wire::CreateAnswer(
+      _fbb,
+      _team,
+      _id,
+      _attempt,
+      _outcome,
+      _retry_after_ms,
+      _reason,
+      _body,
+      _digest);
+}
+
+inline SubmitT::SubmitT(const SubmitT &o)
+      : request((o.request) ? new dragonflymount::wire::RequestT(*o.request) : nullptr),
+        asynchronous(o.asynchronous),
+        sent_before(o.sent_before),
+        forwarded(o.forwarded) {
+}
+
+inline SubmitT &SubmitT::operator=(SubmitT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(request, o.request);
+  std::swap(asynchronous, o.asynchronous);
+  std::swap(sent_before, o.sent_before);
+  std::swap(forwarded, o.forwarded);
+  return *this;
+}
+
+inline SubmitT *Submit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SubmitT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Submit::UnPackTo(SubmitT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); if (_e) _o->request = std::unique_ptr<dragonflymount::wire::RequestT>(_e->UnPack(_resolver)); }
+  { auto _e = asynchronous(); _o->asynchronous = _e; }
+  { auto _e = sent_before(); _o->sent_before = _e; }
+  { auto _e = forwarded(); _o->forwarded = _e; }
+}
+
+inline flatbuffers::Offset<Submit> Submit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SubmitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSubmit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Submit> CreateSubmit(flatbuffers::FlatBufferBuilder &_fbb, const SubmitT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SubmitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request ? CreateRequest(_fbb, _o->request.get(), _rehasher) : 0;
+  auto _asynchronous = _o->asynchronous;
+  auto _sent_before = _o->sent_before;
+  auto _forwarded = _o->forwarded;
+  return dragonflymount::wire::CreateSubmit(
+      _fbb,
+      _request,
+      _asynchronous,
+      _sent_before,
+      _forwarded);
+}
+
+inline FetchT *Fetch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FetchT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Fetch::UnPackTo(FetchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = forwarded(); _o->forwarded = _e; }
+}
+
+inline flatbuffers::Offset<Fetch> Fetch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FetchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFetch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Fetch> CreateFetch(flatbuffers::FlatBufferBuilder &_fbb, const FetchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FetchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _forwarded = _o->forwarded;
+  return dragonflymount::wire::CreateFetch(
+      _fbb,
+      _team,
+      _id,
+      _forwarded);
+}
+
+inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CancelT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Cancel::UnPackTo(CancelT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+}
+
+inline flatbuffers::Offset<Cancel> Cancel::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CancelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCancel(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CancelT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  return dragonflymount::wire::CreateCancel(
+      _fbb,
+      _team,
+      _id);
+}
+
+inline PendingT *Pending::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PendingT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Pending::UnPackTo(PendingT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+}
+
+inline flatbuffers::Offset<Pending> Pending::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PendingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePending(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Pending> CreatePending(flatbuffers::FlatBufferBuilder &_fbb, const PendingT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PendingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  return dragonflymount::wire::CreatePending(
+      _fbb,
+      _team,
+      _id);
+}
+
+inline TaskReportT *TaskReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TaskReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TaskReport::UnPackTo(TaskReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); _o->task = _e; }
+  { auto _e = claim(); _o->claim = _e; }
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = idempotent(); _o->idempotent = _e; }
+  { auto _e = phase(); _o->phase = _e; }
+}
+
+inline flatbuffers::Offset<TaskReport> TaskReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTaskReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TaskReport> CreateTaskReport(flatbuffers::FlatBufferBuilder &_fbb, const TaskReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task;
+  auto _claim = _o->claim;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _idempotent = _o->idempotent;
+  auto _phase = _o->phase;
+  return dragonflymount::wire::CreateTaskReport(
+      _fbb,
+      _task,
+      _claim,
+      _team,
+      _id,
+      _service,
+      _idempotent,
+      _phase);
+}
+
+inline AnnounceT::AnnounceT(const AnnounceT &o)
+      : vm(o.vm),
+        incarnation(o.incarnation),
+        zone(o.zone),
+        rack(o.rack),
+        slots(o.slots),
+        connections(o.connections),
+        leaving(o.leaving),
+        zone_epoch(o.zone_epoch),
+        clock_ms(o.clock_ms) {
+  tasks.reserve(o.tasks.size());
+  for (const auto &tasks_ : o.tasks) { tasks.emplace_back((tasks_) ? new dragonflymount::wire::TaskReportT(*tasks_) : nullptr); }
+}
+
+inline AnnounceT &AnnounceT::operator=(AnnounceT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(vm, o.vm);
+  std::swap(incarnation, o.incarnation);
+  std::swap(zone, o.zone);
+  std::swap(rack, o.rack);
+  std::swap(slots, o.slots);
+  std::swap(connections, o.connections);
+  std::swap(leaving, o.leaving);
+  std::swap(zone_epoch, o.zone_epoch);
+  std::swap(tasks, o.tasks);
+  std::swap(clock_ms, o.clock_ms);
+  return *this;
+}
+
+inline AnnounceT *Announce::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AnnounceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Announce::UnPackTo(AnnounceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = connections(); _o->connections = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = std::unique_ptr<dragonflymount::wire::TaskReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = clock_ms(); _o->clock_ms = _e; }
+}
+
+inline flatbuffers::Offset<Announce> Announce::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAnnounce(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Announce> CreateAnnounce(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AnnounceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  auto _incarnation = _o->incarnation;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
+  auto _slots = _o->slots;
+  auto _connections = _o->connections;
+  auto _leaving = _o->leaving;
+  auto _zone_epoch = _o->zone_epoch;
+  auto _tasks = _o->tasks.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::TaskReport>> (_o->tasks.size(), [](size_t i, _VectorArgs *__va) { return CreateTaskReport(*__va->__fbb, __va->__o->tasks[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _clock_ms = _o->clock_ms;
+  return dragonflymount::wire::CreateAnnounce(
+      _fbb,
+      _vm,
+      _incarnation,
+      _zone,
+      _rack,
+      _slots,
+      _connections,
+      _leaving,
+      _zone_epoch,
+      _tasks,
+      _clock_ms);
+}
+
+inline AnnounceReplyT *AnnounceReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AnnounceReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AnnounceReply::UnPackTo(AnnounceReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = assignment_epoch(); _o->assignment_epoch = _e; }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = coordinator(); _o->coordinator = _e; }
+}
+
+inline flatbuffers::Offset<AnnounceReply> AnnounceReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAnnounceReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AnnounceReply> CreateAnnounceReply(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AnnounceReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _assignment_epoch = _o->assignment_epoch;
+  auto _zone_epoch = _o->zone_epoch;
+  auto _coordinator = _o->coordinator;
+  return dragonflymount::wire::CreateAnnounceReply(
+      _fbb,
+      _pool,
+      _assignment_epoch,
+      _zone_epoch,
+      _coordinator);
+}
+
+inline StartTaskT::StartTaskT(const StartTaskT &o)
+      : task(o.task),
+        claim(o.claim),
+        zone_epoch(o.zone_epoch),
+        assignment_epoch(o.assignment_epoch),
+        pool(o.pool),
+        lease_ms(o.lease_ms),
+        incarnation(o.incarnation),
+        request((o.request) ? new dragonflymount::wire::RequestT(*o.request) : nullptr),
+        announced_ms(o.announced_ms) {
+}
+
+inline StartTaskT &StartTaskT::operator=(StartTaskT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(task, o.task);
+  std::swap(claim, o.claim);
+  std::swap(zone_epoch, o.zone_epoch);
+  std::swap(assignment_epoch, o.assignment_epoch);
+  std::swap(pool, o.pool);
+  std::swap(lease_ms, o.lease_ms);
+  std::swap(incarnation, o.incarnation);
+  std::swap(request, o.request);
+  std::swap(announced_ms, o.announced_ms);
+  return *this;
+}
+
+inline StartTaskT *StartTask::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StartTaskT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StartTask::UnPackTo(StartTaskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); _o->task = _e; }
+  { auto _e = claim(); _o->claim = _e; }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = assignment_epoch(); _o->assignment_epoch = _e; }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = lease_ms(); _o->lease_ms = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = request(); if (_e) _o->request = std::unique_ptr<dragonflymount::wire::RequestT>(_e->UnPack(_resolver)); }
+  { auto _e = announced_ms(); _o->announced_ms = _e; }
+}
+
+inline flatbuffers::Offset<StartTask> StartTask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StartTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStartTask(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StartTask> CreateStartTask(flatbuffers::FlatBufferBuilder &_fbb, const StartTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StartTaskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task;
+  auto _claim = _o->claim;
+  auto _zone_epoch = _o->zone_epoch;
+  auto _assignment_epoch = _o->assignment_epoch;
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _lease_ms = _o->lease_ms;
+  auto _incarnation = _o->incarnation;
+  auto _request = _o->request ? CreateRequest(_fbb, _o->request.get(), _rehasher) : 0;
+  auto _announced_ms = _o->announced_ms;
+  return dragonflymount::wire::CreateStartTask(
+      _fbb,
+      _task,
+      _claim,
+      _zone_epoch,
+      _assignment_epoch,
+      _pool,
+      _lease_ms,
+      _incarnation,
+      _request,
+      _announced_ms);
+}
+
+inline TaskRejectedT *TaskRejected::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TaskRejectedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TaskRejected::UnPackTo(TaskRejectedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); _o->task = _e; }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+}
+
+inline flatbuffers::Offset<TaskRejected> TaskRejected::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRejectedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTaskRejected(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TaskRejected> CreateTaskRejected(flatbuffers::FlatBufferBuilder &_fbb, const TaskRejectedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskRejectedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task;
+  auto _zone_epoch = _o->zone_epoch;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  return dragonflymount::wire::CreateTaskRejected(
+      _fbb,
+      _task,
+      _zone_epoch,
+      _reason);
+}
+
+inline TaskEndedT *TaskEnded::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TaskEndedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TaskEnded::UnPackTo(TaskEndedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); _o->task = _e; }
+  { auto _e = ok(); _o->ok = _e; }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = digest(); if (_e) { _o->digest.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->digest.begin()); } }
+  { auto _e = busy_ms(); _o->busy_ms = _e; }
+}
+
+inline flatbuffers::Offset<TaskEnded> TaskEnded::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskEndedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTaskEnded(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TaskEnded> CreateTaskEnded(flatbuffers::FlatBufferBuilder &_fbb, const TaskEndedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskEndedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task;
+  auto _ok = _o->ok;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _digest = _o->digest.size() ? _fbb.CreateVector(_o->digest) : 0;
+  auto _busy_ms = _o->busy_ms;
+  return dragonflymount::wire::CreateTaskEnded(
+      _fbb,
+      _task,
+      _ok,
+      _reason,
+      _body,
+      _digest,
+      _busy_ms);
+}
+
+inline ConfirmTasksT *ConfirmTasks::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfirmTasksT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfirmTasks::UnPackTo(ConfirmTasksT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<ConfirmTasks> ConfirmTasks::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfirmTasksT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfirmTasks(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfirmTasks> CreateConfirmTasks(flatbuffers::FlatBufferBuilder &_fbb, const ConfirmTasksT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfirmTasksT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _tasks = _o->tasks.size() ? _fbb.CreateVector(_o->tasks) : 0;
+  return dragonflymount::wire::CreateConfirmTasks(
+      _fbb,
+      _tasks);
+}
+
+inline RenewTasksT *RenewTasks::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RenewTasksT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RenewTasks::UnPackTo(RenewTasksT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = lease_ms(); _o->lease_ms = _e; }
+  { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = _e->Get(_i); } } }
+  { auto _e = announced_ms(); _o->announced_ms = _e; }
+}
+
+inline flatbuffers::Offset<RenewTasks> RenewTasks::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RenewTasksT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRenewTasks(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RenewTasks> CreateRenewTasks(flatbuffers::FlatBufferBuilder &_fbb, const RenewTasksT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RenewTasksT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone_epoch = _o->zone_epoch;
+  auto _lease_ms = _o->lease_ms;
+  auto _tasks = _o->tasks.size() ? _fbb.CreateVector(_o->tasks) : 0;
+  auto _announced_ms = _o->announced_ms;
+  return dragonflymount::wire::CreateRenewTasks(
+      _fbb,
+      _zone_epoch,
+      _lease_ms,
+      _tasks,
+      _announced_ms);
+}
+
+inline StopTaskT *StopTask::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StopTaskT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StopTask::UnPackTo(StopTaskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); _o->task = _e; }
+}
+
+inline flatbuffers::Offset<StopTask> StopTask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StopTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStopTask(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StopTask> CreateStopTask(flatbuffers::FlatBufferBuilder &_fbb, const StopTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StopTaskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task;
+  return dragonflymount::wire::CreateStopTask(
+      _fbb,
+      _task);
+}
+
+inline QueryTaskT *QueryTask::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QueryTaskT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QueryTask::UnPackTo(QueryTaskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); _o->task = _e; }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+}
+
+inline flatbuffers::Offset<QueryTask> QueryTask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueryTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQueryTask(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QueryTask> CreateQueryTask(flatbuffers::FlatBufferBuilder &_fbb, const QueryTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QueryTaskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task;
+  auto _zone_epoch = _o->zone_epoch;
+  auto _incarnation = _o->incarnation;
+  return dragonflymount::wire::CreateQueryTask(
+      _fbb,
+      _task,
+      _zone_epoch,
+      _incarnation);
+}
+
+inline RebootT *Reboot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RebootT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Reboot::UnPackTo(RebootT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
 }
 
-template<> inline const dragonflymount::wire::QueryTask *Envelope::body_as<dragonflymount::wire::QueryTask>() const {
-  return body_as_QueryTask();
+inline flatbuffers::Offset<Reboot> Reboot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RebootT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReboot(_fbb, _o, _rehasher);
 }
 
-template<> inline const dragonflymount::wire::Reboot *Envelope::body_as<dragonflymount::wire::Reboot>() const {
-  return body_as_Reboot();
+inline flatbuffers::Offset<Reboot> CreateReboot(flatbuffers::FlatBufferBuilder &_fbb, const RebootT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RebootT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  auto _zone_epoch = _o->zone_epoch;
+  auto _incarnation = _o->incarnation;
+  return dragonflymount::wire::CreateReboot(
+      _fbb,
+      _vm,
+      _zone_epoch,
+      _incarnation);
 }
 
-template<> inline const dragonflymount::wire::Ping *Envelope::body_as<dragonflymount::wire::Ping>() const {
-  return body_as_Ping();
+inline PingT *Ping::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PingT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-template<> inline const dragonflymount::wire::Pong *Envelope::body_as<dragonflymount::wire::Pong>() const {
-  return body_as_Pong();
+inline void Ping::UnPackTo(PingT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = nonce(); _o->nonce = _e; }
 }
 
-template<> inline const dragonflymount::wire::EntryBeat *Envelope::body_as<dragonflymount::wire::EntryBeat>() const {
-  return body_as_EntryBeat();
+inline flatbuffers::Offset<Ping> Ping::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePing(_fbb, _o, _rehasher);
 }
 
-template<> inline const dragonflymount::wire::EntryLease *Envelope::body_as<dragonflymount::wire::EntryLease>() const {
-  return body_as_EntryLease();
+inline flatbuffers::Offset<Ping> CreatePing(flatbuffers::FlatBufferBuilder &_fbb, const PingT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _nonce = _o->nonce;
+  return dragonflymount::wire::CreatePing(
+      _fbb,
+      _nonce);
 }
 
-template<> inline const dragonflymount::wire::Propose *Envelope::body_as<dragonflymount::wire::Propose>() const {
-  return body_as_Propose();
+inline PongT *Pong::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PongT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-template<> inline const dragonflymount::wire::ProposeReply *Envelope::body_as<dragonflymount::wire::ProposeReply>() const {
-  return body_as_ProposeReply();
+inline void Pong::UnPackTo(PongT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = nonce(); _o->nonce = _e; }
 }
 
-template<> inline const dragonflymount::wire::Query *Envelope::body_as<dragonflymount::wire::Query>() const {
-  return body_as_Query();
+inline flatbuffers::Offset<Pong> Pong::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PongT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePong(_fbb, _o, _rehasher);
 }
 
-template<> inline const dragonflymount::wire::QueryReply *Envelope::body_as<dragonflymount::wire::QueryReply>() const {
-  return body_as_QueryReply();
+inline flatbuffers::Offset<Pong> CreatePong(flatbuffers::FlatBufferBuilder &_fbb, const PongT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PongT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _nonce = _o->nonce;
+  return dragonflymount::wire::CreatePong(
+      _fbb,
+      _nonce);
 }
 
-template<> inline const dragonflymount::wire::VoteRequest *Envelope::body_as<dragonflymount::wire::VoteRequest>() const {
-  return body_as_VoteRequest();
+inline VmSummaryT *VmSummary::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<VmSummaryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-template<> inline const dragonflymount::wire::VoteReply *Envelope::body_as<dragonflymount::wire::VoteReply>() const {
-  return body_as_VoteReply();
+inline void VmSummary::UnPackTo(VmSummaryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = running(); _o->running = _e; }
+  { auto _e = held(); _o->held = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = quarantined(); _o->quarantined = _e; }
+  { auto _e = assignment_epoch(); _o->assignment_epoch = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = lost(); _o->lost = _e; }
+  { auto _e = drained(); _o->drained = _e; }
 }
 
-template<> inline const dragonflymount::wire::AppendRequest *Envelope::body_as<dragonflymount::wire::AppendRequest>() const {
-  return body_as_AppendRequest();
+inline flatbuffers::Offset<VmSummary> VmSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VmSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateVmSummary(_fbb, _o, _rehasher);
 }
 
-template<> inline const dragonflymount::wire::AppendReply *Envelope::body_as<dragonflymount::wire::AppendReply>() const {
-  return body_as_AppendReply();
+inline flatbuffers::Offset<VmSummary> CreateVmSummary(flatbuffers::FlatBufferBuilder &_fbb, const VmSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VmSummaryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
+  auto _slots = _o->slots;
+  auto _running = _o->running;
+  auto _held = _o->held;
+  auto _leaving = _o->leaving;
+  auto _quarantined = _o->quarantined;
+  auto _assignment_epoch = _o->assignment_epoch;
+  auto _incarnation = _o->incarnation;
+  auto _lost = _o->lost;
+  auto _drained = _o->drained;
+  return dragonflymount::wire::CreateVmSummary(
+      _fbb,
+      _vm,
+      _rack,
+      _slots,
+      _running,
+      _held,
+      _leaving,
+      _quarantined,
+      _assignment_epoch,
+      _incarnation,
+      _lost,
+      _drained);
 }
 
-template<> inline const dragonflymount::wire::InstallSnapshot *Envelope::body_as<dragonflymount::wire::InstallSnapshot>() const {
-  return body_as_InstallSnapshot();
+inline TeamDemandT *TeamDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TeamDemandT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-template<> inline const dragonflymount::wire::ChangeReplica *Envelope::body_as<dragonflymount::wire::ChangeReplica>() const {
-  return body_as_ChangeReplica();
+inline void TeamDemand::UnPackTo(TeamDemandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = queued(); _o->queued = _e; }
+  { auto _e = running(); _o->running = _e; }
 }
 
-template<> inline const dragonflymount::wire::Withdraw *Envelope::body_as<dragonflymount::wire::Withdraw>() const {
-  return body_as_Withdraw();
+inline flatbuffers::Offset<TeamDemand> TeamDemand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTeamDemand(_fbb, _o, _rehasher);
 }
 
-struct EnvelopeBuilder {
-  typedef Envelope Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_correlation(uint64_t correlation) {
-    fbb_.AddElement<uint64_t>(Envelope::VT_CORRELATION, correlation, 0);
-  }
-  void add_body_type(dragonflymount::wire::Body body_type) {
-    fbb_.AddElement<uint8_t>(Envelope::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
-  }
-  void add_body(flatbuffers::Offset<void> body) {
-    fbb_.AddOffset(Envelope::VT_BODY, body);
-  }
-  explicit EnvelopeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<Envelope> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Envelope>(end);
-    return o;
-  }
-};
+inline flatbuffers::Offset<TeamDemand> CreateTeamDemand(flatbuffers::FlatBufferBuilder &_fbb, const TeamDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TeamDemandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _queued = _o->queued;
+  auto _running = _o->running;
+  return dragonflymount::wire::CreateTeamDemand(
+      _fbb,
+      _team,
+      _queued,
+      _running);
+}
 
-inline flatbuffers::Offset<Envelope> CreateEnvelope(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t correlation = 0,
-    dragonflymount::wire::Body body_type = dragonflymount::wire::Body::NONE,
-    flatbuffers::Offset<void> body = 0) {
-  EnvelopeBuilder builder_(_fbb);
-  builder_.add_correlation(correlation);
-  builder_.add_body(body);
-  builder_.add_body_type(body_type);
-  return builder_.Finish();
+inline PoolDemandT *PoolDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PoolDemandT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-struct Envelope::Traits {
-  using type = Envelope;
-  static auto constexpr Create = CreateEnvelope;
-};
+inline void PoolDemand::UnPackTo(PoolDemandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = queued(); _o->queued = _e; }
+  { auto _e = running(); _o->running = _e; }
+  { auto _e = slots(); _o->slots = _e; }
+}
 
-flatbuffers::Offset<Envelope> CreateEnvelope(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+inline flatbuffers::Offset<PoolDemand> PoolDemand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PoolDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePoolDemand(_fbb, _o, _rehasher);
+}
 
-inline RequestT *Request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<RequestT>();
+inline flatbuffers::Offset<PoolDemand> CreatePoolDemand(flatbuffers::FlatBufferBuilder &_fbb, const PoolDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PoolDemandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _queued = _o->queued;
+  auto _running = _o->running;
+  auto _slots = _o->slots;
+  return dragonflymount::wire::CreatePoolDemand(
+      _fbb,
+      _pool,
+      _queued,
+      _running,
+      _slots);
+}
+
+inline GrantStateT *GrantState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GrantStateT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Request::UnPackTo(RequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void GrantState::UnPackTo(GrantStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
-  { auto _e = service(); if (_e) _o->service = _e->str(); }
-  { auto _e = idempotent(); _o->idempotent = _e; }
-  { auto _e = urgent(); _o->urgent = _e; }
-  { auto _e = deadline_ms(); _o->deadline_ms = _e; }
-  { auto _e = declared_size(); _o->declared_size = _e; }
-  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
-  { auto _e = digest(); if (_e) { _o->digest.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->digest.begin()); } }
+  { auto _e = amount(); _o->amount = _e; }
+  { auto _e = used(); _o->used = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = target(); _o->target = _e; }
 }
 
-inline flatbuffers::Offset<Request> Request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateRequest(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<GrantState> GrantState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GrantStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGrantState(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Request> CreateRequest(flatbuffers::FlatBufferBuilder &_fbb, const RequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<GrantState> CreateGrantState(flatbuffers::FlatBufferBuilder &_fbb, const GrantStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GrantStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
-  auto _idempotent = _o->idempotent;
-  auto _urgent = _o->urgent;
-  auto _deadline_ms = _o->deadline_ms;
-  auto _declared_size = _o->declared_size;
-  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
-  auto _digest = _o->digest.size() ? _fbb.CreateVector(_o->digest) : 0;
-  return dragonflymount::wire::CreateRequest(
+  auto _amount = _o->amount;
+  auto _used = _o->used;
+  auto _sequence = _o->sequence;
+  auto _target = _o->target;
+  return dragonflymount::wire::CreateGrantState(
       _fbb,
       _team,
-      _id,
-      _service,
-      _idempotent,
-      _urgent,
-      _deadline_ms,
-      _declared_size,
-      _body,
-      _digest);
+      _amount,
+      _used,
+      _sequence,
+      _target);
 }
 
-inline AnswerT *Answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AnswerT>();
+inline EntryAddressT *EntryAddress::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryAddressT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Answer::UnPackTo(AnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void EntryAddress::UnPackTo(EntryAddressT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
-  { auto _e = attempt(); _o->attempt = _e; }
-  { auto _e = outcome(); _o->outcome = _e; }
-  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
-  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
-  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
-  { auto _e = digest(); if (_e) { _o->digest.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->digest.begin()); } }
+  { auto _e = entry(); if (_e) _o->entry = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
 }
 
-inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAnswer(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<EntryAddress> EntryAddress::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryAddressT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryAddress(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<EntryAddress> CreateEntryAddress(flatbuffers::FlatBufferBuilder &_fbb, const EntryAddressT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  auto _attempt = _o->attempt;
-  auto _outcome = _o->outcome;
-  auto _retry_after_ms = _o->retry_after_ms;
-  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
-  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
-  auto _digest = _o->digest.size() ? _fbb.CreateVector(_o->digest) : 0;
-  return dragonflymount::wire::CreateAnswer(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryAddressT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _entry = _o->entry.empty() ? 0 : _fbb.CreateString(_o->entry);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  return dragonflymount::wire::CreateEntryAddress(
       _fbb,
-      _team,
-      _id,
-      _attempt,
-      _outcome,
-      _retry_after_ms,
-      _reason,
-      _body,
-      _digest);
+      _entry,
+      _address);
 }
 
-inline SubmitT::SubmitT(const SubmitT &o)
-      : request((o.request) ? new dragonflymount::wire::RequestT(*o.request) : nullptr),
-        asynchronous(o.asynchronous),
-        sent_before(o.sent_before),
-        forwarded(o.forwarded) {
+inline EntryBeatT::EntryBeatT(const EntryBeatT &o)
+      : entry(o.entry),
+        zone(o.zone),
+        address(o.address),
+        incarnation(o.incarnation),
+        rules_version(o.rules_version),
+        zone_epoch(o.zone_epoch),
+        withdrawals(o.withdrawals),
+        stopping(o.stopping) {
+  vms.reserve(o.vms.size());
+  for (const auto &vms_ : o.vms) { vms.emplace_back((vms_) ? new dragonflymount::wire::VmSummaryT(*vms_) : nullptr); }
+  teams.reserve(o.teams.size());
+  for (const auto &teams_ : o.teams) { teams.emplace_back((teams_) ? new dragonflymount::wire::TeamDemandT(*teams_) : nullptr); }
+  pools.reserve(o.pools.size());
+  for (const auto &pools_ : o.pools) { pools.emplace_back((pools_) ? new dragonflymount::wire::PoolDemandT(*pools_) : nullptr); }
+  grants.reserve(o.grants.size());
+  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new dragonflymount::wire::GrantStateT(*grants_) : nullptr); }
 }
 
-inline SubmitT &SubmitT::operator=(SubmitT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(request, o.request);
-  std::swap(asynchronous, o.asynchronous);
-  std::swap(sent_before, o.sent_before);
-  std::swap(forwarded, o.forwarded);
+inline EntryBeatT &EntryBeatT::operator=(EntryBeatT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(entry, o.entry);
+  std::swap(zone, o.zone);
+  std::swap(address, o.address);
+  std::swap(incarnation, o.incarnation);
+  std::swap(rules_version, o.rules_version);
+  std::swap(zone_epoch, o.zone_epoch);
+  std::swap(vms, o.vms);
+  std::swap(teams, o.teams);
+  std::swap(pools, o.pools);
+  std::swap(grants, o.grants);
+  std::swap(withdrawals, o.withdrawals);
+  std::swap(stopping, o.stopping);
   return *this;
 }
 
-inline SubmitT *Submit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<SubmitT>();
+inline EntryBeatT *EntryBeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryBeatT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Submit::UnPackTo(SubmitT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void EntryBeat::UnPackTo(EntryBeatT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = request(); if (_e) _o->request = std::unique_ptr<dragonflymount::wire::RequestT>(_e->UnPack(_resolver)); }
-  { auto _e = asynchronous(); _o->asynchronous = _e; }
-  { auto _e = sent_before(); _o->sent_before = _e; }
-  { auto _e = forwarded(); _o->forwarded = _e; }
+  { auto _e = entry(); if (_e) _o->entry = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = rules_version(); _o->rules_version = _e; }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = vms(); if (_e) { _o->vms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->vms[_i] = std::unique_ptr<dragonflymount::wire::VmSummaryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = std::unique_ptr<dragonflymount::wire::TeamDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = pools(); if (_e) { _o->pools.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pools[_i] = std::unique_ptr<dragonflymount::wire::PoolDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<dragonflymount::wire::GrantStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = withdrawals(); _o->withdrawals = _e; }
+  { auto _e = stopping(); _o->stopping = _e; }
 }
 
-inline flatbuffers::Offset<Submit> Submit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SubmitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateSubmit(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<EntryBeat> EntryBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryBeat(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Submit> CreateSubmit(flatbuffers::FlatBufferBuilder &_fbb, const SubmitT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<EntryBeat> CreateEntryBeat(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SubmitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _request = _o->request ? CreateRequest(_fbb, _o->request.get(), _rehasher) : 0;
-  auto _asynchronous = _o->asynchronous;
-  auto _sent_before = _o->sent_before;
-  auto _forwarded = _o->forwarded;
-  return dragonflymount::wire::CreateSubmit(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryBeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _entry = _o->entry.empty() ? 0 : _fbb.CreateString(_o->entry);
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _incarnation = _o->incarnation;
+  auto _rules_version = _o->rules_version;
+  auto _zone_epoch = _o->zone_epoch;
+  auto _vms = _o->vms.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::VmSummary>> (_o->vms.size(), [](size_t i, _VectorArgs *__va) { return CreateVmSummary(*__va->__fbb, __va->__o->vms[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _teams = _o->teams.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::TeamDemand>> (_o->teams.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamDemand(*__va->__fbb, __va->__o->teams[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _pools = _o->pools.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::PoolDemand>> (_o->pools.size(), [](size_t i, _VectorArgs *__va) { return CreatePoolDemand(*__va->__fbb, __va->__o->pools[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::GrantState>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return CreateGrantState(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _withdrawals = _o->withdrawals;
+  auto _stopping = _o->stopping;
+  return dragonflymount::wire::CreateEntryBeat(
       _fbb,
-      _request,
-      _asynchronous,
-      _sent_before,
-      _forwarded);
+      _entry,
+      _zone,
+      _address,
+      _incarnation,
+      _rules_version,
+      _zone_epoch,
+      _vms,
+      _teams,
+      _pools,
+      _grants,
+      _withdrawals,
+      _stopping);
 }
 
-inline FetchT *Fetch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<FetchT>();
+inline AssignmentT *Assignment::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AssignmentT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Fetch::UnPackTo(FetchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void Assignment::UnPackTo(AssignmentT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
-  { auto _e = forwarded(); _o->forwarded = _e; }
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = draining(); _o->draining = _e; }
+  { auto _e = reboot(); _o->reboot = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
 }
 
-inline flatbuffers::Offset<Fetch> Fetch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FetchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateFetch(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<Assignment> Assignment::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AssignmentT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAssignment(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Fetch> CreateFetch(flatbuffers::FlatBufferBuilder &_fbb, const FetchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<Assignment> CreateAssignment(flatbuffers::FlatBufferBuilder &_fbb, const AssignmentT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FetchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  auto _forwarded = _o->forwarded;
-  return dragonflymount::wire::CreateFetch(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AssignmentT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _epoch = _o->epoch;
+  auto _draining = _o->draining;
+  auto _reboot = _o->reboot;
+  auto _incarnation = _o->incarnation;
+  return dragonflymount::wire::CreateAssignment(
       _fbb,
-      _team,
-      _id,
-      _forwarded);
+      _vm,
+      _pool,
+      _epoch,
+      _draining,
+      _reboot,
+      _incarnation);
 }
 
-inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<CancelT>();
+inline ZoneRouteT::ZoneRouteT(const ZoneRouteT &o)
+      : zone(o.zone),
+        entry(o.entry),
+        address(o.address),
+        epoch(o.epoch) {
+  pools.reserve(o.pools.size());
+  for (const auto &pools_ : o.pools) { pools.emplace_back((pools_) ? new dragonflymount::wire::PoolDemandT(*pools_) : nullptr); }
+}
+
+inline ZoneRouteT &ZoneRouteT::operator=(ZoneRouteT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(zone, o.zone);
+  std::swap(entry, o.entry);
+  std::swap(address, o.address);
+  std::swap(epoch, o.epoch);
+  std::swap(pools, o.pools);
+  return *this;
+}
+
+inline ZoneRouteT *ZoneRoute::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ZoneRouteT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Cancel::UnPackTo(CancelT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ZoneRoute::UnPackTo(ZoneRouteT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = entry(); if (_e) _o->entry = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = pools(); if (_e) { _o->pools.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pools[_i] = std::unique_ptr<dragonflymount::wire::PoolDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<Cancel> Cancel::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CancelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateCancel(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ZoneRoute> ZoneRoute::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneRouteT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateZoneRoute(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ZoneRoute> CreateZoneRoute(flatbuffers::FlatBufferBuilder &_fbb, const ZoneRouteT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CancelT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  return dragonflymount::wire::CreateCancel(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ZoneRouteT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _entry = _o->entry.empty() ? 0 : _fbb.CreateString(_o->entry);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _epoch = _o->epoch;
+  auto _pools = _o->pools.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::PoolDemand>> (_o->pools.size(), [](size_t i, _VectorArgs *__va) { return CreatePoolDemand(*__va->__fbb, __va->__o->pools[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateZoneRoute(
       _fbb,
-      _team,
-      _id);
+      _zone,
+      _entry,
+      _address,
+      _epoch,
+      _pools);
 }
 
-inline PendingT *Pending::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<PendingT>();
+inline EntryLeaseT::EntryLeaseT(const EntryLeaseT &o)
+      : term(o.term),
+        leader(o.leader),
+        rules_version(o.rules_version),
+        fresh_ms(o.fresh_ms),
+        zone_epoch(o.zone_epoch),
+        zone_lease_ms(o.zone_lease_ms),
+        grant_lease_ms(o.grant_lease_ms),
+        coordinator(o.coordinator),
+        rules(o.rules),
+        withdrawn(o.withdrawn),
+        replicas(o.replicas) {
+  routes.reserve(o.routes.size());
+  for (const auto &routes_ : o.routes) { routes.emplace_back((routes_) ? new dragonflymount::wire::ZoneRouteT(*routes_) : nullptr); }
+  grants.reserve(o.grants.size());
+  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new dragonflymount::wire::GrantStateT(*grants_) : nullptr); }
+  assignments.reserve(o.assignments.size());
+  for (const auto &assignments_ : o.assignments) { assignments.emplace_back((assignments_) ? new dragonflymount::wire::AssignmentT(*assignments_) : nullptr); }
+  peers.reserve(o.peers.size());
+  for (const auto &peers_ : o.peers) { peers.emplace_back((peers_) ? new dragonflymount::wire::EntryAddressT(*peers_) : nullptr); }
+}
+
+inline EntryLeaseT &EntryLeaseT::operator=(EntryLeaseT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(term, o.term);
+  std::swap(leader, o.leader);
+  std::swap(rules_version, o.rules_version);
+  std::swap(fresh_ms, o.fresh_ms);
+  std::swap(zone_epoch, o.zone_epoch);
+  std::swap(zone_lease_ms, o.zone_lease_ms);
+  std::swap(grant_lease_ms, o.grant_lease_ms);
+  std::swap(coordinator, o.coordinator);
+  std::swap(rules, o.rules);
+  std::swap(withdrawn, o.withdrawn);
+  std::swap(routes, o.routes);
+  std::swap(grants, o.grants);
+  std::swap(assignments, o.assignments);
+  std::swap(peers, o.peers);
+  std::swap(replicas, o.replicas);
+  return *this;
+}
+
+inline EntryLeaseT *EntryLease::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryLeaseT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Pending::UnPackTo(PendingT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void EntryLease::UnPackTo(EntryLeaseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = leader(); if (_e) _o->leader = _e->str(); }
+  { auto _e = rules_version(); _o->rules_version = _e; }
+  { auto _e = fresh_ms(); _o->fresh_ms = _e; }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = zone_lease_ms(); _o->zone_lease_ms = _e; }
+  { auto _e = grant_lease_ms(); _o->grant_lease_ms = _e; }
+  { auto _e = coordinator(); if (_e) _o->coordinator = _e->str(); }
+  { auto _e = rules(); if (_e) _o->rules = _e->str(); }
+  { auto _e = withdrawn(); if (_e) { _o->withdrawn.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->withdrawn[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->routes[_i] = std::unique_ptr<dragonflymount::wire::ZoneRouteT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<dragonflymount::wire::GrantStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = assignments(); if (_e) { _o->assignments.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->assignments[_i] = std::unique_ptr<dragonflymount::wire::AssignmentT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = peers(); if (_e) { _o->peers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->peers[_i] = std::unique_ptr<dragonflymount::wire::EntryAddressT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = replicas(); if (_e) { _o->replicas.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replicas[_i] = _e->Get(_i)->str(); } } }
 }
 
-inline flatbuffers::Offset<Pending> Pending::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PendingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreatePending(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<EntryLease> EntryLease::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryLeaseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryLease(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Pending> CreatePending(flatbuffers::FlatBufferBuilder &_fbb, const PendingT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<EntryLease> CreateEntryLease(flatbuffers::FlatBufferBuilder &_fbb, const EntryLeaseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PendingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  return dragonflymount::wire::CreatePending(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryLeaseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _term = _o->term;
+  auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
+  auto _rules_version = _o->rules_version;
+  auto _fresh_ms = _o->fresh_ms;
+  auto _zone_epoch = _o->zone_epoch;
+  auto _zone_lease_ms = _o->zone_lease_ms;
+  auto _grant_lease_ms = _o->grant_lease_ms;
+  auto _coordinator = _o->coordinator.empty() ? 0 : _fbb.CreateString(_o->coordinator);
+  auto _rules = _o->rules.empty() ? 0 : _fbb.CreateString(_o->rules);
+  auto _withdrawn = _o->withdrawn.size() ? _fbb.CreateVectorOfStrings(_o->withdrawn) : 0;
+  auto _routes = _o->routes.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::ZoneRoute>> (_o->routes.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneRoute(*__va->__fbb, __va->__o->routes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::GrantState>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return CreateGrantState(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _assignments = _o->assignments.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Assignment>> (_o->assignments.size(), [](size_t i, _VectorArgs *__va) { return CreateAssignment(*__va->__fbb, __va->__o->assignments[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _peers = _o->peers.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EntryAddress>> (_o->peers.size(), [](size_t i, _VectorArgs *__va) { return CreateEntryAddress(*__va->__fbb, __va->__o->peers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _replicas = _o->replicas.size() ? _fbb.CreateVectorOfStrings(_o->replicas) : 0;
+  return dragonflymount::wire::CreateEntryLease(
       _fbb,
-      _team,
-      _id);
+      _term,
+      _leader,
+      _rules_version,
+      _fresh_ms,
+      _zone_epoch,
+      _zone_lease_ms,
+      _grant_lease_ms,
+      _coordinator,
+      _rules,
+      _withdrawn,
+      _routes,
+      _grants,
+      _assignments,
+      _peers,
+      _replicas);
 }
 
-inline TaskReportT *TaskReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TaskReportT>();
+inline NoOpT *NoOp::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<NoOpT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void TaskReport::UnPackTo(TaskReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void NoOp::UnPackTo(NoOpT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = task(); _o->task = _e; }
-  { auto _e = claim(); _o->claim = _e; }
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
-  { auto _e = service(); if (_e) _o->service = _e->str(); }
-  { auto _e = idempotent(); _o->idempotent = _e; }
-  { auto _e = phase(); _o->phase = _e; }
 }
 
-inline flatbuffers::Offset<TaskReport> TaskReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTaskReport(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<NoOp> NoOp::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NoOpT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateNoOp(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<TaskReport> CreateTaskReport(flatbuffers::FlatBufferBuilder &_fbb, const TaskReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<NoOp> CreateNoOp(flatbuffers::FlatBufferBuilder &_fbb, const NoOpT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _task = _o->task;
-  auto _claim = _o->claim;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
-  auto _idempotent = _o->idempotent;
-  auto _phase = _o->phase;
-  return dragonflymount::wire::CreateTaskReport(
-      _fbb,
-      _task,
-      _claim,
-      _team,
-      _id,
-      _service,
-      _idempotent,
-      _phase);
-}
-
-inline AnnounceT::AnnounceT(const AnnounceT &o)
-      : vm(o.vm),
-        incarnation(o.incarnation),
-        zone(o.zone),
-        rack(o.rack),
-        slots(o.slots),
-        connections(o.connections),
-        leaving(o.leaving),
-        zone_epoch(o.zone_epoch),
-        clock_ms(o.clock_ms) {
-  tasks.reserve(o.tasks.size());
-  for (const auto &tasks_ : o.tasks) { tasks.emplace_back((tasks_) ? new dragonflymount::wire::TaskReportT(*tasks_) : nullptr); }
-}
-
-inline AnnounceT &AnnounceT::operator=(AnnounceT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(vm, o.vm);
-  std::swap(incarnation, o.incarnation);
-  std::swap(zone, o.zone);
-  std::swap(rack, o.rack);
-  std::swap(slots, o.slots);
-  std::swap(connections, o.connections);
-  std::swap(leaving, o.leaving);
-  std::swap(zone_epoch, o.zone_epoch);
-  std::swap(tasks, o.tasks);
-  std::swap(clock_ms, o.clock_ms);
-  return *this;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NoOpT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return dragonflymount::wire::CreateNoOp(
+      _fbb);
 }
 
-inline AnnounceT *Announce::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AnnounceT>();
+inline ApplyRulesT *ApplyRules::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ApplyRulesT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Announce::UnPackTo(AnnounceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ApplyRules::UnPackTo(ApplyRulesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
-  { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
-  { auto _e = slots(); _o->slots = _e; }
-  { auto _e = connections(); _o->connections = _e; }
-  { auto _e = leaving(); _o->leaving = _e; }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = std::unique_ptr<dragonflymount::wire::TaskReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = clock_ms(); _o->clock_ms = _e; }
+  { auto _e = base_version(); _o->base_version = _e; }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+  { auto _e = submission(); if (_e) _o->submission = _e->str(); }
+  { auto _e = time_ms(); _o->time_ms = _e; }
 }
 
-inline flatbuffers::Offset<Announce> Announce::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAnnounce(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ApplyRules> ApplyRules::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ApplyRulesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateApplyRules(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Announce> CreateAnnounce(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ApplyRules> CreateApplyRules(flatbuffers::FlatBufferBuilder &_fbb, const ApplyRulesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AnnounceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
-  auto _incarnation = _o->incarnation;
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
-  auto _slots = _o->slots;
-  auto _connections = _o->connections;
-  auto _leaving = _o->leaving;
-  auto _zone_epoch = _o->zone_epoch;
-  auto _tasks = _o->tasks.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::TaskReport>> (_o->tasks.size(), [](size_t i, _VectorArgs *__va) { return CreateTaskReport(*__va->__fbb, __va->__o->tasks[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _clock_ms = _o->clock_ms;
-  return dragonflymount::wire::CreateAnnounce(
-      _fbb,
-      _vm,
-      _incarnation,
-      _zone,
-      _rack,
-      _slots,
-      _connections,
-      _leaving,
-      _zone_epoch,
-      _tasks,
-      _clock_ms);
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ApplyRulesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _base_version = _o->base_version;
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  auto _submission = _o->submission.empty() ? 0 : _fbb.CreateString(_o->submission);
+  auto _time_ms = _o->time_ms;
+  return dragonflymount::wire::CreateApplyRules(
+      _fbb,
+      _base_version,
+      _text,
+      _author,
+      _submission,
+      _time_ms);
 }
 
-inline AnnounceReplyT *AnnounceReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AnnounceReplyT>();
+inline WithdrawKeyT *WithdrawKey::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WithdrawKeyT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void AnnounceReply::UnPackTo(AnnounceReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void WithdrawKey::UnPackTo(WithdrawKeyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
-  { auto _e = assignment_epoch(); _o->assignment_epoch = _e; }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = coordinator(); _o->coordinator = _e; }
+  { auto _e = digest(); if (_e) _o->digest = _e->str(); }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+  { auto _e = submission(); if (_e) _o->submission = _e->str(); }
+  { auto _e = time_ms(); _o->time_ms = _e; }
 }
 
-inline flatbuffers::Offset<AnnounceReply> AnnounceReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAnnounceReply(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<WithdrawKey> WithdrawKey::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawKeyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWithdrawKey(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<AnnounceReply> CreateAnnounceReply(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<WithdrawKey> CreateWithdrawKey(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawKeyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AnnounceReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
-  auto _assignment_epoch = _o->assignment_epoch;
-  auto _zone_epoch = _o->zone_epoch;
-  auto _coordinator = _o->coordinator;
-  return dragonflymount::wire::CreateAnnounceReply(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WithdrawKeyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _digest = _o->digest.empty() ? 0 : _fbb.CreateString(_o->digest);
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  auto _submission = _o->submission.empty() ? 0 : _fbb.CreateString(_o->submission);
+  auto _time_ms = _o->time_ms;
+  return dragonflymount::wire::CreateWithdrawKey(
       _fbb,
-      _pool,
-      _assignment_epoch,
-      _zone_epoch,
-      _coordinator);
-}
-
-inline StartTaskT::StartTaskT(const StartTaskT &o)
-      : task(o.task),
-        claim(o.claim),
-        zone_epoch(o.zone_epoch),
-        assignment_epoch(o.assignment_epoch),
-        pool(o.pool),
-        lease_ms(o.lease_ms),
-        incarnation(o.incarnation),
-        request((o.request) ? new dragonflymount::wire::RequestT(*o.request) : nullptr),
-        announced_ms(o.announced_ms) {
-}
-
-inline StartTaskT &StartTaskT::operator=(StartTaskT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(task, o.task);
-  std::swap(claim, o.claim);
-  std::swap(zone_epoch, o.zone_epoch);
-  std::swap(assignment_epoch, o.assignment_epoch);
-  std::swap(pool, o.pool);
-  std::swap(lease_ms, o.lease_ms);
-  std::swap(incarnation, o.incarnation);
-  std::swap(request, o.request);
-  std::swap(announced_ms, o.announced_ms);
-  return *this;
+      _digest,
+      _author,
+      _submission,
+      _time_ms);
 }
 
-inline StartTaskT *StartTask::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<StartTaskT>();
+inline AppointCoordinatorT *AppointCoordinator::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AppointCoordinatorT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void StartTask::UnPackTo(StartTaskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void AppointCoordinator::UnPackTo(AppointCoordinatorT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = task(); _o->task = _e; }
-  { auto _e = claim(); _o->claim = _e; }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = assignment_epoch(); _o->assignment_epoch = _e; }
-  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
-  { auto _e = lease_ms(); _o->lease_ms = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = entry(); if (_e) _o->entry = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = request(); if (_e) _o->request = std::unique_ptr<dragonflymount::wire::RequestT>(_e->UnPack(_resolver)); }
-  { auto _e = announced_ms(); _o->announced_ms = _e; }
 }
 
-inline flatbuffers::Offset<StartTask> StartTask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StartTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateStartTask(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<AppointCoordinator> AppointCoordinator::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppointCoordinatorT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAppointCoordinator(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<StartTask> CreateStartTask(flatbuffers::FlatBufferBuilder &_fbb, const StartTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<AppointCoordinator> CreateAppointCoordinator(flatbuffers::FlatBufferBuilder &_fbb, const AppointCoordinatorT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StartTaskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _task = _o->task;
-  auto _claim = _o->claim;
-  auto _zone_epoch = _o->zone_epoch;
-  auto _assignment_epoch = _o->assignment_epoch;
-  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
-  auto _lease_ms = _o->lease_ms;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AppointCoordinatorT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _entry = _o->entry.empty() ? 0 : _fbb.CreateString(_o->entry);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _epoch = _o->epoch;
   auto _incarnation = _o->incarnation;
-  auto _request = _o->request ? CreateRequest(_fbb, _o->request.get(), _rehasher) : 0;
-  auto _announced_ms = _o->announced_ms;
-  return dragonflymount::wire::CreateStartTask(
+  return dragonflymount::wire::CreateAppointCoordinator(
       _fbb,
-      _task,
-      _claim,
-      _zone_epoch,
-      _assignment_epoch,
-      _pool,
-      _lease_ms,
-      _incarnation,
-      _request,
-      _announced_ms);
+      _zone,
+      _entry,
+      _address,
+      _epoch,
+      _incarnation);
 }
 
-inline TaskRejectedT *TaskRejected::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TaskRejectedT>();
+inline SetGrantT *SetGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SetGrantT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void TaskRejected::UnPackTo(TaskRejectedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void SetGrant::UnPackTo(SetGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = task(); _o->task = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = amount(); _o->amount = _e; }
   { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = sequence(); _o->sequence = _e; }
 }
 
-inline flatbuffers::Offset<TaskRejected> TaskRejected::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRejectedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTaskRejected(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<SetGrant> SetGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SetGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSetGrant(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<TaskRejected> CreateTaskRejected(flatbuffers::FlatBufferBuilder &_fbb, const TaskRejectedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<SetGrant> CreateSetGrant(flatbuffers::FlatBufferBuilder &_fbb, const SetGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskRejectedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _task = _o->task;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SetGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _amount = _o->amount;
   auto _zone_epoch = _o->zone_epoch;
-  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
-  return dragonflymount::wire::CreateTaskRejected(
+  auto _sequence = _o->sequence;
+  return dragonflymount::wire::CreateSetGrant(
       _fbb,
-      _task,
+      _zone,
+      _team,
+      _amount,
       _zone_epoch,
-      _reason);
+      _sequence);
 }
 
-inline TaskEndedT *TaskEnded::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TaskEndedT>();
+inline ClaimT *Claim::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ClaimT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void TaskEnded::UnPackTo(TaskEndedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void Claim::UnPackTo(ClaimT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = task(); _o->task = _e; }
-  { auto _e = ok(); _o->ok = _e; }
-  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
-  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
-  { auto _e = digest(); if (_e) { _o->digest.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->digest.begin()); } }
-  { auto _e = busy_ms(); _o->busy_ms = _e; }
 }
 
-inline flatbuffers::Offset<TaskEnded> TaskEnded::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskEndedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTaskEnded(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<Claim> Claim::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateClaim(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<TaskEnded> CreateTaskEnded(flatbuffers::FlatBufferBuilder &_fbb, const TaskEndedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<Claim> CreateClaim(flatbuffers::FlatBufferBuilder &_fbb, const ClaimT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskEndedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
   auto _task = _o->task;
-  auto _ok = _o->ok;
-  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
-  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
-  auto _digest = _o->digest.size() ? _fbb.CreateVector(_o->digest) : 0;
-  auto _busy_ms = _o->busy_ms;
-  return dragonflymount::wire::CreateTaskEnded(
+  return dragonflymount::wire::CreateClaim(
       _fbb,
-      _task,
-      _ok,
-      _reason,
-      _body,
-      _digest,
-      _busy_ms);
-}
-
-inline ConfirmTasksT *ConfirmTasks::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ConfirmTasksT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void ConfirmTasks::UnPackTo(ConfirmTasksT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = _e->Get(_i); } } }
+      _team,
+      _id,
+      _task);
 }
 
-inline flatbuffers::Offset<ConfirmTasks> ConfirmTasks::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfirmTasksT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateConfirmTasks(_fbb, _o, _rehasher);
+inline ClaimBatchT::ClaimBatchT(const ClaimBatchT &o)
+      : zone(o.zone),
+        zone_epoch(o.zone_epoch),
+        log_time_ms(o.log_time_ms),
+        clean(o.clean) {
+  claims.reserve(o.claims.size());
+  for (const auto &claims_ : o.claims) { claims.emplace_back((claims_) ? new dragonflymount::wire::ClaimT(*claims_) : nullptr); }
 }
 
-inline flatbuffers::Offset<ConfirmTasks> CreateConfirmTasks(flatbuffers::FlatBufferBuilder &_fbb, const ConfirmTasksT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfirmTasksT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _tasks = _o->tasks.size() ? _fbb.CreateVector(_o->tasks) : 0;
-  return dragonflymount::wire::CreateConfirmTasks(
-      _fbb,
-      _tasks);
+inline ClaimBatchT &ClaimBatchT::operator=(ClaimBatchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(zone, o.zone);
+  std::swap(zone_epoch, o.zone_epoch);
+  std::swap(log_time_ms, o.log_time_ms);
+  std::swap(claims, o.claims);
+  std::swap(clean, o.clean);
+  return *this;
 }
 
-inline RenewTasksT *RenewTasks::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<RenewTasksT>();
+inline ClaimBatchT *ClaimBatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ClaimBatchT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void RenewTasks::UnPackTo(RenewTasksT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ClaimBatch::UnPackTo(ClaimBatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
   { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = lease_ms(); _o->lease_ms = _e; }
-  { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = _e->Get(_i); } } }
-  { auto _e = announced_ms(); _o->announced_ms = _e; }
+  { auto _e = log_time_ms(); _o->log_time_ms = _e; }
+  { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = std::unique_ptr<dragonflymount::wire::ClaimT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = clean(); _o->clean = _e; }
 }
 
-inline flatbuffers::Offset<RenewTasks> RenewTasks::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RenewTasksT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateRenewTasks(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ClaimBatch> ClaimBatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateClaimBatch(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<RenewTasks> CreateRenewTasks(flatbuffers::FlatBufferBuilder &_fbb, const RenewTasksT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ClaimBatch> CreateClaimBatch(flatbuffers::FlatBufferBuilder &_fbb, const ClaimBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RenewTasksT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimBatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
   auto _zone_epoch = _o->zone_epoch;
-  auto _lease_ms = _o->lease_ms;
-  auto _tasks = _o->tasks.size() ? _fbb.CreateVector(_o->tasks) : 0;
-  auto _announced_ms = _o->announced_ms;
-  return dragonflymount::wire::CreateRenewTasks(
+  auto _log_time_ms = _o->log_time_ms;
+  auto _claims = _o->claims.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Claim>> (_o->claims.size(), [](size_t i, _VectorArgs *__va) { return CreateClaim(*__va->__fbb, __va->__o->claims[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _clean = _o->clean;
+  return dragonflymount::wire::CreateClaimBatch(
       _fbb,
+      _zone,
       _zone_epoch,
-      _lease_ms,
-      _tasks,
-      _announced_ms);
+      _log_time_ms,
+      _claims,
+      _clean);
 }
 
-inline StopTaskT *StopTask::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<StopTaskT>();
+inline ClaimEndT *ClaimEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ClaimEndT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void StopTask::UnPackTo(StopTaskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ClaimEnd::UnPackTo(ClaimEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = task(); _o->task = _e; }
+  { auto _e = outcome(); _o->outcome = _e; }
 }
 
-inline flatbuffers::Offset<StopTask> StopTask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StopTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateStopTask(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ClaimEnd> ClaimEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateClaimEnd(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<StopTask> CreateStopTask(flatbuffers::FlatBufferBuilder &_fbb, const StopTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ClaimEnd> CreateClaimEnd(flatbuffers::FlatBufferBuilder &_fbb, const ClaimEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StopTaskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
   auto _task = _o->task;
-  return dragonflymount::wire::CreateStopTask(
+  auto _outcome = _o->outcome;
+  return dragonflymount::wire::CreateClaimEnd(
       _fbb,
-      _task);
+      _team,
+      _id,
+      _task,
+      _outcome);
 }
 
-inline QueryTaskT *QueryTask::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<QueryTaskT>();
+inline EndClaimsT::EndClaimsT(const EndClaimsT &o)
+      : zone(o.zone) {
+  ends.reserve(o.ends.size());
+  for (const auto &ends_ : o.ends) { ends.emplace_back((ends_) ? new dragonflymount::wire::ClaimEndT(*ends_) : nullptr); }
+}
+
+inline EndClaimsT &EndClaimsT::operator=(EndClaimsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(zone, o.zone);
+  std::swap(ends, o.ends);
+  return *this;
+}
+
+inline EndClaimsT *EndClaims::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EndClaimsT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void QueryTask::UnPackTo(QueryTaskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void EndClaims::UnPackTo(EndClaimsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = task(); _o->task = _e; }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = std::unique_ptr<dragonflymount::wire::ClaimEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<QueryTask> QueryTask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueryTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateQueryTask(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<EndClaims> EndClaims::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndClaimsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEndClaims(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<QueryTask> CreateQueryTask(flatbuffers::FlatBufferBuilder &_fbb, const QueryTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<EndClaims> CreateEndClaims(flatbuffers::FlatBufferBuilder &_fbb, const EndClaimsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QueryTaskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _task = _o->task;
-  auto _zone_epoch = _o->zone_epoch;
-  auto _incarnation = _o->incarnation;
-  return dragonflymount::wire::CreateQueryTask(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndClaimsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _ends = _o->ends.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::ClaimEnd>> (_o->ends.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimEnd(*__va->__fbb, __va->__o->ends[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateEndClaims(
       _fbb,
-      _task,
-      _zone_epoch,
-      _incarnation);
+      _zone,
+      _ends);
 }
 
-inline RebootT *Reboot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<RebootT>();
+inline AssignVmT *AssignVm::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AssignVmT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Reboot::UnPackTo(RebootT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void AssignVm::UnPackTo(AssignVmT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = vm(); if (_e) _o->vm = _e->str(); }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = draining(); _o->draining = _e; }
+  { auto _e = reboot(); _o->reboot = _e; }
   { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = time_ms(); _o->time_ms = _e; }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
+  { auto _e = maintained_ms(); _o->maintained_ms = _e; }
 }
 
-inline flatbuffers::Offset<Reboot> Reboot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RebootT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateReboot(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<AssignVm> AssignVm::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AssignVmT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAssignVm(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Reboot> CreateReboot(flatbuffers::FlatBufferBuilder &_fbb, const RebootT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<AssignVm> CreateAssignVm(flatbuffers::FlatBufferBuilder &_fbb, const AssignVmT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RebootT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AssignVmT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
-  auto _zone_epoch = _o->zone_epoch;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _epoch = _o->epoch;
+  auto _draining = _o->draining;
+  auto _reboot = _o->reboot;
   auto _incarnation = _o->incarnation;
-  return dragonflymount::wire::CreateReboot(
+  auto _time_ms = _o->time_ms;
+  auto _zone_epoch = _o->zone_epoch;
+  auto _maintained_ms = _o->maintained_ms;
+  return dragonflymount::wire::CreateAssignVm(
       _fbb,
       _vm,
+      _zone,
+      _rack,
+      _pool,
+      _epoch,
+      _draining,
+      _reboot,
+      _incarnation,
+      _time_ms,
       _zone_epoch,
-      _incarnation);
+      _maintained_ms);
 }
 
-inline PingT *Ping::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<PingT>();
+inline ForgetVmT *ForgetVm::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ForgetVmT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Ping::UnPackTo(PingT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ForgetVm::UnPackTo(ForgetVmT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = nonce(); _o->nonce = _e; }
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
 }
 
-inline flatbuffers::Offset<Ping> Ping::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreatePing(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ForgetVm> ForgetVm::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForgetVmT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateForgetVm(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Ping> CreatePing(flatbuffers::FlatBufferBuilder &_fbb, const PingT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ForgetVm> CreateForgetVm(flatbuffers::FlatBufferBuilder &_fbb, const ForgetVmT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _nonce = _o->nonce;
-  return dragonflymount::wire::CreatePing(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ForgetVmT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  auto _epoch = _o->epoch;
+  return dragonflymount::wire::CreateForgetVm(
       _fbb,
-      _nonce);
+      _vm,
+      _epoch);
 }
 
-inline PongT *Pong::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<PongT>();
+inline WaveCommandT *WaveCommand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WaveCommandT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Pong::UnPackTo(PongT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void WaveCommand::UnPackTo(WaveCommandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = nonce(); _o->nonce = _e; }
+  { auto _e = verb(); if (_e) _o->verb = _e->str(); }
+  { auto _e = wave(); if (_e) _o->wave = _e->str(); }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+  { auto _e = submission(); if (_e) _o->submission = _e->str(); }
+  { auto _e = time_ms(); _o->time_ms = _e; }
 }
 
-inline flatbuffers::Offset<Pong> Pong::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PongT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreatePong(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<WaveCommand> WaveCommand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WaveCommandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWaveCommand(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Pong> CreatePong(flatbuffers::FlatBufferBuilder &_fbb, const PongT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<WaveCommand> CreateWaveCommand(flatbuffers::FlatBufferBuilder &_fbb, const WaveCommandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PongT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _nonce = _o->nonce;
-  return dragonflymount::wire::CreatePong(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WaveCommandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _verb = _o->verb.empty() ? 0 : _fbb.CreateString(_o->verb);
+  auto _wave = _o->wave.empty() ? 0 : _fbb.CreateString(_o->wave);
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  auto _submission = _o->submission.empty() ? 0 : _fbb.CreateString(_o->submission);
+  auto _time_ms = _o->time_ms;
+  return dragonflymount::wire::CreateWaveCommand(
       _fbb,
-      _nonce);
+      _verb,
+      _wave,
+      _pool,
+      _author,
+      _submission,
+      _time_ms);
 }
 
-inline VmSummaryT *VmSummary::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<VmSummaryT>();
+inline WaveProgressT *WaveProgress::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WaveProgressT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void VmSummary::UnPackTo(VmSummaryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void WaveProgress::UnPackTo(WaveProgressT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
