+  { auto _e = wave(); if (_e) _o->wave = _e->str(); }
   { auto _e = vm(); if (_e) _o->vm = _e->str(); }
-  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
-  { auto _e = slots(); _o->slots = _e; }
-  { auto _e = running(); _o->running = _e; }
-  { auto _e = held(); _o->held = _e; }
-  { auto _e = leaving(); _o->leaving = _e; }
-  { auto _e = quarantined(); _o->quarantined = _e; }
-  { auto _e = assignment_epoch(); _o->assignment_epoch = _e; }
-  { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = lost(); _o->lost = _e; }
-  { auto _e = drained(); _o->drained = _e; }
+  { auto _e = phase(); if (_e) _o->phase = _e->str(); }
+  { auto _e = time_ms(); _o->time_ms = _e; }
 }
 
-inline flatbuffers::Offset<VmSummary> VmSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VmSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateVmSummary(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<WaveProgress> WaveProgress::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WaveProgressT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWaveProgress(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<VmSummary> CreateVmSummary(flatbuffers::FlatBufferBuilder &_fbb, const VmSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<WaveProgress> CreateWaveProgress(flatbuffers::FlatBufferBuilder &_fbb, const WaveProgressT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VmSummaryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WaveProgressT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _wave = _o->wave.empty() ? 0 : _fbb.CreateString(_o->wave);
   auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
-  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
-  auto _slots = _o->slots;
-  auto _running = _o->running;
-  auto _held = _o->held;
-  auto _leaving = _o->leaving;
-  auto _quarantined = _o->quarantined;
-  auto _assignment_epoch = _o->assignment_epoch;
-  auto _incarnation = _o->incarnation;
-  auto _lost = _o->lost;
-  auto _drained = _o->drained;
-  return dragonflymount::wire::CreateVmSummary(
+  auto _phase = _o->phase.empty() ? 0 : _fbb.CreateString(_o->phase);
+  auto _time_ms = _o->time_ms;
+  return dragonflymount::wire::CreateWaveProgress(
       _fbb,
+      _wave,
       _vm,
-      _rack,
-      _slots,
-      _running,
-      _held,
-      _leaving,
-      _quarantined,
-      _assignment_epoch,
-      _incarnation,
-      _lost,
-      _drained);
+      _phase,
+      _time_ms);
 }
 
-inline TeamDemandT *TeamDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TeamDemandT>();
+inline HistoryRecordT *HistoryRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<HistoryRecordT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void TeamDemand::UnPackTo(TeamDemandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void HistoryRecord::UnPackTo(HistoryRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = queued(); _o->queued = _e; }
-  { auto _e = running(); _o->running = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+  { auto _e = time_ms(); _o->time_ms = _e; }
+  { auto _e = what(); if (_e) _o->what = _e->str(); }
 }
 
-inline flatbuffers::Offset<TeamDemand> TeamDemand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TeamDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTeamDemand(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<HistoryRecord> HistoryRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HistoryRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHistoryRecord(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<TeamDemand> CreateTeamDemand(flatbuffers::FlatBufferBuilder &_fbb, const TeamDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<HistoryRecord> CreateHistoryRecord(flatbuffers::FlatBufferBuilder &_fbb, const HistoryRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TeamDemandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _queued = _o->queued;
-  auto _running = _o->running;
-  return dragonflymount::wire::CreateTeamDemand(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HistoryRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  auto _time_ms = _o->time_ms;
+  auto _what = _o->what.empty() ? 0 : _fbb.CreateString(_o->what);
+  return dragonflymount::wire::CreateHistoryRecord(
       _fbb,
-      _team,
-      _queued,
-      _running);
+      _version,
+      _author,
+      _time_ms,
+      _what);
 }
 
-inline PoolDemandT *PoolDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<PoolDemandT>();
+inline SubmissionRecordT *SubmissionRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SubmissionRecordT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void PoolDemand::UnPackTo(PoolDemandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void SubmissionRecord::UnPackTo(SubmissionRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
-  { auto _e = queued(); _o->queued = _e; }
-  { auto _e = running(); _o->running = _e; }
-  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = submission(); if (_e) _o->submission = _e->str(); }
+  { auto _e = result(); _o->result = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = detail(); if (_e) _o->detail = _e->str(); }
 }
 
-inline flatbuffers::Offset<PoolDemand> PoolDemand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PoolDemandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreatePoolDemand(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<SubmissionRecord> SubmissionRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SubmissionRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSubmissionRecord(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<PoolDemand> CreatePoolDemand(flatbuffers::FlatBufferBuilder &_fbb, const PoolDemandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<SubmissionRecord> CreateSubmissionRecord(flatbuffers::FlatBufferBuilder &_fbb, const SubmissionRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PoolDemandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
-  auto _queued = _o->queued;
-  auto _running = _o->running;
-  auto _slots = _o->slots;
-  return dragonflymount::wire::CreatePoolDemand(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SubmissionRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _submission = _o->submission.empty() ? 0 : _fbb.CreateString(_o->submission);
+  auto _result = _o->result;
+  auto _version = _o->version;
+  auto _detail = _o->detail.empty() ? 0 : _fbb.CreateString(_o->detail);
+  return dragonflymount::wire::CreateSubmissionRecord(
       _fbb,
-      _pool,
-      _queued,
-      _running,
-      _slots);
+      _submission,
+      _result,
+      _version,
+      _detail);
 }
 
-inline GrantStateT *GrantState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<GrantStateT>();
+inline WithdrawnKeyT *WithdrawnKey::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WithdrawnKeyT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void GrantState::UnPackTo(GrantStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void WithdrawnKey::UnPackTo(WithdrawnKeyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = amount(); _o->amount = _e; }
-  { auto _e = used(); _o->used = _e; }
-  { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = target(); _o->target = _e; }
+  { auto _e = digest(); if (_e) _o->digest = _e->str(); }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+  { auto _e = time_ms(); _o->time_ms = _e; }
+  { auto _e = version(); _o->version = _e; }
 }
 
-inline flatbuffers::Offset<GrantState> GrantState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GrantStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateGrantState(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<WithdrawnKey> WithdrawnKey::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawnKeyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWithdrawnKey(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<GrantState> CreateGrantState(flatbuffers::FlatBufferBuilder &_fbb, const GrantStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<WithdrawnKey> CreateWithdrawnKey(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawnKeyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GrantStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _amount = _o->amount;
-  auto _used = _o->used;
-  auto _sequence = _o->sequence;
-  auto _target = _o->target;
-  return dragonflymount::wire::CreateGrantState(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WithdrawnKeyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _digest = _o->digest.empty() ? 0 : _fbb.CreateString(_o->digest);
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  auto _time_ms = _o->time_ms;
+  auto _version = _o->version;
+  return dragonflymount::wire::CreateWithdrawnKey(
       _fbb,
-      _team,
-      _amount,
-      _used,
-      _sequence,
-      _target);
+      _digest,
+      _author,
+      _time_ms,
+      _version);
 }
 
-inline EntryAddressT *EntryAddress::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EntryAddressT>();
+inline ClaimRecordT *ClaimRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ClaimRecordT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void EntryAddress::UnPackTo(EntryAddressT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ClaimRecord::UnPackTo(ClaimRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = entry(); if (_e) _o->entry = _e->str(); }
-  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = digest_high(); _o->digest_high = _e; }
+  { auto _e = digest_low(); _o->digest_low = _e; }
+  { auto _e = task(); _o->task = _e; }
+  { auto _e = zone(); _o->zone = _e; }
+  { auto _e = log_time_ms(); _o->log_time_ms = _e; }
+  { auto _e = outcome(); _o->outcome = _e; }
+  { auto _e = index(); _o->index = _e; }
 }
 
-inline flatbuffers::Offset<EntryAddress> EntryAddress::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryAddressT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEntryAddress(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ClaimRecord> ClaimRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateClaimRecord(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<EntryAddress> CreateEntryAddress(flatbuffers::FlatBufferBuilder &_fbb, const EntryAddressT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ClaimRecord> CreateClaimRecord(flatbuffers::FlatBufferBuilder &_fbb, const ClaimRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryAddressT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _entry = _o->entry.empty() ? 0 : _fbb.CreateString(_o->entry);
-  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
-  return dragonflymount::wire::CreateEntryAddress(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _digest_high = _o->digest_high;
+  auto _digest_low = _o->digest_low;
+  auto _task = _o->task;
+  auto _zone = _o->zone;
+  auto _log_time_ms = _o->log_time_ms;
+  auto _outcome = _o->outcome;
+  auto _index = _o->index;
+  return dragonflymount::wire::CreateClaimRecord(
       _fbb,
-      _entry,
-      _address);
-}
-
-inline EntryBeatT::EntryBeatT(const EntryBeatT &o)
-      : entry(o.entry),
-        zone(o.zone),
-        address(o.address),
-        incarnation(o.incarnation),
-        rules_version(o.rules_version),
-        zone_epoch(o.zone_epoch),
-        withdrawals(o.withdrawals),
-        stopping(o.stopping) {
-  vms.reserve(o.vms.size());
-  for (const auto &vms_ : o.vms) { vms.emplace_back((vms_) ? new dragonflymount::wire::VmSummaryT(*vms_) : nullptr); }
-  teams.reserve(o.teams.size());
-  for (const auto &teams_ : o.teams) { teams.emplace_back((teams_) ? new dragonflymount::wire::TeamDemandT(*teams_) : nullptr); }
-  pools.reserve(o.pools.size());
-  for (const auto &pools_ : o.pools) { pools.emplace_back((pools_) ? new dragonflymount::wire::PoolDemandT(*pools_) : nullptr); }
-  grants.reserve(o.grants.size());
-  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new dragonflymount::wire::GrantStateT(*grants_) : nullptr); }
-}
-
-inline EntryBeatT &EntryBeatT::operator=(EntryBeatT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(entry, o.entry);
-  std::swap(zone, o.zone);
-  std::swap(address, o.address);
-  std::swap(incarnation, o.incarnation);
-  std::swap(rules_version, o.rules_version);
-  std::swap(zone_epoch, o.zone_epoch);
-  std::swap(vms, o.vms);
-  std::swap(teams, o.teams);
-  std::swap(pools, o.pools);
-  std::swap(grants, o.grants);
-  std::swap(withdrawals, o.withdrawals);
-  std::swap(stopping, o.stopping);
-  return *this;
+      _digest_high,
+      _digest_low,
+      _task,
+      _zone,
+      _log_time_ms,
+      _outcome,
+      _index);
 }
 
-inline EntryBeatT *EntryBeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EntryBeatT>();
+inline ZoneRestartT *ZoneRestart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ZoneRestartT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void EntryBeat::UnPackTo(EntryBeatT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ZoneRestart::UnPackTo(ZoneRestartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = entry(); if (_e) _o->entry = _e->str(); }
   { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = address(); if (_e) _o->address = _e->str(); }
-  { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = rules_version(); _o->rules_version = _e; }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = vms(); if (_e) { _o->vms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->vms[_i] = std::unique_ptr<dragonflymount::wire::VmSummaryT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = std::unique_ptr<dragonflymount::wire::TeamDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = pools(); if (_e) { _o->pools.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pools[_i] = std::unique_ptr<dragonflymount::wire::PoolDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<dragonflymount::wire::GrantStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = withdrawals(); _o->withdrawals = _e; }
-  { auto _e = stopping(); _o->stopping = _e; }
+  { auto _e = index(); _o->index = _e; }
 }
 
-inline flatbuffers::Offset<EntryBeat> EntryBeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEntryBeat(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ZoneRestart> ZoneRestart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneRestartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateZoneRestart(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<EntryBeat> CreateEntryBeat(flatbuffers::FlatBufferBuilder &_fbb, const EntryBeatT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ZoneRestart> CreateZoneRestart(flatbuffers::FlatBufferBuilder &_fbb, const ZoneRestartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryBeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _entry = _o->entry.empty() ? 0 : _fbb.CreateString(_o->entry);
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ZoneRestartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
-  auto _incarnation = _o->incarnation;
-  auto _rules_version = _o->rules_version;
-  auto _zone_epoch = _o->zone_epoch;
-  auto _vms = _o->vms.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::VmSummary>> (_o->vms.size(), [](size_t i, _VectorArgs *__va) { return CreateVmSummary(*__va->__fbb, __va->__o->vms[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _teams = _o->teams.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::TeamDemand>> (_o->teams.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamDemand(*__va->__fbb, __va->__o->teams[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _pools = _o->pools.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::PoolDemand>> (_o->pools.size(), [](size_t i, _VectorArgs *__va) { return CreatePoolDemand(*__va->__fbb, __va->__o->pools[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::GrantState>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return CreateGrantState(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _withdrawals = _o->withdrawals;
-  auto _stopping = _o->stopping;
-  return dragonflymount::wire::CreateEntryBeat(
+  auto _index = _o->index;
+  return dragonflymount::wire::CreateZoneRestart(
       _fbb,
-      _entry,
       _zone,
-      _address,
-      _incarnation,
-      _rules_version,
-      _zone_epoch,
-      _vms,
-      _teams,
-      _pools,
-      _grants,
-      _withdrawals,
-      _stopping);
+      _index);
 }
 
-inline AssignmentT *Assignment::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AssignmentT>();
+inline VmFailureT *VmFailure::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<VmFailureT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Assignment::UnPackTo(AssignmentT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void VmFailure::UnPackTo(VmFailureT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
-  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
-  { auto _e = epoch(); _o->epoch = _e; }
-  { auto _e = draining(); _o->draining = _e; }
-  { auto _e = reboot(); _o->reboot = _e; }
-  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+  { auto _e = time_ms(); _o->time_ms = _e; }
 }
 
-inline flatbuffers::Offset<Assignment> Assignment::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AssignmentT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAssignment(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<VmFailure> VmFailure::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VmFailureT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateVmFailure(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Assignment> CreateAssignment(flatbuffers::FlatBufferBuilder &_fbb, const AssignmentT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<VmFailure> CreateVmFailure(flatbuffers::FlatBufferBuilder &_fbb, const VmFailureT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AssignmentT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VmFailureT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
-  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
-  auto _epoch = _o->epoch;
-  auto _draining = _o->draining;
-  auto _reboot = _o->reboot;
-  auto _incarnation = _o->incarnation;
-  return dragonflymount::wire::CreateAssignment(
+  auto _time_ms = _o->time_ms;
+  return dragonflymount::wire::CreateVmFailure(
       _fbb,
       _vm,
-      _pool,
-      _epoch,
-      _draining,
-      _reboot,
-      _incarnation);
+      _time_ms);
 }
 
-inline ZoneRouteT::ZoneRouteT(const ZoneRouteT &o)
-      : zone(o.zone),
-        entry(o.entry),
-        address(o.address),
-        epoch(o.epoch) {
-  pools.reserve(o.pools.size());
-  for (const auto &pools_ : o.pools) { pools.emplace_back((pools_) ? new dragonflymount::wire::PoolDemandT(*pools_) : nullptr); }
+inline WaveRecordT::WaveRecordT(const WaveRecordT &o)
+      : wave(o.wave),
+        pool(o.pool),
+        state(o.state),
+        author(o.author),
+        started_ms(o.started_ms),
+        ended_ms(o.ended_ms),
+        reason(o.reason) {
+  failures.reserve(o.failures.size());
+  for (const auto &failures_ : o.failures) { failures.emplace_back((failures_) ? new dragonflymount::wire::VmFailureT(*failures_) : nullptr); }
 }
 
-inline ZoneRouteT &ZoneRouteT::operator=(ZoneRouteT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(zone, o.zone);
-  std::swap(entry, o.entry);
-  std::swap(address, o.address);
-  std::swap(epoch, o.epoch);
-  std::swap(pools, o.pools);
+inline WaveRecordT &WaveRecordT::operator=(WaveRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(wave, o.wave);
+  std::swap(pool, o.pool);
+  std::swap(state, o.state);
+  std::swap(author, o.author);
+  std::swap(started_ms, o.started_ms);
+  std::swap(ended_ms, o.ended_ms);
+  std::swap(reason, o.reason);
+  std::swap(failures, o.failures);
   return *this;
 }
 
-inline ZoneRouteT *ZoneRoute::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ZoneRouteT>();
+inline WaveRecordT *WaveRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WaveRecordT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ZoneRoute::UnPackTo(ZoneRouteT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void WaveRecord::UnPackTo(WaveRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = entry(); if (_e) _o->entry = _e->str(); }
-  { auto _e = address(); if (_e) _o->address = _e->str(); }
-  { auto _e = epoch(); _o->epoch = _e; }
-  { auto _e = pools(); if (_e) { _o->pools.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pools[_i] = std::unique_ptr<dragonflymount::wire::PoolDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = wave(); if (_e) _o->wave = _e->str(); }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = state(); _o->state = _e; }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+  { auto _e = started_ms(); _o->started_ms = _e; }
+  { auto _e = ended_ms(); _o->ended_ms = _e; }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+  { auto _e = failures(); if (_e) { _o->failures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->failures[_i] = std::unique_ptr<dragonflymount::wire::VmFailureT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<ZoneRoute> ZoneRoute::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneRouteT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateZoneRoute(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<WaveRecord> WaveRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WaveRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWaveRecord(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ZoneRoute> CreateZoneRoute(flatbuffers::FlatBufferBuilder &_fbb, const ZoneRouteT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<WaveRecord> CreateWaveRecord(flatbuffers::FlatBufferBuilder &_fbb, const WaveRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ZoneRouteT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _entry = _o->entry.empty() ? 0 : _fbb.CreateString(_o->entry);
-  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
-  auto _epoch = _o->epoch;
-  auto _pools = _o->pools.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::PoolDemand>> (_o->pools.size(), [](size_t i, _VectorArgs *__va) { return CreatePoolDemand(*__va->__fbb, __va->__o->pools[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return dragonflymount::wire::CreateZoneRoute(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WaveRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _wave = _o->wave.empty() ? 0 : _fbb.CreateString(_o->wave);
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _state = _o->state;
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  auto _started_ms = _o->started_ms;
+  auto _ended_ms = _o->ended_ms;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  auto _failures = _o->failures.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::VmFailure>> (_o->failures.size(), [](size_t i, _VectorArgs *__va) { return CreateVmFailure(*__va->__fbb, __va->__o->failures[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateWaveRecord(
       _fbb,
-      _zone,
-      _entry,
-      _address,
-      _epoch,
-      _pools);
+      _wave,
+      _pool,
+      _state,
+      _author,
+      _started_ms,
+      _ended_ms,
+      _reason,
+      _failures);
 }
 
-inline EntryLeaseT::EntryLeaseT(const EntryLeaseT &o)
-      : term(o.term),
-        leader(o.leader),
-        rules_version(o.rules_version),
-        fresh_ms(o.fresh_ms),
-        zone_epoch(o.zone_epoch),
-        zone_lease_ms(o.zone_lease_ms),
-        grant_lease_ms(o.grant_lease_ms),
-        coordinator(o.coordinator),
+inline ControlImageT::ControlImageT(const ControlImageT &o)
+      : version(o.version),
         rules(o.rules),
-        withdrawn(o.withdrawn),
-        replicas(o.replicas) {
-  routes.reserve(o.routes.size());
-  for (const auto &routes_ : o.routes) { routes.emplace_back((routes_) ? new dragonflymount::wire::ZoneRouteT(*routes_) : nullptr); }
+        log_time_ms(o.log_time_ms),
+        zones(o.zones) {
+  history.reserve(o.history.size());
+  for (const auto &history_ : o.history) { history.emplace_back((history_) ? new dragonflymount::wire::HistoryRecordT(*history_) : nullptr); }
+  submissions.reserve(o.submissions.size());
+  for (const auto &submissions_ : o.submissions) { submissions.emplace_back((submissions_) ? new dragonflymount::wire::SubmissionRecordT(*submissions_) : nullptr); }
+  withdrawn.reserve(o.withdrawn.size());
+  for (const auto &withdrawn_ : o.withdrawn) { withdrawn.emplace_back((withdrawn_) ? new dragonflymount::wire::WithdrawnKeyT(*withdrawn_) : nullptr); }
+  coordinators.reserve(o.coordinators.size());
+  for (const auto &coordinators_ : o.coordinators) { coordinators.emplace_back((coordinators_) ? new dragonflymount::wire::AppointCoordinatorT(*coordinators_) : nullptr); }
   grants.reserve(o.grants.size());
-  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new dragonflymount::wire::GrantStateT(*grants_) : nullptr); }
-  assignments.reserve(o.assignments.size());
-  for (const auto &assignments_ : o.assignments) { assignments.emplace_back((assignments_) ? new dragonflymount::wire::AssignmentT(*assignments_) : nullptr); }
-  peers.reserve(o.peers.size());
-  for (const auto &peers_ : o.peers) { peers.emplace_back((peers_) ? new dragonflymount::wire::EntryAddressT(*peers_) : nullptr); }
+  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new dragonflymount::wire::SetGrantT(*grants_) : nullptr); }
+  claims.reserve(o.claims.size());
+  for (const auto &claims_ : o.claims) { claims.emplace_back((claims_) ? new dragonflymount::wire::ClaimRecordT(*claims_) : nullptr); }
+  vms.reserve(o.vms.size());
+  for (const auto &vms_ : o.vms) { vms.emplace_back((vms_) ? new dragonflymount::wire::AssignVmT(*vms_) : nullptr); }
+  restarts.reserve(o.restarts.size());
+  for (const auto &restarts_ : o.restarts) { restarts.emplace_back((restarts_) ? new dragonflymount::wire::ZoneRestartT(*restarts_) : nullptr); }
+  waves.reserve(o.waves.size());
+  for (const auto &waves_ : o.waves) { waves.emplace_back((waves_) ? new dragonflymount::wire::WaveRecordT(*waves_) : nullptr); }
 }
 
-inline EntryLeaseT &EntryLeaseT::operator=(EntryLeaseT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(term, o.term);
-  std::swap(leader, o.leader);
-  std::swap(rules_version, o.rules_version);
-  std::swap(fresh_ms, o.fresh_ms);
-  std::swap(zone_epoch, o.zone_epoch);
-  std::swap(zone_lease_ms, o.zone_lease_ms);
-  std::swap(grant_lease_ms, o.grant_lease_ms);
-  std::swap(coordinator, o.coordinator);
+inline ControlImageT &ControlImageT::operator=(ControlImageT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(version, o.version);
   std::swap(rules, o.rules);
+  std::swap(log_time_ms, o.log_time_ms);
+  std::swap(history, o.history);
+  std::swap(submissions, o.submissions);
   std::swap(withdrawn, o.withdrawn);
-  std::swap(routes, o.routes);
+  std::swap(coordinators, o.coordinators);
   std::swap(grants, o.grants);
-  std::swap(assignments, o.assignments);
-  std::swap(peers, o.peers);
-  std::swap(replicas, o.replicas);
+  std::swap(zones, o.zones);
+  std::swap(claims, o.claims);
+  std::swap(vms, o.vms);
+  std::swap(restarts, o.restarts);
+  std::swap(waves, o.waves);
   return *this;
 }
 
-inline EntryLeaseT *EntryLease::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EntryLeaseT>();
+inline ControlImageT *ControlImage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ControlImageT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void EntryLease::UnPackTo(EntryLeaseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ControlImage::UnPackTo(ControlImageT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = term(); _o->term = _e; }
-  { auto _e = leader(); if (_e) _o->leader = _e->str(); }
-  { auto _e = rules_version(); _o->rules_version = _e; }
-  { auto _e = fresh_ms(); _o->fresh_ms = _e; }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = zone_lease_ms(); _o->zone_lease_ms = _e; }
-  { auto _e = grant_lease_ms(); _o->grant_lease_ms = _e; }
-  { auto _e = coordinator(); if (_e) _o->coordinator = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
   { auto _e = rules(); if (_e) _o->rules = _e->str(); }
-  { auto _e = withdrawn(); if (_e) { _o->withdrawn.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->withdrawn[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->routes[_i] = std::unique_ptr<dragonflymount::wire::ZoneRouteT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<dragonflymount::wire::GrantStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = assignments(); if (_e) { _o->assignments.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->assignments[_i] = std::unique_ptr<dragonflymount::wire::AssignmentT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = peers(); if (_e) { _o->peers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->peers[_i] = std::unique_ptr<dragonflymount::wire::EntryAddressT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = replicas(); if (_e) { _o->replicas.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replicas[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = log_time_ms(); _o->log_time_ms = _e; }
+  { auto _e = history(); if (_e) { _o->history.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->history[_i] = std::unique_ptr<dragonflymount::wire::HistoryRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = submissions(); if (_e) { _o->submissions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->submissions[_i] = std::unique_ptr<dragonflymount::wire::SubmissionRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = withdrawn(); if (_e) { _o->withdrawn.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->withdrawn[_i] = std::unique_ptr<dragonflymount::wire::WithdrawnKeyT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = coordinators(); if (_e) { _o->coordinators.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->coordinators[_i] = std::unique_ptr<dragonflymount::wire::AppointCoordinatorT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<dragonflymount::wire::SetGrantT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = zones(); if (_e) { _o->zones.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->zones[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = std::unique_ptr<dragonflymount::wire::ClaimRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = vms(); if (_e) { _o->vms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->vms[_i] = std::unique_ptr<dragonflymount::wire::AssignVmT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = restarts(); if (_e) { _o->restarts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->restarts[_i] = std::unique_ptr<dragonflymount::wire::ZoneRestartT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = waves(); if (_e) { _o->waves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waves[_i] = std::unique_ptr<dragonflymount::wire::WaveRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<EntryLease> EntryLease::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryLeaseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEntryLease(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ControlImage> ControlImage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ControlImageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateControlImage(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<EntryLease> CreateEntryLease(flatbuffers::FlatBufferBuilder &_fbb, const EntryLeaseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ControlImage> CreateControlImage(flatbuffers::FlatBufferBuilder &_fbb, const ControlImageT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryLeaseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _term = _o->term;
-  auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
-  auto _rules_version = _o->rules_version;
-  auto _fresh_ms = _o->fresh_ms;
-  auto _zone_epoch = _o->zone_epoch;
-  auto _zone_lease_ms = _o->zone_lease_ms;
-  auto _grant_lease_ms = _o->grant_lease_ms;
-  auto _coordinator = _o->coordinator.empty() ? 0 : _fbb.CreateString(_o->coordinator);
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ControlImageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
   auto _rules = _o->rules.empty() ? 0 : _fbb.CreateString(_o->rules);
-  auto _withdrawn = _o->withdrawn.size() ? _fbb.CreateVectorOfStrings(_o->withdrawn) : 0;
-  auto _routes = _o->routes.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::ZoneRoute>> (_o->routes.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneRoute(*__va->__fbb, __va->__o->routes[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::GrantState>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return CreateGrantState(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _assignments = _o->assignments.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Assignment>> (_o->assignments.size(), [](size_t i, _VectorArgs *__va) { return CreateAssignment(*__va->__fbb, __va->__o->assignments[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _peers = _o->peers.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EntryAddress>> (_o->peers.size(), [](size_t i, _VectorArgs *__va) { return CreateEntryAddress(*__va->__fbb, __va->__o->peers[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _replicas = _o->replicas.size() ? _fbb.CreateVectorOfStrings(_o->replicas) : 0;
-  return dragonflymount::wire::CreateEntryLease(
+  auto _log_time_ms = _o->log_time_ms;
+  auto _history = _o->history.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::HistoryRecord>> (_o->history.size(), [](size_t i, _VectorArgs *__va) { return CreateHistoryRecord(*__va->__fbb, __va->__o->history[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _submissions = _o->submissions.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::SubmissionRecord>> (_o->submissions.size(), [](size_t i, _VectorArgs *__va) { return CreateSubmissionRecord(*__va->__fbb, __va->__o->submissions[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _withdrawn = _o->withdrawn.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::WithdrawnKey>> (_o->withdrawn.size(), [](size_t i, _VectorArgs *__va) { return CreateWithdrawnKey(*__va->__fbb, __va->__o->withdrawn[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _coordinators = _o->coordinators.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::AppointCoordinator>> (_o->coordinators.size(), [](size_t i, _VectorArgs *__va) { return CreateAppointCoordinator(*__va->__fbb, __va->__o->coordinators[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::SetGrant>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return CreateSetGrant(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _zones = _o->zones.size() ? _fbb.CreateVectorOfStrings(_o->zones) : 0;
+  auto _claims = _o->claims.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::ClaimRecord>> (_o->claims.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimRecord(*__va->__fbb, __va->__o->claims[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _vms = _o->vms.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::AssignVm>> (_o->vms.size(), [](size_t i, _VectorArgs *__va) { return CreateAssignVm(*__va->__fbb, __va->__o->vms[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _restarts = _o->restarts.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::ZoneRestart>> (_o->restarts.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneRestart(*__va->__fbb, __va->__o->restarts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _waves = _o->waves.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::WaveRecord>> (_o->waves.size(), [](size_t i, _VectorArgs *__va) { return CreateWaveRecord(*__va->__fbb, __va->__o->waves[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateControlImage(
       _fbb,
-      _term,
-      _leader,
-      _rules_version,
-      _fresh_ms,
-      _zone_epoch,
-      _zone_lease_ms,
-      _grant_lease_ms,
-      _coordinator,
+      _version,
       _rules,
+      _log_time_ms,
+      _history,
+      _submissions,
       _withdrawn,
-      _routes,
+      _coordinators,
       _grants,
-      _assignments,
-      _peers,
-      _replicas);
+      _zones,
+      _claims,
+      _vms,
+      _restarts,
+      _waves);
 }
 
-inline NoOpT *NoOp::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<NoOpT>();
+inline JobStepT *JobStep::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobStepT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void NoOp::UnPackTo(NoOpT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void JobStep::UnPackTo(JobStepT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = count(); _o->count = _e; }
+  { auto _e = cpu_milli(); _o->cpu_milli = _e; }
+  { auto _e = memory_mb(); _o->memory_mb = _e; }
+  { auto _e = gpus(); _o->gpus = _e; }
+  { auto _e = estimate_ms(); _o->estimate_ms = _e; }
+  { auto _e = depends_on(); if (_e) { _o->depends_on.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->depends_on[_i] = _e->Get(_i); } } }
+  { auto _e = checkpointing(); _o->checkpointing = _e; }
+  { auto _e = gang(); _o->gang = _e; }
+  { auto _e = rack_local(); _o->rack_local = _e; }
+  { auto _e = required_label(); if (_e) _o->required_label = _e->str(); }
+  { auto _e = preferred_rack(); if (_e) _o->preferred_rack = _e->str(); }
+  { auto _e = anti_affinity(); _o->anti_affinity = _e; }
+  { auto _e = speculative(); _o->speculative = _e; }
+  { auto _e = long_running(); _o->long_running = _e; }
+  { auto _e = image(); if (_e) _o->image = _e->str(); }
+  { auto _e = target_ms(); _o->target_ms = _e; }
+  { auto _e = fills(); _o->fills = _e; }
+  { auto _e = max_unavailable(); _o->max_unavailable = _e; }
+}
+
+inline flatbuffers::Offset<JobStep> JobStep::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobStepT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobStep(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobStep> CreateJobStep(flatbuffers::FlatBufferBuilder &_fbb, const JobStepT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobStepT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _count = _o->count;
+  auto _cpu_milli = _o->cpu_milli;
+  auto _memory_mb = _o->memory_mb;
+  auto _gpus = _o->gpus;
+  auto _estimate_ms = _o->estimate_ms;
+  auto _depends_on = _o->depends_on.size() ? _fbb.CreateVector(_o->depends_on) : 0;
+  auto _checkpointing = _o->checkpointing;
+  auto _gang = _o->gang;
+  auto _rack_local = _o->rack_local;
+  auto _required_label = _o->required_label.empty() ? 0 : _fbb.CreateString(_o->required_label);
+  auto _preferred_rack = _o->preferred_rack.empty() ? 0 : _fbb.CreateString(_o->preferred_rack);
+  auto _anti_affinity = _o->anti_affinity;
+  auto _speculative = _o->speculative;
+  auto _long_running = _o->long_running;
+  auto _image = _o->image.empty() ? 0 : _fbb.CreateString(_o->image);
+  auto _target_ms = _o->target_ms;
+  auto _fills = _o->fills;
+  auto _max_unavailable = _o->max_unavailable;
+  return dragonflymount::wire::CreateJobStep(
+      _fbb,
+      _count,
+      _cpu_milli,
+      _memory_mb,
+      _gpus,
+      _estimate_ms,
+      _depends_on,
+      _checkpointing,
+      _gang,
+      _rack_local,
+      _required_label,
+      _preferred_rack,
+      _anti_affinity,
+      _speculative,
+      _long_running,
+      _image,
+      _target_ms,
+      _fills,
+      _max_unavailable);
+}
+
+inline JobSpecT::JobSpecT(const JobSpecT &o)
+      : payload(o.payload),
+        repeats(o.repeats),
+        start_at_ms(o.start_at_ms),
+        interval_ms(o.interval_ms) {
+  steps.reserve(o.steps.size());
+  for (const auto &steps_ : o.steps) { steps.emplace_back((steps_) ? new dragonflymount::wire::JobStepT(*steps_) : nullptr); }
+}
+
+inline JobSpecT &JobSpecT::operator=(JobSpecT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(payload, o.payload);
+  std::swap(steps, o.steps);
+  std::swap(repeats, o.repeats);
+  std::swap(start_at_ms, o.start_at_ms);
+  std::swap(interval_ms, o.interval_ms);
+  return *this;
 }
 
-inline flatbuffers::Offset<NoOp> NoOp::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NoOpT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateNoOp(_fbb, _o, _rehasher);
+inline JobSpecT *JobSpec::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobSpecT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-inline flatbuffers::Offset<NoOp> CreateNoOp(flatbuffers::FlatBufferBuilder &_fbb, const NoOpT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline void JobSpec::UnPackTo(JobSpecT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = payload(); if (_e) _o->payload = _e->str(); }
+  { auto _e = steps(); if (_e) { _o->steps.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->steps[_i] = std::unique_ptr<dragonflymount::wire::JobStepT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = repeats(); _o->repeats = _e; }
+  { auto _e = start_at_ms(); _o->start_at_ms = _e; }
+  { auto _e = interval_ms(); _o->interval_ms = _e; }
+}
+
+inline flatbuffers::Offset<JobSpec> JobSpec::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobSpecT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobSpec(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobSpec> CreateJobSpec(flatbuffers::FlatBufferBuilder &_fbb, const JobSpecT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NoOpT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  return dragonflymount::wire::CreateNoOp(
-      _fbb);
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobSpecT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _payload = _o->payload.empty() ? 0 : _fbb.CreateString(_o->payload);
+  auto _steps = _o->steps.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobStep>> (_o->steps.size(), [](size_t i, _VectorArgs *__va) { return CreateJobStep(*__va->__fbb, __va->__o->steps[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _repeats = _o->repeats;
+  auto _start_at_ms = _o->start_at_ms;
+  auto _interval_ms = _o->interval_ms;
+  return dragonflymount::wire::CreateJobSpec(
+      _fbb,
+      _payload,
+      _steps,
+      _repeats,
+      _start_at_ms,
+      _interval_ms);
 }
 
-inline ApplyRulesT *ApplyRules::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ApplyRulesT>();
+inline TaskRunT *TaskRun::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TaskRunT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ApplyRules::UnPackTo(ApplyRulesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void TaskRun::UnPackTo(TaskRunT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = base_version(); _o->base_version = _e; }
-  { auto _e = text(); if (_e) _o->text = _e->str(); }
-  { auto _e = author(); if (_e) _o->author = _e->str(); }
-  { auto _e = submission(); if (_e) _o->submission = _e->str(); }
-  { auto _e = time_ms(); _o->time_ms = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = life(); _o->life = _e; }
 }
 
-inline flatbuffers::Offset<ApplyRules> ApplyRules::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ApplyRulesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateApplyRules(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<TaskRun> TaskRun::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRunT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTaskRun(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ApplyRules> CreateApplyRules(flatbuffers::FlatBufferBuilder &_fbb, const ApplyRulesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<TaskRun> CreateTaskRun(flatbuffers::FlatBufferBuilder &_fbb, const TaskRunT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ApplyRulesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _base_version = _o->base_version;
-  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
-  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
-  auto _submission = _o->submission.empty() ? 0 : _fbb.CreateString(_o->submission);
-  auto _time_ms = _o->time_ms;
-  return dragonflymount::wire::CreateApplyRules(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskRunT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _life = _o->life;
+  return dragonflymount::wire::CreateTaskRun(
       _fbb,
-      _base_version,
-      _text,
-      _author,
-      _submission,
-      _time_ms);
+      _number,
+      _endpoint,
+      _life);
 }
 
-inline WithdrawKeyT *WithdrawKey::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<WithdrawKeyT>();
+inline JobTaskT::JobTaskT(const JobTaskT &o)
+      : done(o.done),
+        failures(o.failures),
+        last_run(o.last_run),
+        checkpoint(o.checkpoint) {
+  runs.reserve(o.runs.size());
+  for (const auto &runs_ : o.runs) { runs.emplace_back((runs_) ? new dragonflymount::wire::TaskRunT(*runs_) : nullptr); }
+}
+
+inline JobTaskT &JobTaskT::operator=(JobTaskT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(done, o.done);
+  std::swap(failures, o.failures);
+  std::swap(last_run, o.last_run);
+  std::swap(checkpoint, o.checkpoint);
+  std::swap(runs, o.runs);
+  return *this;
+}
+
+inline JobTaskT *JobTask::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobTaskT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void WithdrawKey::UnPackTo(WithdrawKeyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void JobTask::UnPackTo(JobTaskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = digest(); if (_e) _o->digest = _e->str(); }
-  { auto _e = author(); if (_e) _o->author = _e->str(); }
-  { auto _e = submission(); if (_e) _o->submission = _e->str(); }
-  { auto _e = time_ms(); _o->time_ms = _e; }
+  { auto _e = done(); _o->done = _e; }
+  { auto _e = failures(); _o->failures = _e; }
+  { auto _e = last_run(); _o->last_run = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = runs(); if (_e) { _o->runs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->runs[_i] = std::unique_ptr<dragonflymount::wire::TaskRunT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<WithdrawKey> WithdrawKey::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawKeyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateWithdrawKey(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<JobTask> JobTask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobTask(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<WithdrawKey> CreateWithdrawKey(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawKeyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<JobTask> CreateJobTask(flatbuffers::FlatBufferBuilder &_fbb, const JobTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WithdrawKeyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _digest = _o->digest.empty() ? 0 : _fbb.CreateString(_o->digest);
-  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
-  auto _submission = _o->submission.empty() ? 0 : _fbb.CreateString(_o->submission);
-  auto _time_ms = _o->time_ms;
-  return dragonflymount::wire::CreateWithdrawKey(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobTaskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _done = _o->done;
+  auto _failures = _o->failures;
+  auto _last_run = _o->last_run;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  auto _runs = _o->runs.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::TaskRun>> (_o->runs.size(), [](size_t i, _VectorArgs *__va) { return CreateTaskRun(*__va->__fbb, __va->__o->runs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateJobTask(
       _fbb,
-      _digest,
-      _author,
-      _submission,
-      _time_ms);
+      _done,
+      _failures,
+      _last_run,
+      _checkpoint,
+      _runs);
 }
 
-inline AppointCoordinatorT *AppointCoordinator::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AppointCoordinatorT>();
+inline StepTasksT::StepTasksT(const StepTasksT &o)
+      : done(o.done),
+        gang_failures(o.gang_failures),
+        gang_failed_run(o.gang_failed_run) {
+  tasks.reserve(o.tasks.size());
+  for (const auto &tasks_ : o.tasks) { tasks.emplace_back((tasks_) ? new dragonflymount::wire::JobTaskT(*tasks_) : nullptr); }
+}
+
+inline StepTasksT &StepTasksT::operator=(StepTasksT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(tasks, o.tasks);
+  std::swap(done, o.done);
+  std::swap(gang_failures, o.gang_failures);
+  std::swap(gang_failed_run, o.gang_failed_run);
+  return *this;
+}
+
+inline StepTasksT *StepTasks::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StepTasksT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void AppointCoordinator::UnPackTo(AppointCoordinatorT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void StepTasks::UnPackTo(StepTasksT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = entry(); if (_e) _o->entry = _e->str(); }
-  { auto _e = address(); if (_e) _o->address = _e->str(); }
-  { auto _e = epoch(); _o->epoch = _e; }
-  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = std::unique_ptr<dragonflymount::wire::JobTaskT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = done(); _o->done = _e; }
+  { auto _e = gang_failures(); _o->gang_failures = _e; }
+  { auto _e = gang_failed_run(); _o->gang_failed_run = _e; }
 }
 
-inline flatbuffers::Offset<AppointCoordinator> AppointCoordinator::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppointCoordinatorT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAppointCoordinator(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<StepTasks> StepTasks::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StepTasksT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStepTasks(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<AppointCoordinator> CreateAppointCoordinator(flatbuffers::FlatBufferBuilder &_fbb, const AppointCoordinatorT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<StepTasks> CreateStepTasks(flatbuffers::FlatBufferBuilder &_fbb, const StepTasksT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AppointCoordinatorT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _entry = _o->entry.empty() ? 0 : _fbb.CreateString(_o->entry);
-  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
-  auto _epoch = _o->epoch;
-  auto _incarnation = _o->incarnation;
-  return dragonflymount::wire::CreateAppointCoordinator(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StepTasksT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _tasks = _o->tasks.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobTask>> (_o->tasks.size(), [](size_t i, _VectorArgs *__va) { return CreateJobTask(*__va->__fbb, __va->__o->tasks[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _done = _o->done;
+  auto _gang_failures = _o->gang_failures;
+  auto _gang_failed_run = _o->gang_failed_run;
+  return dragonflymount::wire::CreateStepTasks(
       _fbb,
-      _zone,
-      _entry,
-      _address,
-      _epoch,
-      _incarnation);
+      _tasks,
+      _done,
+      _gang_failures,
+      _gang_failed_run);
 }
 
-inline SetGrantT *SetGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<SetGrantT>();
+inline JobOccurrenceT::JobOccurrenceT(const JobOccurrenceT &o)
+      : number(o.number) {
+  steps.reserve(o.steps.size());
+  for (const auto &steps_ : o.steps) { steps.emplace_back((steps_) ? new dragonflymount::wire::StepTasksT(*steps_) : nullptr); }
+}
+
+inline JobOccurrenceT &JobOccurrenceT::operator=(JobOccurrenceT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(steps, o.steps);
+  return *this;
+}
+
+inline JobOccurrenceT *JobOccurrence::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobOccurrenceT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void SetGrant::UnPackTo(SetGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void JobOccurrence::UnPackTo(JobOccurrenceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = amount(); _o->amount = _e; }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = steps(); if (_e) { _o->steps.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->steps[_i] = std::unique_ptr<dragonflymount::wire::StepTasksT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<SetGrant> SetGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SetGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateSetGrant(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<JobOccurrence> JobOccurrence::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobOccurrenceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobOccurrence(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<SetGrant> CreateSetGrant(flatbuffers::FlatBufferBuilder &_fbb, const SetGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<JobOccurrence> CreateJobOccurrence(flatbuffers::FlatBufferBuilder &_fbb, const JobOccurrenceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SetGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _amount = _o->amount;
-  auto _zone_epoch = _o->zone_epoch;
-  auto _sequence = _o->sequence;
-  return dragonflymount::wire::CreateSetGrant(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobOccurrenceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _steps = _o->steps.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::StepTasks>> (_o->steps.size(), [](size_t i, _VectorArgs *__va) { return CreateStepTasks(*__va->__fbb, __va->__o->steps[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateJobOccurrence(
       _fbb,
-      _zone,
-      _team,
-      _amount,
-      _zone_epoch,
-      _sequence);
+      _number,
+      _steps);
 }
 
-inline ClaimT *Claim::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ClaimT>();
+inline JobT::JobT(const JobT &o)
+      : id(o.id),
+        queue(o.queue),
+        team(o.team),
+        spec((o.spec) ? new dragonflymount::wire::JobSpecT(*o.spec) : nullptr),
+        phase(o.phase),
+        accepted_ms(o.accepted_ms),
+        ended_ms(o.ended_ms),
+        begun(o.begun),
+        next_occurrence(o.next_occurrence) {
+  occurrences.reserve(o.occurrences.size());
+  for (const auto &occurrences_ : o.occurrences) { occurrences.emplace_back((occurrences_) ? new dragonflymount::wire::JobOccurrenceT(*occurrences_) : nullptr); }
+}
+
+inline JobT &JobT::operator=(JobT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(queue, o.queue);
+  std::swap(team, o.team);
+  std::swap(spec, o.spec);
+  std::swap(phase, o.phase);
+  std::swap(accepted_ms, o.accepted_ms);
+  std::swap(ended_ms, o.ended_ms);
+  std::swap(begun, o.begun);
+  std::swap(occurrences, o.occurrences);
+  std::swap(next_occurrence, o.next_occurrence);
+  return *this;
+}
+
+inline JobT *Job::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Claim::UnPackTo(ClaimT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void Job::UnPackTo(JobT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = queue(); if (_e) _o->queue = _e->str(); }
   { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
-  { auto _e = task(); _o->task = _e; }
+  { auto _e = spec(); if (_e) _o->spec = std::unique_ptr<dragonflymount::wire::JobSpecT>(_e->UnPack(_resolver)); }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = accepted_ms(); _o->accepted_ms = _e; }
+  { auto _e = ended_ms(); _o->ended_ms = _e; }
+  { auto _e = begun(); _o->begun = _e; }
+  { auto _e = occurrences(); if (_e) { _o->occurrences.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->occurrences[_i] = std::unique_ptr<dragonflymount::wire::JobOccurrenceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = next_occurrence(); _o->next_occurrence = _e; }
 }
 
-inline flatbuffers::Offset<Claim> Claim::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateClaim(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<Job> Job::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJob(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Claim> CreateClaim(flatbuffers::FlatBufferBuilder &_fbb, const ClaimT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<Job> CreateJob(flatbuffers::FlatBufferBuilder &_fbb, const JobT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _queue = _o->queue.empty() ? 0 : _fbb.CreateString(_o->queue);
   auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  auto _task = _o->task;
-  return dragonflymount::wire::CreateClaim(
+  auto _spec = _o->spec ? CreateJobSpec(_fbb, _o->spec.get(), _rehasher) : 0;
+  auto _phase = _o->phase;
+  auto _accepted_ms = _o->accepted_ms;
+  auto _ended_ms = _o->ended_ms;
+  auto _begun = _o->begun;
+  auto _occurrences = _o->occurrences.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>> (_o->occurrences.size(), [](size_t i, _VectorArgs *__va) { return CreateJobOccurrence(*__va->__fbb, __va->__o->occurrences[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _next_occurrence = _o->next_occurrence;
+  return dragonflymount::wire::CreateJob(
       _fbb,
-      _team,
       _id,
-      _task);
+      _queue,
+      _team,
+      _spec,
+      _phase,
+      _accepted_ms,
+      _ended_ms,
+      _begun,
+      _occurrences,
+      _next_occurrence);
 }
 
-inline ClaimBatchT::ClaimBatchT(const ClaimBatchT &o)
-      : zone(o.zone),
-        zone_epoch(o.zone_epoch),
-        log_time_ms(o.log_time_ms),
-        clean(o.clean) {
-  claims.reserve(o.claims.size());
-  for (const auto &claims_ : o.claims) { claims.emplace_back((claims_) ? new dragonflymount::wire::ClaimT(*claims_) : nullptr); }
+inline QueueAdviceT *QueueAdvice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QueueAdviceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-inline ClaimBatchT &ClaimBatchT::operator=(ClaimBatchT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(zone, o.zone);
-  std::swap(zone_epoch, o.zone_epoch);
-  std::swap(log_time_ms, o.log_time_ms);
-  std::swap(claims, o.claims);
-  std::swap(clean, o.clean);
+inline void QueueAdvice::UnPackTo(QueueAdviceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = decide_ms(); _o->decide_ms = _e; }
+  { auto _e = each_ms(); _o->each_ms = _e; }
+  { auto _e = valid_ms(); _o->valid_ms = _e; }
+}
+
+inline flatbuffers::Offset<QueueAdvice> QueueAdvice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueAdviceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQueueAdvice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QueueAdvice> CreateQueueAdvice(flatbuffers::FlatBufferBuilder &_fbb, const QueueAdviceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QueueAdviceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _decide_ms = _o->decide_ms;
+  auto _each_ms = _o->each_ms;
+  auto _valid_ms = _o->valid_ms;
+  return dragonflymount::wire::CreateQueueAdvice(
+      _fbb,
+      _decide_ms,
+      _each_ms,
+      _valid_ms);
+}
+
+inline JobQueueT::JobQueueT(const JobQueueT &o)
+      : name(o.name),
+        host(o.host),
+        path_prefix(o.path_prefix),
+        pool(o.pool),
+        priority(o.priority),
+        max_attempts(o.max_attempts),
+        stretch(o.stretch),
+        objective_ms(o.objective_ms),
+        timeout_ms(o.timeout_ms),
+        open(o.open),
+        advice((o.advice) ? new dragonflymount::wire::QueueAdviceT(*o.advice) : nullptr) {
+}
+
+inline JobQueueT &JobQueueT::operator=(JobQueueT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(name, o.name);
+  std::swap(host, o.host);
+  std::swap(path_prefix, o.path_prefix);
+  std::swap(pool, o.pool);
+  std::swap(priority, o.priority);
+  std::swap(max_attempts, o.max_attempts);
+  std::swap(stretch, o.stretch);
+  std::swap(objective_ms, o.objective_ms);
+  std::swap(timeout_ms, o.timeout_ms);
+  std::swap(open, o.open);
+  std::swap(advice, o.advice);
   return *this;
 }
 
-inline ClaimBatchT *ClaimBatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ClaimBatchT>();
+inline JobQueueT *JobQueue::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobQueueT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ClaimBatch::UnPackTo(ClaimBatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void JobQueue::UnPackTo(JobQueueT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = log_time_ms(); _o->log_time_ms = _e; }
-  { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = std::unique_ptr<dragonflymount::wire::ClaimT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = clean(); _o->clean = _e; }
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = path_prefix(); if (_e) _o->path_prefix = _e->str(); }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = max_attempts(); _o->max_attempts = _e; }
+  { auto _e = stretch(); _o->stretch = _e; }
+  { auto _e = objective_ms(); _o->objective_ms = _e; }
+  { auto _e = timeout_ms(); _o->timeout_ms = _e; }
+  { auto _e = open(); _o->open = _e; }
+  { auto _e = advice(); if (_e) _o->advice = std::unique_ptr<dragonflymount::wire::QueueAdviceT>(_e->UnPack(_resolver)); }
 }
 
-inline flatbuffers::Offset<ClaimBatch> ClaimBatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateClaimBatch(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<JobQueue> JobQueue::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobQueueT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobQueue(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ClaimBatch> CreateClaimBatch(flatbuffers::FlatBufferBuilder &_fbb, const ClaimBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<JobQueue> CreateJobQueue(flatbuffers::FlatBufferBuilder &_fbb, const JobQueueT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimBatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _zone_epoch = _o->zone_epoch;
-  auto _log_time_ms = _o->log_time_ms;
-  auto _claims = _o->claims.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Claim>> (_o->claims.size(), [](size_t i, _VectorArgs *__va) { return CreateClaim(*__va->__fbb, __va->__o->claims[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _clean = _o->clean;
-  return dragonflymount::wire::CreateClaimBatch(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobQueueT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _path_prefix = _o->path_prefix.empty() ? 0 : _fbb.CreateString(_o->path_prefix);
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _priority = _o->priority;
+  auto _max_attempts = _o->max_attempts;
+  auto _stretch = _o->stretch;
+  auto _objective_ms = _o->objective_ms;
+  auto _timeout_ms = _o->timeout_ms;
+  auto _open = _o->open;
+  auto _advice = _o->advice ? CreateQueueAdvice(_fbb, _o->advice.get(), _rehasher) : 0;
+  return dragonflymount::wire::CreateJobQueue(
       _fbb,
-      _zone,
-      _zone_epoch,
-      _log_time_ms,
-      _claims,
-      _clean);
+      _name,
+      _host,
+      _path_prefix,
+      _pool,
+      _priority,
+      _max_attempts,
+      _stretch,
+      _objective_ms,
+      _timeout_ms,
+      _open,
+      _advice);
 }
 
-inline ClaimEndT *ClaimEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ClaimEndT>();
+inline JobPoolT *JobPool::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobPoolT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ClaimEnd::UnPackTo(ClaimEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void JobPool::UnPackTo(JobPoolT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = team(); if (_e) _o->team = _e->str(); }
-  { auto _e = id(); if (_e) _o->id = _e->str(); }
-  { auto _e = task(); _o->task = _e; }
-  { auto _e = outcome(); _o->outcome = _e; }
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = guarded(); _o->guarded = _e; }
+  { auto _e = standby(); _o->standby = _e; }
+  { auto _e = health_path(); if (_e) _o->health_path = _e->str(); }
 }
 
-inline flatbuffers::Offset<ClaimEnd> ClaimEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateClaimEnd(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<JobPool> JobPool::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobPoolT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobPool(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ClaimEnd> CreateClaimEnd(flatbuffers::FlatBufferBuilder &_fbb, const ClaimEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<JobPool> CreateJobPool(flatbuffers::FlatBufferBuilder &_fbb, const JobPoolT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
-  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
-  auto _task = _o->task;
-  auto _outcome = _o->outcome;
-  return dragonflymount::wire::CreateClaimEnd(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobPoolT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _guarded = _o->guarded;
+  auto _standby = _o->standby;
+  auto _health_path = _o->health_path.empty() ? 0 : _fbb.CreateString(_o->health_path);
+  return dragonflymount::wire::CreateJobPool(
       _fbb,
-      _team,
-      _id,
-      _task,
-      _outcome);
-}
-
-inline EndClaimsT::EndClaimsT(const EndClaimsT &o)
-      : zone(o.zone) {
-  ends.reserve(o.ends.size());
-  for (const auto &ends_ : o.ends) { ends.emplace_back((ends_) ? new dragonflymount::wire::ClaimEndT(*ends_) : nullptr); }
-}
-
-inline EndClaimsT &EndClaimsT::operator=(EndClaimsT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(zone, o.zone);
-  std::swap(ends, o.ends);
-  return *this;
+      _name,
+      _guarded,
+      _standby,
+      _health_path);
 }
 
-inline EndClaimsT *EndClaims::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EndClaimsT>();
+inline JobTeamT *JobTeam::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobTeamT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void EndClaims::UnPackTo(EndClaimsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void JobTeam::UnPackTo(JobTeamT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
-  (void)_resolver;
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = std::unique_ptr<dragonflymount::wire::ClaimEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = weight(); _o->weight = _e; }
+  { auto _e = cpu_limit(); _o->cpu_limit = _e; }
+  { auto _e = memory_limit(); _o->memory_limit = _e; }
+  { auto _e = gpu_limit(); _o->gpu_limit = _e; }
 }
 
-inline flatbuffers::Offset<EndClaims> EndClaims::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndClaimsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEndClaims(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<JobTeam> JobTeam::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobTeamT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobTeam(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<EndClaims> CreateEndClaims(flatbuffers::FlatBufferBuilder &_fbb, const EndClaimsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<JobTeam> CreateJobTeam(flatbuffers::FlatBufferBuilder &_fbb, const JobTeamT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndClaimsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _ends = _o->ends.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::ClaimEnd>> (_o->ends.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimEnd(*__va->__fbb, __va->__o->ends[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return dragonflymount::wire::CreateEndClaims(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobTeamT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _keys = _o->keys.size() ? _fbb.CreateVectorOfStrings(_o->keys) : 0;
+  auto _priority = _o->priority;
+  auto _weight = _o->weight;
+  auto _cpu_limit = _o->cpu_limit;
+  auto _memory_limit = _o->memory_limit;
+  auto _gpu_limit = _o->gpu_limit;
+  return dragonflymount::wire::CreateJobTeam(
       _fbb,
-      _zone,
-      _ends);
+      _name,
+      _keys,
+      _priority,
+      _weight,
+      _cpu_limit,
+      _memory_limit,
+      _gpu_limit);
 }
 
-inline AssignVmT *AssignVm::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AssignVmT>();
+inline CatalogueT::CatalogueT(const CatalogueT &o)
+      : version(o.version),
+        source(o.source) {
+  queues.reserve(o.queues.size());
+  for (const auto &queues_ : o.queues) { queues.emplace_back((queues_) ? new dragonflymount::wire::JobQueueT(*queues_) : nullptr); }
+  pools.reserve(o.pools.size());
+  for (const auto &pools_ : o.pools) { pools.emplace_back((pools_) ? new dragonflymount::wire::JobPoolT(*pools_) : nullptr); }
+  teams.reserve(o.teams.size());
+  for (const auto &teams_ : o.teams) { teams.emplace_back((teams_) ? new dragonflymount::wire::JobTeamT(*teams_) : nullptr); }
+}
+
+inline CatalogueT &CatalogueT::operator=(CatalogueT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(version, o.version);
+  std::swap(queues, o.queues);
+  std::swap(pools, o.pools);
+  std::swap(teams, o.teams);
+  std::swap(source, o.source);
+  return *this;
+}
+
+inline CatalogueT *Catalogue::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CatalogueT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void AssignVm::UnPackTo(AssignVmT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void Catalogue::UnPackTo(CatalogueT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
-  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
-  { auto _e = epoch(); _o->epoch = _e; }
-  { auto _e = draining(); _o->draining = _e; }
-  { auto _e = reboot(); _o->reboot = _e; }
-  { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = time_ms(); _o->time_ms = _e; }
-  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
-  { auto _e = maintained_ms(); _o->maintained_ms = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = queues(); if (_e) { _o->queues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queues[_i] = std::unique_ptr<dragonflymount::wire::JobQueueT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = pools(); if (_e) { _o->pools.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pools[_i] = std::unique_ptr<dragonflymount::wire::JobPoolT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = teams(); if (_e) { _o->teams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->teams[_i] = std::unique_ptr<dragonflymount::wire::JobTeamT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = source(); if (_e) _o->source = _e->str(); }
 }
 
-inline flatbuffers::Offset<AssignVm> AssignVm::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AssignVmT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateAssignVm(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<Catalogue> Catalogue::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CatalogueT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCatalogue(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<AssignVm> CreateAssignVm(flatbuffers::FlatBufferBuilder &_fbb, const AssignVmT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<Catalogue> CreateCatalogue(flatbuffers::FlatBufferBuilder &_fbb, const CatalogueT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AssignVmT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
-  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
-  auto _epoch = _o->epoch;
-  auto _draining = _o->draining;
-  auto _reboot = _o->reboot;
-  auto _incarnation = _o->incarnation;
-  auto _time_ms = _o->time_ms;
-  auto _zone_epoch = _o->zone_epoch;
-  auto _maintained_ms = _o->maintained_ms;
-  return dragonflymount::wire::CreateAssignVm(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CatalogueT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _queues = _o->queues.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobQueue>> (_o->queues.size(), [](size_t i, _VectorArgs *__va) { return CreateJobQueue(*__va->__fbb, __va->__o->queues[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _pools = _o->pools.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobPool>> (_o->pools.size(), [](size_t i, _VectorArgs *__va) { return CreateJobPool(*__va->__fbb, __va->__o->pools[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _teams = _o->teams.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobTeam>> (_o->teams.size(), [](size_t i, _VectorArgs *__va) { return CreateJobTeam(*__va->__fbb, __va->__o->teams[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _source = _o->source.empty() ? 0 : _fbb.CreateString(_o->source);
+  return dragonflymount::wire::CreateCatalogue(
       _fbb,
-      _vm,
-      _zone,
-      _rack,
-      _pool,
-      _epoch,
-      _draining,
-      _reboot,
-      _incarnation,
-      _time_ms,
-      _zone_epoch,
-      _maintained_ms);
+      _version,
+      _queues,
+      _pools,
+      _teams,
+      _source);
 }
 
-inline ForgetVmT *ForgetVm::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ForgetVmT>();
+inline TaskNameT *TaskName::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TaskNameT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ForgetVm::UnPackTo(ForgetVmT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void TaskName::UnPackTo(TaskNameT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
-  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = job(); _o->job = _e; }
+  { auto _e = occurrence(); _o->occurrence = _e; }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = index(); _o->index = _e; }
 }
 
-inline flatbuffers::Offset<ForgetVm> ForgetVm::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ForgetVmT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateForgetVm(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<TaskName> TaskName::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskNameT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTaskName(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ForgetVm> CreateForgetVm(flatbuffers::FlatBufferBuilder &_fbb, const ForgetVmT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<TaskName> CreateTaskName(flatbuffers::FlatBufferBuilder &_fbb, const TaskNameT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ForgetVmT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
-  auto _epoch = _o->epoch;
-  return dragonflymount::wire::CreateForgetVm(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskNameT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job;
+  auto _occurrence = _o->occurrence;
+  auto _step = _o->step;
+  auto _index = _o->index;
+  return dragonflymount::wire::CreateTaskName(
       _fbb,
-      _vm,
-      _epoch);
+      _job,
+      _occurrence,
+      _step,
+      _index);
 }
 
-inline WaveCommandT *WaveCommand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<WaveCommandT>();
+inline RunStartT::RunStartT(const RunStartT &o)
+      : task((o.task) ? new dragonflymount::wire::TaskNameT(*o.task) : nullptr),
+        run(o.run),
+        endpoint(o.endpoint),
+        life(o.life) {
+}
+
+inline RunStartT &RunStartT::operator=(RunStartT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(task, o.task);
+  std::swap(run, o.run);
+  std::swap(endpoint, o.endpoint);
+  std::swap(life, o.life);
+  return *this;
+}
+
+inline RunStartT *RunStart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RunStartT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void WaveCommand::UnPackTo(WaveCommandT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void RunStart::UnPackTo(RunStartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = verb(); if (_e) _o->verb = _e->str(); }
-  { auto _e = wave(); if (_e) _o->wave = _e->str(); }
-  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
-  { auto _e = author(); if (_e) _o->author = _e->str(); }
-  { auto _e = submission(); if (_e) _o->submission = _e->str(); }
-  { auto _e = time_ms(); _o->time_ms = _e; }
+  { auto _e = task(); if (_e) _o->task = std::unique_ptr<dragonflymount::wire::TaskNameT>(_e->UnPack(_resolver)); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = life(); _o->life = _e; }
 }
 
-inline flatbuffers::Offset<WaveCommand> WaveCommand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WaveCommandT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateWaveCommand(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<RunStart> RunStart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunStartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRunStart(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<WaveCommand> CreateWaveCommand(flatbuffers::FlatBufferBuilder &_fbb, const WaveCommandT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<RunStart> CreateRunStart(flatbuffers::FlatBufferBuilder &_fbb, const RunStartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WaveCommandT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _verb = _o->verb.empty() ? 0 : _fbb.CreateString(_o->verb);
-  auto _wave = _o->wave.empty() ? 0 : _fbb.CreateString(_o->wave);
-  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
-  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
-  auto _submission = _o->submission.empty() ? 0 : _fbb.CreateString(_o->submission);
-  auto _time_ms = _o->time_ms;
-  return dragonflymount::wire::CreateWaveCommand(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RunStartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task ? CreateTaskName(_fbb, _o->task.get(), _rehasher) : 0;
+  auto _run = _o->run;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _life = _o->life;
+  return dragonflymount::wire::CreateRunStart(
       _fbb,
-      _verb,
-      _wave,
-      _pool,
-      _author,
-      _submission,
-      _time_ms);
+      _task,
+      _run,
+      _endpoint,
+      _life);
 }
 
-inline WaveProgressT *WaveProgress::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<WaveProgressT>();
+inline RunEndT::RunEndT(const RunEndT &o)
+      : task((o.task) ? new dragonflymount::wire::TaskNameT(*o.task) : nullptr),
+        run(o.run),
+        how(o.how),
+        checkpoint(o.checkpoint),
+        endpoint(o.endpoint),
+        life(o.life),
+        number(o.number) {
+}
+
+inline RunEndT &RunEndT::operator=(RunEndT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(task, o.task);
+  std::swap(run, o.run);
+  std::swap(how, o.how);
+  std::swap(checkpoint, o.checkpoint);
+  std::swap(endpoint, o.endpoint);
+  std::swap(life, o.life);
+  std::swap(number, o.number);
+  return *this;
+}
+
+inline RunEndT *RunEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RunEndT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void WaveProgress::UnPackTo(WaveProgressT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void RunEnd::UnPackTo(RunEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = wave(); if (_e) _o->wave = _e->str(); }
-  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
-  { auto _e = phase(); if (_e) _o->phase = _e->str(); }
-  { auto _e = time_ms(); _o->time_ms = _e; }
+  { auto _e = task(); if (_e) _o->task = std::unique_ptr<dragonflymount::wire::TaskNameT>(_e->UnPack(_resolver)); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = how(); _o->how = _e; }
+  { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = life(); _o->life = _e; }
+  { auto _e = number(); _o->number = _e; }
 }
 
-inline flatbuffers::Offset<WaveProgress> WaveProgress::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WaveProgressT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateWaveProgress(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<RunEnd> RunEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRunEnd(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<WaveProgress> CreateWaveProgress(flatbuffers::FlatBufferBuilder &_fbb, const WaveProgressT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<RunEnd> CreateRunEnd(flatbuffers::FlatBufferBuilder &_fbb, const RunEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WaveProgressT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _wave = _o->wave.empty() ? 0 : _fbb.CreateString(_o->wave);
-  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
-  auto _phase = _o->phase.empty() ? 0 : _fbb.CreateString(_o->phase);
-  auto _time_ms = _o->time_ms;
-  return dragonflymount::wire::CreateWaveProgress(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RunEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task ? CreateTaskName(_fbb, _o->task.get(), _rehasher) : 0;
+  auto _run = _o->run;
+  auto _how = _o->how;
+  auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _life = _o->life;
+  auto _number = _o->number;
+  return dragonflymount::wire::CreateRunEnd(
       _fbb,
-      _wave,
-      _vm,
-      _phase,
-      _time_ms);
+      _task,
+      _run,
+      _how,
+      _checkpoint,
+      _endpoint,
+      _life,
+      _number);
 }
 
-inline HistoryRecordT *HistoryRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<HistoryRecordT>();
+inline JobCancelT *JobCancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobCancelT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void HistoryRecord::UnPackTo(HistoryRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void JobCancel::UnPackTo(JobCancelT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = version(); _o->version = _e; }
-  { auto _e = author(); if (_e) _o->author = _e->str(); }
-  { auto _e = time_ms(); _o->time_ms = _e; }
-  { auto _e = what(); if (_e) _o->what = _e->str(); }
+  { auto _e = job(); _o->job = _e; }
 }
 
-inline flatbuffers::Offset<HistoryRecord> HistoryRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HistoryRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateHistoryRecord(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<JobCancel> JobCancel::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCancelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobCancel(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<HistoryRecord> CreateHistoryRecord(flatbuffers::FlatBufferBuilder &_fbb, const HistoryRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<JobCancel> CreateJobCancel(flatbuffers::FlatBufferBuilder &_fbb, const JobCancelT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HistoryRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _version = _o->version;
-  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
-  auto _time_ms = _o->time_ms;
-  auto _what = _o->what.empty() ? 0 : _fbb.CreateString(_o->what);
-  return dragonflymount::wire::CreateHistoryRecord(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobCancelT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job;
+  return dragonflymount::wire::CreateJobCancel(
       _fbb,
-      _version,
-      _author,
-      _time_ms,
-      _what);
+      _job);
 }
 
-inline SubmissionRecordT *SubmissionRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<SubmissionRecordT>();
+inline OccurrenceDueT *OccurrenceDue::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OccurrenceDueT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void SubmissionRecord::UnPackTo(SubmissionRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void OccurrenceDue::UnPackTo(OccurrenceDueT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = submission(); if (_e) _o->submission = _e->str(); }
-  { auto _e = result(); _o->result = _e; }
-  { auto _e = version(); _o->version = _e; }
-  { auto _e = detail(); if (_e) _o->detail = _e->str(); }
+  { auto _e = job(); _o->job = _e; }
+  { auto _e = number(); _o->number = _e; }
 }
 
-inline flatbuffers::Offset<SubmissionRecord> SubmissionRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SubmissionRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateSubmissionRecord(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<OccurrenceDue> OccurrenceDue::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OccurrenceDueT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOccurrenceDue(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<SubmissionRecord> CreateSubmissionRecord(flatbuffers::FlatBufferBuilder &_fbb, const SubmissionRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<OccurrenceDue> CreateOccurrenceDue(flatbuffers::FlatBufferBuilder &_fbb, const OccurrenceDueT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SubmissionRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _submission = _o->submission.empty() ? 0 : _fbb.CreateString(_o->submission);
-  auto _result = _o->result;
-  auto _version = _o->version;
-  auto _detail = _o->detail.empty() ? 0 : _fbb.CreateString(_o->detail);
-  return dragonflymount::wire::CreateSubmissionRecord(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OccurrenceDueT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job;
+  auto _number = _o->number;
+  return dragonflymount::wire::CreateOccurrenceDue(
       _fbb,
-      _submission,
-      _result,
-      _version,
-      _detail);
+      _job,
+      _number);
 }
 
-inline WithdrawnKeyT *WithdrawnKey::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<WithdrawnKeyT>();
+inline MaintenanceWaveT::MaintenanceWaveT(const MaintenanceWaveT &o)
+      : number(o.number),
+        vms(o.vms),
+        duration_ms(o.duration_ms),
+        most_down(o.most_down),
+        started_ms(o.started_ms) {
+  steps.reserve(o.steps.size());
+  for (const auto &steps_ : o.steps) { steps.emplace_back((steps_) ? new dragonflymount::wire::MaintenanceStepT(*steps_) : nullptr); }
+}
+
+inline MaintenanceWaveT &MaintenanceWaveT::operator=(MaintenanceWaveT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(vms, o.vms);
+  std::swap(duration_ms, o.duration_ms);
+  std::swap(most_down, o.most_down);
+  std::swap(started_ms, o.started_ms);
+  std::swap(steps, o.steps);
+  return *this;
+}
+
+inline MaintenanceWaveT *MaintenanceWave::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<MaintenanceWaveT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void WithdrawnKey::UnPackTo(WithdrawnKeyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void MaintenanceWave::UnPackTo(MaintenanceWaveT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = digest(); if (_e) _o->digest = _e->str(); }
-  { auto _e = author(); if (_e) _o->author = _e->str(); }
-  { auto _e = time_ms(); _o->time_ms = _e; }
-  { auto _e = version(); _o->version = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = vms(); if (_e) { _o->vms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->vms[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = duration_ms(); _o->duration_ms = _e; }
+  { auto _e = most_down(); _o->most_down = _e; }
+  { auto _e = started_ms(); _o->started_ms = _e; }
+  { auto _e = steps(); if (_e) { _o->steps.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->steps[_i] = std::unique_ptr<dragonflymount::wire::MaintenanceStepT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<WithdrawnKey> WithdrawnKey::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawnKeyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateWithdrawnKey(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<MaintenanceWave> MaintenanceWave::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MaintenanceWaveT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMaintenanceWave(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<WithdrawnKey> CreateWithdrawnKey(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawnKeyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<MaintenanceWave> CreateMaintenanceWave(flatbuffers::FlatBufferBuilder &_fbb, const MaintenanceWaveT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WithdrawnKeyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _digest = _o->digest.empty() ? 0 : _fbb.CreateString(_o->digest);
-  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
-  auto _time_ms = _o->time_ms;
-  auto _version = _o->version;
-  return dragonflymount::wire::CreateWithdrawnKey(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MaintenanceWaveT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _vms = _o->vms.size() ? _fbb.CreateVectorOfStrings(_o->vms) : 0;
+  auto _duration_ms = _o->duration_ms;
+  auto _most_down = _o->most_down;
+  auto _started_ms = _o->started_ms;
+  auto _steps = _o->steps.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> (_o->steps.size(), [](size_t i, _VectorArgs *__va) { return CreateMaintenanceStep(*__va->__fbb, __va->__o->steps[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateMaintenanceWave(
       _fbb,
-      _digest,
-      _author,
-      _time_ms,
-      _version);
+      _number,
+      _vms,
+      _duration_ms,
+      _most_down,
+      _started_ms,
+      _steps);
 }
 
-inline ClaimRecordT *ClaimRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ClaimRecordT>();
+inline MaintenanceStepT *MaintenanceStep::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<MaintenanceStepT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ClaimRecord::UnPackTo(ClaimRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void MaintenanceStep::UnPackTo(MaintenanceStepT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = digest_high(); _o->digest_high = _e; }
-  { auto _e = digest_low(); _o->digest_low = _e; }
-  { auto _e = task(); _o->task = _e; }
-  { auto _e = zone(); _o->zone = _e; }
-  { auto _e = log_time_ms(); _o->log_time_ms = _e; }
-  { auto _e = outcome(); _o->outcome = _e; }
-  { auto _e = index(); _o->index = _e; }
+  { auto _e = wave(); _o->wave = _e; }
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = life(); _o->life = _e; }
 }
 
-inline flatbuffers::Offset<ClaimRecord> ClaimRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateClaimRecord(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<MaintenanceStep> MaintenanceStep::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MaintenanceStepT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMaintenanceStep(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ClaimRecord> CreateClaimRecord(flatbuffers::FlatBufferBuilder &_fbb, const ClaimRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<MaintenanceStep> CreateMaintenanceStep(flatbuffers::FlatBufferBuilder &_fbb, const MaintenanceStepT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _digest_high = _o->digest_high;
-  auto _digest_low = _o->digest_low;
-  auto _task = _o->task;
-  auto _zone = _o->zone;
-  auto _log_time_ms = _o->log_time_ms;
-  auto _outcome = _o->outcome;
-  auto _index = _o->index;
-  return dragonflymount::wire::CreateClaimRecord(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MaintenanceStepT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _wave = _o->wave;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  auto _phase = _o->phase;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _life = _o->life;
+  return dragonflymount::wire::CreateMaintenanceStep(
       _fbb,
-      _digest_high,
-      _digest_low,
-      _task,
-      _zone,
-      _log_time_ms,
-      _outcome,
-      _index);
+      _wave,
+      _vm,
+      _phase,
+      _endpoint,
+      _life);
+}
+
+inline JobBatchT::JobBatchT(const JobBatchT &o)
+      : time_ms(o.time_ms),
+        catalogue((o.catalogue) ? new dragonflymount::wire::CatalogueT(*o.catalogue) : nullptr) {
+  submitted.reserve(o.submitted.size());
+  for (const auto &submitted_ : o.submitted) { submitted.emplace_back((submitted_) ? new dragonflymount::wire::JobT(*submitted_) : nullptr); }
+  cancelled.reserve(o.cancelled.size());
+  for (const auto &cancelled_ : o.cancelled) { cancelled.emplace_back((cancelled_) ? new dragonflymount::wire::JobCancelT(*cancelled_) : nullptr); }
+  ended.reserve(o.ended.size());
+  for (const auto &ended_ : o.ended) { ended.emplace_back((ended_) ? new dragonflymount::wire::RunEndT(*ended_) : nullptr); }
+  due.reserve(o.due.size());
+  for (const auto &due_ : o.due) { due.emplace_back((due_) ? new dragonflymount::wire::OccurrenceDueT(*due_) : nullptr); }
+  started.reserve(o.started.size());
+  for (const auto &started_ : o.started) { started.emplace_back((started_) ? new dragonflymount::wire::RunStartT(*started_) : nullptr); }
+  waves.reserve(o.waves.size());
+  for (const auto &waves_ : o.waves) { waves.emplace_back((waves_) ? new dragonflymount::wire::MaintenanceWaveT(*waves_) : nullptr); }
+  maintained.reserve(o.maintained.size());
+  for (const auto &maintained_ : o.maintained) { maintained.emplace_back((maintained_) ? new dragonflymount::wire::MaintenanceStepT(*maintained_) : nullptr); }
+}
+
+inline JobBatchT &JobBatchT::operator=(JobBatchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(time_ms, o.time_ms);
+  std::swap(catalogue, o.catalogue);
+  std::swap(submitted, o.submitted);
+  std::swap(cancelled, o.cancelled);
+  std::swap(ended, o.ended);
+  std::swap(due, o.due);
+  std::swap(started, o.started);
+  std::swap(waves, o.waves);
+  std::swap(maintained, o.maintained);
+  return *this;
+}
+
+inline JobBatchT *JobBatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobBatchT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-inline ZoneRestartT *ZoneRestart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ZoneRestartT>();
+inline void JobBatch::UnPackTo(JobBatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = time_ms(); _o->time_ms = _e; }
+  { auto _e = catalogue(); if (_e) _o->catalogue = std::unique_ptr<dragonflymount::wire::CatalogueT>(_e->UnPack(_resolver)); }
+  { auto _e = submitted(); if (_e) { _o->submitted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->submitted[_i] = std::unique_ptr<dragonflymount::wire::JobT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = cancelled(); if (_e) { _o->cancelled.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cancelled[_i] = std::unique_ptr<dragonflymount::wire::JobCancelT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<dragonflymount::wire::RunEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = due(); if (_e) { _o->due.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->due[_i] = std::unique_ptr<dragonflymount::wire::OccurrenceDueT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = started(); if (_e) { _o->started.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->started[_i] = std::unique_ptr<dragonflymount::wire::RunStartT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = waves(); if (_e) { _o->waves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waves[_i] = std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = maintained(); if (_e) { _o->maintained.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->maintained[_i] = std::unique_ptr<dragonflymount::wire::MaintenanceStepT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<JobBatch> JobBatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobBatch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobBatch> CreateJobBatch(flatbuffers::FlatBufferBuilder &_fbb, const JobBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobBatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _time_ms = _o->time_ms;
+  auto _catalogue = _o->catalogue ? CreateCatalogue(_fbb, _o->catalogue.get(), _rehasher) : 0;
+  auto _submitted = _o->submitted.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Job>> (_o->submitted.size(), [](size_t i, _VectorArgs *__va) { return CreateJob(*__va->__fbb, __va->__o->submitted[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _cancelled = _o->cancelled.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobCancel>> (_o->cancelled.size(), [](size_t i, _VectorArgs *__va) { return CreateJobCancel(*__va->__fbb, __va->__o->cancelled[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::RunEnd>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return CreateRunEnd(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _due = _o->due.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::OccurrenceDue>> (_o->due.size(), [](size_t i, _VectorArgs *__va) { return CreateOccurrenceDue(*__va->__fbb, __va->__o->due[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _started = _o->started.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::RunStart>> (_o->started.size(), [](size_t i, _VectorArgs *__va) { return CreateRunStart(*__va->__fbb, __va->__o->started[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _waves = _o->waves.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> (_o->waves.size(), [](size_t i, _VectorArgs *__va) { return CreateMaintenanceWave(*__va->__fbb, __va->__o->waves[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _maintained = _o->maintained.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> (_o->maintained.size(), [](size_t i, _VectorArgs *__va) { return CreateMaintenanceStep(*__va->__fbb, __va->__o->maintained[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateJobBatch(
+      _fbb,
+      _time_ms,
+      _catalogue,
+      _submitted,
+      _cancelled,
+      _ended,
+      _due,
+      _started,
+      _waves,
+      _maintained);
+}
+
+inline EndpointAckT *EndpointAck::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EndpointAckT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ZoneRestart::UnPackTo(ZoneRestartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void EndpointAck::UnPackTo(EndpointAckT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
-  { auto _e = index(); _o->index = _e; }
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = life(); _o->life = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = touched_ms(); _o->touched_ms = _e; }
 }
 
-inline flatbuffers::Offset<ZoneRestart> ZoneRestart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneRestartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateZoneRestart(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<EndpointAck> EndpointAck::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointAckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEndpointAck(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ZoneRestart> CreateZoneRestart(flatbuffers::FlatBufferBuilder &_fbb, const ZoneRestartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<EndpointAck> CreateEndpointAck(flatbuffers::FlatBufferBuilder &_fbb, const EndpointAckT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ZoneRestartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
-  auto _index = _o->index;
-  return dragonflymount::wire::CreateZoneRestart(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndpointAckT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _life = _o->life;
+  auto _number = _o->number;
+  auto _touched_ms = _o->touched_ms;
+  return dragonflymount::wire::CreateEndpointAck(
       _fbb,
-      _zone,
-      _index);
+      _endpoint,
+      _life,
+      _number,
+      _touched_ms);
+}
+
+inline SchedulerImageT::SchedulerImageT(const SchedulerImageT &o)
+      : time_ms(o.time_ms),
+        catalogue((o.catalogue) ? new dragonflymount::wire::CatalogueT(*o.catalogue) : nullptr) {
+  jobs.reserve(o.jobs.size());
+  for (const auto &jobs_ : o.jobs) { jobs.emplace_back((jobs_) ? new dragonflymount::wire::JobT(*jobs_) : nullptr); }
+  acks.reserve(o.acks.size());
+  for (const auto &acks_ : o.acks) { acks.emplace_back((acks_) ? new dragonflymount::wire::EndpointAckT(*acks_) : nullptr); }
+  waves.reserve(o.waves.size());
+  for (const auto &waves_ : o.waves) { waves.emplace_back((waves_) ? new dragonflymount::wire::MaintenanceWaveT(*waves_) : nullptr); }
 }
 
-inline VmFailureT *VmFailure::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<VmFailureT>();
+inline SchedulerImageT &SchedulerImageT::operator=(SchedulerImageT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(time_ms, o.time_ms);
+  std::swap(catalogue, o.catalogue);
+  std::swap(jobs, o.jobs);
+  std::swap(acks, o.acks);
+  std::swap(waves, o.waves);
+  return *this;
+}
+
+inline SchedulerImageT *SchedulerImage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SchedulerImageT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void VmFailure::UnPackTo(VmFailureT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void SchedulerImage::UnPackTo(SchedulerImageT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
   { auto _e = time_ms(); _o->time_ms = _e; }
+  { auto _e = catalogue(); if (_e) _o->catalogue = std::unique_ptr<dragonflymount::wire::CatalogueT>(_e->UnPack(_resolver)); }
+  { auto _e = jobs(); if (_e) { _o->jobs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->jobs[_i] = std::unique_ptr<dragonflymount::wire::JobT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = acks(); if (_e) { _o->acks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->acks[_i] = std::unique_ptr<dragonflymount::wire::EndpointAckT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = waves(); if (_e) { _o->waves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waves[_i] = std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<VmFailure> VmFailure::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VmFailureT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateVmFailure(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<SchedulerImage> SchedulerImage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SchedulerImageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSchedulerImage(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<VmFailure> CreateVmFailure(flatbuffers::FlatBufferBuilder &_fbb, const VmFailureT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<SchedulerImage> CreateSchedulerImage(flatbuffers::FlatBufferBuilder &_fbb, const SchedulerImageT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VmFailureT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SchedulerImageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _time_ms = _o->time_ms;
-  return dragonflymount::wire::CreateVmFailure(
+  auto _catalogue = _o->catalogue ? CreateCatalogue(_fbb, _o->catalogue.get(), _rehasher) : 0;
+  auto _jobs = _o->jobs.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Job>> (_o->jobs.size(), [](size_t i, _VectorArgs *__va) { return CreateJob(*__va->__fbb, __va->__o->jobs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _acks = _o->acks.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>> (_o->acks.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointAck(*__va->__fbb, __va->__o->acks[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _waves = _o->waves.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> (_o->waves.size(), [](size_t i, _VectorArgs *__va) { return CreateMaintenanceWave(*__va->__fbb, __va->__o->waves[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateSchedulerImage(
       _fbb,
-      _vm,
-      _time_ms);
+      _time_ms,
+      _catalogue,
+      _jobs,
+      _acks,
+      _waves);
 }
 
-inline WaveRecordT::WaveRecordT(const WaveRecordT &o)
-      : wave(o.wave),
-        pool(o.pool),
-        state(o.state),
-        author(o.author),
-        started_ms(o.started_ms),
-        ended_ms(o.ended_ms),
-        reason(o.reason) {
-  failures.reserve(o.failures.size());
-  for (const auto &failures_ : o.failures) { failures.emplace_back((failures_) ? new dragonflymount::wire::VmFailureT(*failures_) : nullptr); }
+inline JobCallT::JobCallT(const JobCallT &o)
+      : verb(o.verb),
+        host(o.host),
+        path(o.path),
+        key(o.key),
+        spec((o.spec) ? new dragonflymount::wire::JobSpecT(*o.spec) : nullptr) {
 }
 
-inline WaveRecordT &WaveRecordT::operator=(WaveRecordT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(wave, o.wave);
-  std::swap(pool, o.pool);
-  std::swap(state, o.state);
-  std::swap(author, o.author);
-  std::swap(started_ms, o.started_ms);
-  std::swap(ended_ms, o.ended_ms);
-  std::swap(reason, o.reason);
-  std::swap(failures, o.failures);
+inline JobCallT &JobCallT::operator=(JobCallT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(verb, o.verb);
+  std::swap(host, o.host);
+  std::swap(path, o.path);
+  std::swap(key, o.key);
+  std::swap(spec, o.spec);
   return *this;
 }
 
-inline WaveRecordT *WaveRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<WaveRecordT>();
+inline JobCallT *JobCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobCallT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void WaveRecord::UnPackTo(WaveRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void JobCall::UnPackTo(JobCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = wave(); if (_e) _o->wave = _e->str(); }
-  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
-  { auto _e = state(); _o->state = _e; }
-  { auto _e = author(); if (_e) _o->author = _e->str(); }
-  { auto _e = started_ms(); _o->started_ms = _e; }
-  { auto _e = ended_ms(); _o->ended_ms = _e; }
-  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
-  { auto _e = failures(); if (_e) { _o->failures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->failures[_i] = std::unique_ptr<dragonflymount::wire::VmFailureT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = verb(); _o->verb = _e; }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = path(); if (_e) _o->path = _e->str(); }
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = spec(); if (_e) _o->spec = std::unique_ptr<dragonflymount::wire::JobSpecT>(_e->UnPack(_resolver)); }
 }
 
-inline flatbuffers::Offset<WaveRecord> WaveRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WaveRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateWaveRecord(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<JobCall> JobCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobCall(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<WaveRecord> CreateWaveRecord(flatbuffers::FlatBufferBuilder &_fbb, const WaveRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<JobCall> CreateJobCall(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WaveRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _wave = _o->wave.empty() ? 0 : _fbb.CreateString(_o->wave);
-  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
-  auto _state = _o->state;
-  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
-  auto _started_ms = _o->started_ms;
-  auto _ended_ms = _o->ended_ms;
-  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
-  auto _failures = _o->failures.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::VmFailure>> (_o->failures.size(), [](size_t i, _VectorArgs *__va) { return CreateVmFailure(*__va->__fbb, __va->__o->failures[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return dragonflymount::wire::CreateWaveRecord(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _verb = _o->verb;
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _path = _o->path.empty() ? 0 : _fbb.CreateString(_o->path);
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _spec = _o->spec ? CreateJobSpec(_fbb, _o->spec.get(), _rehasher) : 0;
+  return dragonflymount::wire::CreateJobCall(
       _fbb,
-      _wave,
-      _pool,
-      _state,
-      _author,
-      _started_ms,
-      _ended_ms,
-      _reason,
-      _failures);
+      _verb,
+      _host,
+      _path,
+      _key,
+      _spec);
 }
 
-inline ControlImageT::ControlImageT(const ControlImageT &o)
-      : version(o.version),
-        rules(o.rules),
-        log_time_ms(o.log_time_ms),
-        zones(o.zones) {
-  history.reserve(o.history.size());
-  for (const auto &history_ : o.history) { history.emplace_back((history_) ? new dragonflymount::wire::HistoryRecordT(*history_) : nullptr); }
-  submissions.reserve(o.submissions.size());
-  for (const auto &submissions_ : o.submissions) { submissions.emplace_back((submissions_) ? new dragonflymount::wire::SubmissionRecordT(*submissions_) : nullptr); }
-  withdrawn.reserve(o.withdrawn.size());
-  for (const auto &withdrawn_ : o.withdrawn) { withdrawn.emplace_back((withdrawn_) ? new dragonflymount::wire::WithdrawnKeyT(*withdrawn_) : nullptr); }
-  coordinators.reserve(o.coordinators.size());
-  for (const auto &coordinators_ : o.coordinators) { coordinators.emplace_back((coordinators_) ? new dragonflymount::wire::AppointCoordinatorT(*coordinators_) : nullptr); }
-  grants.reserve(o.grants.size());
-  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new dragonflymount::wire::SetGrantT(*grants_) : nullptr); }
-  claims.reserve(o.claims.size());
-  for (const auto &claims_ : o.claims) { claims.emplace_back((claims_) ? new dragonflymount::wire::ClaimRecordT(*claims_) : nullptr); }
-  vms.reserve(o.vms.size());
-  for (const auto &vms_ : o.vms) { vms.emplace_back((vms_) ? new dragonflymount::wire::AssignVmT(*vms_) : nullptr); }
-  restarts.reserve(o.restarts.size());
-  for (const auto &restarts_ : o.restarts) { restarts.emplace_back((restarts_) ? new dragonflymount::wire::ZoneRestartT(*restarts_) : nullptr); }
-  waves.reserve(o.waves.size());
-  for (const auto &waves_ : o.waves) { waves.emplace_back((waves_) ? new dragonflymount::wire::WaveRecordT(*waves_) : nullptr); }
+inline JobReplyT *JobReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-inline ControlImageT &ControlImageT::operator=(ControlImageT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(version, o.version);
-  std::swap(rules, o.rules);
-  std::swap(log_time_ms, o.log_time_ms);
-  std::swap(history, o.history);
-  std::swap(submissions, o.submissions);
-  std::swap(withdrawn, o.withdrawn);
-  std::swap(coordinators, o.coordinators);
-  std::swap(grants, o.grants);
-  std::swap(zones, o.zones);
-  std::swap(claims, o.claims);
-  std::swap(vms, o.vms);
-  std::swap(restarts, o.restarts);
-  std::swap(waves, o.waves);
+inline void JobReply::UnPackTo(JobReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = begun(); _o->begun = _e; }
+  { auto _e = pending(); _o->pending = _e; }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+  { auto _e = detail(); if (_e) _o->detail = _e->str(); }
+  { auto _e = leader_address(); if (_e) _o->leader_address = _e->str(); }
+  { auto _e = replicas(); if (_e) { _o->replicas.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replicas[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<JobReply> JobReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobReply> CreateJobReply(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _status = _o->status;
+  auto _phase = _o->phase;
+  auto _begun = _o->begun;
+  auto _pending = _o->pending;
+  auto _retry_after_ms = _o->retry_after_ms;
+  auto _detail = _o->detail.empty() ? 0 : _fbb.CreateString(_o->detail);
+  auto _leader_address = _o->leader_address.empty() ? 0 : _fbb.CreateString(_o->leader_address);
+  auto _replicas = _o->replicas.size() ? _fbb.CreateVectorOfStrings(_o->replicas) : 0;
+  return dragonflymount::wire::CreateJobReply(
+      _fbb,
+      _status,
+      _phase,
+      _begun,
+      _pending,
+      _retry_after_ms,
+      _detail,
+      _leader_address,
+      _replicas);
+}
+
+inline JoinReplicaT::JoinReplicaT(const JoinReplicaT &o)
+      : member((o.member) ? new dragonflymount::wire::MemberT(*o.member) : nullptr) {
+}
+
+inline JoinReplicaT &JoinReplicaT::operator=(JoinReplicaT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(member, o.member);
   return *this;
 }
 
-inline ControlImageT *ControlImage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ControlImageT>();
+inline JoinReplicaT *JoinReplica::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JoinReplicaT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ControlImage::UnPackTo(ControlImageT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void JoinReplica::UnPackTo(JoinReplicaT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = version(); _o->version = _e; }
-  { auto _e = rules(); if (_e) _o->rules = _e->str(); }
-  { auto _e = log_time_ms(); _o->log_time_ms = _e; }
-  { auto _e = history(); if (_e) { _o->history.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->history[_i] = std::unique_ptr<dragonflymount::wire::HistoryRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = submissions(); if (_e) { _o->submissions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->submissions[_i] = std::unique_ptr<dragonflymount::wire::SubmissionRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = withdrawn(); if (_e) { _o->withdrawn.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->withdrawn[_i] = std::unique_ptr<dragonflymount::wire::WithdrawnKeyT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = coordinators(); if (_e) { _o->coordinators.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->coordinators[_i] = std::unique_ptr<dragonflymount::wire::AppointCoordinatorT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<dragonflymount::wire::SetGrantT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = zones(); if (_e) { _o->zones.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->zones[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = std::unique_ptr<dragonflymount::wire::ClaimRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = vms(); if (_e) { _o->vms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->vms[_i] = std::unique_ptr<dragonflymount::wire::AssignVmT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = restarts(); if (_e) { _o->restarts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->restarts[_i] = std::unique_ptr<dragonflymount::wire::ZoneRestartT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = waves(); if (_e) { _o->waves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waves[_i] = std::unique_ptr<dragonflymount::wire::WaveRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = member(); if (_e) _o->member = std::unique_ptr<dragonflymount::wire::MemberT>(_e->UnPack(_resolver)); }
 }
 
-inline flatbuffers::Offset<ControlImage> ControlImage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ControlImageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateControlImage(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<JoinReplica> JoinReplica::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JoinReplicaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJoinReplica(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ControlImage> CreateControlImage(flatbuffers::FlatBufferBuilder &_fbb, const ControlImageT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<JoinReplica> CreateJoinReplica(flatbuffers::FlatBufferBuilder &_fbb, const JoinReplicaT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ControlImageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _version = _o->version;
-  auto _rules = _o->rules.empty() ? 0 : _fbb.CreateString(_o->rules);
-  auto _log_time_ms = _o->log_time_ms;
-  auto _history = _o->history.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::HistoryRecord>> (_o->history.size(), [](size_t i, _VectorArgs *__va) { return CreateHistoryRecord(*__va->__fbb, __va->__o->history[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _submissions = _o->submissions.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::SubmissionRecord>> (_o->submissions.size(), [](size_t i, _VectorArgs *__va) { return CreateSubmissionRecord(*__va->__fbb, __va->__o->submissions[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _withdrawn = _o->withdrawn.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::WithdrawnKey>> (_o->withdrawn.size(), [](size_t i, _VectorArgs *__va) { return CreateWithdrawnKey(*__va->__fbb, __va->__o->withdrawn[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _coordinators = _o->coordinators.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::AppointCoordinator>> (_o->coordinators.size(), [](size_t i, _VectorArgs *__va) { return CreateAppointCoordinator(*__va->__fbb, __va->__o->coordinators[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::SetGrant>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return CreateSetGrant(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _zones = _o->zones.size() ? _fbb.CreateVectorOfStrings(_o->zones) : 0;
-  auto _claims = _o->claims.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::ClaimRecord>> (_o->claims.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimRecord(*__va->__fbb, __va->__o->claims[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _vms = _o->vms.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::AssignVm>> (_o->vms.size(), [](size_t i, _VectorArgs *__va) { return CreateAssignVm(*__va->__fbb, __va->__o->vms[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _restarts = _o->restarts.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::ZoneRestart>> (_o->restarts.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneRestart(*__va->__fbb, __va->__o->restarts[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _waves = _o->waves.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::WaveRecord>> (_o->waves.size(), [](size_t i, _VectorArgs *__va) { return CreateWaveRecord(*__va->__fbb, __va->__o->waves[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return dragonflymount::wire::CreateControlImage(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JoinReplicaT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _member = _o->member ? CreateMember(_fbb, _o->member.get(), _rehasher) : 0;
+  return dragonflymount::wire::CreateJoinReplica(
       _fbb,
-      _version,
-      _rules,
-      _log_time_ms,
-      _history,
-      _submissions,
-      _withdrawn,
-      _coordinators,
-      _grants,
-      _zones,
-      _claims,
-      _vms,
-      _restarts,
-      _waves);
+      _member);
 }
 
 inline LogCommandT *LogCommand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -12462,6 +17396,10 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::WaveProgress *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Command::JobBatch: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JobBatch *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -12525,6 +17463,10 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::WaveProgress *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Command::JobBatch: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JobBatch *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -12576,6 +17518,10 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::WaveProgressT *>(value);
       return CreateWaveProgress(_fbb, ptr, _rehasher).Union();
     }
+    case Command::JobBatch: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JobBatchT *>(value);
+      return CreateJobBatch(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -12626,6 +17572,10 @@
       value = new dragonflymount::wire::WaveProgressT(*reinterpret_cast<dragonflymount::wire::WaveProgressT *>(u.value));
       break;
     }
+    case Command::JobBatch: {
+      value = new dragonflymount::wire::JobBatchT(*reinterpret_cast<dragonflymount::wire::JobBatchT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -12688,6 +17638,11 @@
       delete ptr;
       break;
     }
+    case Command::JobBatch: {
+      auto ptr = reinterpret_cast<dragonflymount::wire::JobBatchT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
@@ -12819,6 +17774,18 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::Withdraw *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::JobCall: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JobCall *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JobReply: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JobReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JoinReplica: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JoinReplica *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -12958,6 +17925,18 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::Withdraw *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::JobCall: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JobCall *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::JobReply: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JobReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::JoinReplica: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JoinReplica *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -13085,6 +18064,18 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::WithdrawT *>(value);
       return CreateWithdraw(_fbb, ptr, _rehasher).Union();
     }
+    case Body::JobCall: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JobCallT *>(value);
+      return CreateJobCall(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::JobReply: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JobReplyT *>(value);
+      return CreateJobReply(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::JoinReplica: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::JoinReplicaT *>(value);
+      return CreateJoinReplica(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -13211,6 +18202,18 @@
       value = new dragonflymount::wire::WithdrawT(*reinterpret_cast<dragonflymount::wire::WithdrawT *>(u.value));
       break;
     }
+    case Body::JobCall: {
+      value = new dragonflymount::wire::JobCallT(*reinterpret_cast<dragonflymount::wire::JobCallT *>(u.value));
+      break;
+    }
+    case Body::JobReply: {
+      value = new dragonflymount::wire::JobReplyT(*reinterpret_cast<dragonflymount::wire::JobReplyT *>(u.value));
+      break;
+    }
+    case Body::JoinReplica: {
+      value = new dragonflymount::wire::JoinReplicaT(*reinterpret_cast<dragonflymount::wire::JoinReplicaT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -13368,6 +18371,21 @@
       delete ptr;
       break;
     }
+    case Body::JobCall: {
+      auto ptr = reinterpret_cast<dragonflymount::wire::JobCallT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::JobReply: {
+      auto ptr = reinterpret_cast<dragonflymount::wire::JobReplyT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::JoinReplica: {
+      auto ptr = reinterpret_cast<dragonflymount::wire::JoinReplicaT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/programs/control/planning/planner_loop.cpp
+++ b/programs/control/planning/planner_loop.cpp
@@ -22,8 +22,11 @@
       timer_(context, decision_interval, [this] { decide(); }) {}
 
 result<done> planner_loop::start() {
-    replica_.on_leadership(
-        [this] { planner_.reset(runtime::system_clock::now()); });
+    replica_.on_leadership([this](bool leads) {
+        if (leads) {
+            planner_.reset(runtime::system_clock::now());
+        }
+    });
     timer_.start();
     return done{};
 }
--- a/programs/control/planning/planner_loop.hpp
+++ b/programs/control/planning/planner_loop.hpp
@@ -2,7 +2,7 @@
 #ifndef DRAGONFLYMOUNT_CONTROL_PLANNING_PLANNER_LOOP_HPP
 #define DRAGONFLYMOUNT_CONTROL_PLANNING_PLANNER_LOOP_HPP
 
-#include "programs/control/agreement/replica_host.hpp"
+#include "programs/control/agreement/control_replica.hpp"
 
 namespace dragonflymount::control_program {
 
--- /dev/null
+++ b/programs/gateway/leader_client.cpp
@@ -0,0 +1,169 @@
+// Connection to the leader, redirection and repetition of calls.
+#include "programs/gateway/leader_client.hpp"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace dragonflymount::gateway_program {
+namespace {
+
+constexpr duration watch_interval = std::chrono::milliseconds(100);
+// Between two attempts at finding a leader.
+constexpr duration attempt_interval = std::chrono::milliseconds(150);
+// A replica to which no connection opens within this time is passed over.
+constexpr duration open_timeout = std::chrono::milliseconds(600);
+
+} // namespace
+
+leader_client::leader_client(
+    asio::io_context& context, leader_client_settings settings)
+    : context_(context), settings_(std::move(settings)),
+      replicas_(settings_.replicas),
+      timer_(context, watch_interval, [this] { watch(); }) {}
+
+result<done> leader_client::start() {
+    if (replicas_.empty()) {
+        return failure{make_error_code(errc::invalid_setting),
+            "start leader client", {}, "no replica is named"};
+    }
+    connect(replicas_.front());
+    timer_.start();
+    return done{};
+}
+
+void leader_client::stop() {
+    timer_.stop();
+    link_.reset();
+    retired_.clear();
+    const auto pending = std::move(pending_);
+    pending_.clear();
+    for (const auto& [correlation, call] : pending) {
+        call.on_failure(failure_of(call));
+    }
+}
+
+call_failure leader_client::failure_of(const pending_call& call) {
+    return call.sent || call.uncertain ? call_failure::unanswered
+                                       : call_failure::not_sent;
+}
+
+void leader_client::connect(const std::string& address) {
+    if (link_) {
+        link_->stop();
+        retired_.push_back(std::move(link_));
+    }
+    if (target_ != address) {
+        VLOG(1) << "leader target=" << address << " before=" << target_;
+    }
+    for (auto& [correlation, call] : pending_) {
+        call.uncertain = call.uncertain || call.sent;
+        call.sent = false;
+    }
+    misdirected_ = false;
+    target_ = address;
+    connected_at_ = runtime::system_clock::now();
+    next_attempt_ = connected_at_ + attempt_interval;
+    link_ = std::make_unique<runtime::link>(
+        context_, address, settings_.connections);
+    link_->start([this](const auto&) { send_pending(); },
+        [this](const auto&, wire::message&& content) {
+            receive(std::move(content));
+        },
+        [this](const auto&, const failure& error) {
+            LOG(WARNING) << event::connection_failed << "leader "
+                         << error.message();
+        });
+}
+
+void leader_client::connect_next() {
+    const auto found = std::find(replicas_.begin(), replicas_.end(), target_);
+    const bool last =
+        found == replicas_.end() || std::next(found) == replicas_.end();
+    connect(last ? replicas_.front() : *std::next(found));
+}
+
+void leader_client::call(wire::JobCallT call, duration limit,
+    reply_handler on_reply, failure_handler on_failure) {
+    const instant now = runtime::system_clock::now();
+    const std::uint64_t correlation = next_correlation_++;
+    pending_call& added = pending_[correlation];
+    added.content = wire::make_message(std::move(call), correlation);
+    added.on_reply = std::move(on_reply);
+    added.on_failure = std::move(on_failure);
+    added.deadline = now + limit;
+    added.unsent_deadline = now + std::min(limit, settings_.unsent_limit);
+    send(added);
+}
+
+void leader_client::send(pending_call& call) {
+    if (link_->send(call.content)) {
+        call.sent = true;
+        call.sent_at = runtime::system_clock::now();
+    }
+}
+
+void leader_client::send_pending() {
+    for (auto& [correlation, call] : pending_) {
+        send(call);
+    }
+}
+
+void leader_client::receive(wire::message&& content) {
+    auto* reply = content.body.AsJobReply();
+    const auto found = pending_.find(content.correlation);
+    if (reply == nullptr || found == pending_.end()) {
+        return;
+    }
+    if (reply->status == wire::job_status::not_leader ||
+        reply->status == wire::job_status::interrupted) {
+        redirect(found->second, *reply);
+        return;
+    }
+    const auto handler = std::move(found->second.on_reply);
+    pending_.erase(found);
+    handler(std::move(*reply));
+}
+
+void leader_client::redirect(pending_call& call, const wire::JobReplyT& reply) {
+    call.sent = false;
+    call.uncertain =
+        call.uncertain || reply.status == wire::job_status::interrupted;
+    misdirected_ = true;
+    if (!reply.replicas.empty()) {
+        replicas_ = reply.replicas;
+    }
+    if (runtime::system_clock::now() < next_attempt_) {
+        return;
+    }
+    if (!reply.leader_address.empty() && reply.leader_address != target_) {
+        connect(reply.leader_address);
+    }
+}
+
+void leader_client::watch() {
+    retired_.clear();
+    const instant now = runtime::system_clock::now();
+    std::vector<std::uint64_t> failed;
+    bool overdue = false;
+    for (const auto& [correlation, call] : pending_) {
+        const bool nothing_done = failure_of(call) == call_failure::not_sent;
+        if (now >= (nothing_done ? call.unsent_deadline : call.deadline)) {
+            failed.push_back(correlation);
+        }
+        overdue = overdue ||
+            (call.sent && now - call.sent_at >= settings_.answer_timeout);
+    }
+    const bool unopened =
+        !link_->is_open() && now - connected_at_ >= open_timeout;
+    if ((overdue || unopened || misdirected_) && now >= next_attempt_) {
+        connect_next();
+    }
+    for (const std::uint64_t correlation : failed) {
+        const auto node = pending_.extract(correlation);
+        const pending_call& call = node.mapped();
+        call.on_failure(failure_of(call));
+    }
+}
+
+} // namespace dragonflymount::gateway_program
--- /dev/null
+++ b/programs/scheduler/scheduler.cpp
@@ -0,0 +1,139 @@
+// Wiring of the replica, the engine and the gateways' connections.
+#include "programs/scheduler/scheduler.hpp"
+
+namespace dragonflymount::scheduler_program {
+namespace {
+
+// Leases and held reports are looked at this often.
+constexpr duration tick_interval = std::chrono::milliseconds(40);
+
+agreement::member self_of(const scheduler_settings& settings) {
+    agreement::member self;
+    self.id = settings.replica.options.self;
+    self.address = settings.listen;
+    return self;
+}
+
+} // namespace
+
+scheduler::scheduler(asio::io_context& context, scheduler_settings settings)
+    : context_(context), settings_(std::move(settings)),
+      replica_(context, settings_.replica),
+      engine_(replica_.agreed(), settings_.engine),
+      members_(replica_, self_of(settings_), settings_.voters),
+      listener_(context, settings_.replica.connections),
+      timer_(context, tick_interval, [this] { tick(); }) {
+    replica_.on_leadership([this](bool leads) { change_leadership(leads); });
+}
+
+result<done> scheduler::start() {
+    result<done> status = replica_.start();
+    if (!status) {
+        return status;
+    }
+    status = listener_.start(
+        settings_.listen,
+        [this](const auto& from, wire::message&& content) {
+            receive(from, std::move(content));
+        },
+        [](const auto&, const failure& error) {
+            VLOG(1) << event::connection_failed << error.message();
+        });
+    if (status) {
+        timer_.start();
+    }
+    return status;
+}
+
+void scheduler::stop() {
+    timer_.stop();
+    listener_.stop();
+    engine_.resign();
+    replica_.stop();
+}
+
+bool scheduler::is_ready() {
+    replica_.refresh();
+    return engine_.leads() && replica_.is_current_leader();
+}
+
+void scheduler::change_leadership(bool leads) {
+    if (leads) {
+        engine_.lead(replica_.replica().term(), runtime::system_clock::now());
+    } else {
+        engine_.resign();
+    }
+    if (on_leadership_) {
+        on_leadership_(leads);
+    }
+}
+
+void scheduler::pump() {
+    // Replies that come out of a batch may gather more; one loop serves all.
+    if (pumping_ || !engine_.leads()) {
+        return;
+    }
+    pumping_ = true;
+    auto batch = engine_.take_batch(
+        runtime::system_clock::now(), runtime::wall_time_ms());
+    if (batch) {
+        replica_.propose(wire::encode_command(std::move(*batch)),
+            [this](const wire::ProposeReplyT& reply) {
+                engine_.batch_done(
+                    reply.result == wire::proposal_result::accepted,
+                    runtime::system_clock::now());
+                asio::post(context_, [this] { pump(); });
+            });
+    }
+    pumping_ = false;
+}
+
+void scheduler::tick() {
+    const instant now = runtime::system_clock::now();
+    members_.tick(now);
+    if (is_ready()) {
+        engine_.tick(now);
+        pump();
+    }
+}
+
+void scheduler::receive(
+    const runtime::connection::pointer& from, wire::message&& content) {
+    switch (content.body.type) {
+    case wire::Body::JobCall:
+        receive_call(from, content.correlation, *content.body.AsJobCall());
+        break;
+    case wire::Body::JoinReplica:
+        members_.receive(*content.body.AsJoinReplica());
+        break;
+    default:
+        replica_.receive(content);
+    }
+}
+
+void scheduler::receive_call(const runtime::connection::pointer& from,
+    std::uint64_t correlation, const wire::JobCallT& call) {
+    if (!is_ready()) {
+        wire::JobReplyT reply;
+        reply.status = wire::job_status::not_leader;
+        add_hints(reply);
+        from->send(wire::make_message(std::move(reply), correlation));
+        return;
+    }
+    engine_.call(call, [this, from, correlation](wire::JobReplyT reply) {
+        if (reply.status == wire::job_status::interrupted) {
+            add_hints(reply);
+        }
+        from->send(wire::make_message(std::move(reply), correlation));
+    });
+    pump();
+}
+
+void scheduler::add_hints(wire::JobReplyT& reply) const {
+    reply.leader_address = replica_.leader_address();
+    for (const agreement::member& peer : replica_.replica().members()) {
+        reply.replicas.push_back(peer.address);
+    }
+}
+
+} // namespace dragonflymount::scheduler_program
--- /dev/null
+++ b/programs/scheduler/settings.cpp
@@ -0,0 +1,90 @@
+// Names, kinds and defaults of the scheduler's settings.
+#include "programs/scheduler/settings.hpp"
+
+namespace dragonflymount::scheduler_program {
+namespace {
+
+// A failed disk may take writes again at any time.
+constexpr duration reopen_interval = std::chrono::milliseconds(400);
+
+// A silent connection must not outlive an election timeout by much.
+constexpr runtime::connection_options peer_connections{
+    .silence_limit = std::chrono::milliseconds(1500),
+    .ping_interval = std::chrono::milliseconds(500)};
+
+agreement::member member_at(
+    const std::string& control, std::uint32_t peer_port) {
+    agreement::member made;
+    made.id = replica_id(control);
+    made.address =
+        control.substr(0, control.rfind(':') + 1) + std::to_string(peer_port);
+    made.identity = agreement::initial_identity;
+    made.voter = true;
+    return made;
+}
+
+bool is_truth_value(const settings::values& read) {
+    const std::string text = read.text("scheduler", "new-site");
+    return text == "true" || text == "false";
+}
+
+} // namespace
+
+settings::schema scheduler_schema() {
+    using settings::kind;
+    return settings::schema_builder()
+        .require("scheduler", "control", kind::address)
+        .require("scheduler", "peer-port", kind::count)
+        .require("scheduler", "seeds", kind::addresses)
+        .require("scheduler", "data", kind::folder)
+        .allow("scheduler", "new-site", kind::name, "false")
+        .allow("scheduler", "lost-disks", kind::count, "1")
+        .allow("scheduler", "snapshot-records", kind::count, "4096")
+        .allow("scheduler", "election-timeout", kind::time, "700ms")
+        .allow("scheduler", "heartbeat", kind::time, "120ms")
+        .allow("scheduler", "task-lease", kind::time, "6s")
+        .allow("scheduler", "longest-lease", kind::time, "10s")
+        .verify({"scheduler", "new-site", {}, "true or false", &is_truth_value})
+        .verify({"scheduler", "heartbeat", "election-timeout",
+            "at most half of 'election-timeout'",
+            [](const settings::values& read) {
+                return read.time("scheduler", "heartbeat") * 2 <=
+                    read.time("scheduler", "election-timeout");
+            }})
+        .verify({"scheduler", "task-lease", "longest-lease",
+            "at most 'longest-lease'",
+            [](const settings::values& read) {
+                return read.time("scheduler", "task-lease") <=
+                    read.time("scheduler", "longest-lease");
+            }})
+        .build();
+}
+
+scheduler_settings make_scheduler_settings(const settings::values& read) {
+    scheduler_settings made;
+    const std::string control = read.text("scheduler", "control");
+    const std::uint32_t port = read.count("scheduler", "peer-port");
+    made.listen = member_at(control, port).address;
+    made.voters = 2 * read.count("scheduler", "lost-disks") + 1;
+    hosting::replica_settings& replica = made.replica;
+    replica.options.self = replica_id(control);
+    replica.options.election_timeout =
+        read.time("scheduler", "election-timeout");
+    replica.options.heartbeat_interval = read.time("scheduler", "heartbeat");
+    replica.options.seed = std::hash<std::string>{}(control);
+    for (const std::string& seed : read.list("scheduler", "seeds")) {
+        replica.members.push_back(member_at(seed, port));
+    }
+    replica.connections = peer_connections;
+    replica.data = read.text("scheduler", "data");
+    replica.snapshot_records = read.count("scheduler", "snapshot-records");
+    replica.tail = agreement::tail_policy::cut_torn_writes;
+    replica.reopen_interval = reopen_interval;
+    replica.new_site = read.text("scheduler", "new-site") == "true";
+    made.engine.endpoints.lease = read.time("scheduler", "task-lease");
+    made.engine.endpoints.longest_lease =
+        read.time("scheduler", "longest-lease");
+    return made;
+}
+
+} // namespace dragonflymount::scheduler_program
