--- a/dragonflymount/jobs.hpp
+++ b/dragonflymount/jobs.hpp
@@ -7,5 +7,6 @@
 #include "dragonflymount/src/Jobs/Placement.hpp"
 #include "dragonflymount/src/Jobs/State.hpp"
 #include "dragonflymount/src/Jobs/Types.hpp"
+#include "dragonflymount/src/Jobs/VmManager.hpp"
 
 #endif
--- a/dragonflymount/src/Core/Event.hpp
+++ b/dragonflymount/src/Core/Event.hpp
@@ -54,6 +54,8 @@
     catalogue_accepted = 310,
     catalogue_refused = 311,
     report_refused = 410,
+    vm_ordered = 606,
+    vm_service_failed = 607,
     connection_failed = 701,
     frame_refused = 702,
 };
@@ -104,6 +106,8 @@
     event_name{event::catalogue_accepted, "catalogue_accepted"},
     event_name{event::catalogue_refused, "catalogue_refused"},
     event_name{event::report_refused, "report_refused"},
+    event_name{event::vm_ordered, "vm_ordered"},
+    event_name{event::vm_service_failed, "vm_service_failed"},
     event_name{event::connection_failed, "connection_failed"},
     event_name{event::frame_refused, "frame_refused"},
 };
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -94,6 +94,9 @@
     void reserve(std::set<vm_id> vms) { reserved_ = std::move(vms); }
     /// \brief Asks for the end of a run that is otherwise wanted.
     void request_stop(const run_ref& run) { stop_requests_.insert(run); }
+    bool is_stop_requested(const run_ref& run) const {
+        return stop_requests_.contains(run);
+    }
 
 private:
     struct held_report {
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -252,9 +252,16 @@
             !spread.racks.contains(view.rack);
         const bool cold = view.warm_from > now_;
         const bool suspect = !view.failed_jobs.empty();
+        // Tasks that last are spread, so that one VM can go without taking
+        // more of a step with it than the step allows.
+        const auto beside = spread.at_endpoint.find(view.life.endpoint);
+        const std::uint32_t crowding =
+            step.long_running && beside != spread.at_endpoint.end()
+            ? beside->second
+            : 0;
         // Of equal places the one with most room: what a crash takes with it
         // stays small.
-        return std::make_tuple(other_rack, far, suspect, cold,
+        return std::make_tuple(other_rack, far, suspect, cold, crowding,
             -place.room.cpu_milli, view.life.endpoint);
     };
     for (candidate& place : pool->second) {
--- /dev/null
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -0,0 +1,183 @@
+// Which VMs change their pool and which are maintained, and when.
+//
+// Decisions only: what the platform's VM service lists and answers goes in,
+// orders to it come out. An order for maintenance is agreed before it is
+// given, so a new leader counts every VM that may be down; an order to move
+// is not, for a move shows in the list and can be given again.
+#ifndef DRAGONFLYMOUNT_JOBS_VM_MANAGER_HPP
+#define DRAGONFLYMOUNT_JOBS_VM_MANAGER_HPP
+
+#include "dragonflymount/src/Jobs/Engine.hpp"
+
+namespace dragonflymount::jobs {
+
+enum class vm_condition : std::uint8_t { up, moving, maintained, down };
+
+/// \brief A VM as the VM service lists it.
+struct vm_record {
+    vm_id vm;
+    pool_id pool;
+    vm_condition condition = vm_condition::down;
+    std::string endpoint;
+    resources capacity;
+};
+
+/// \brief An order to the VM service.
+struct vm_order {
+    enum class kind : std::uint8_t { move, maintain };
+
+    kind what = kind::move;
+    vm_id vm;
+    /// Of a move.
+    pool_id pool;
+    /// Of maintenance.
+    std::uint64_t wave = 0;
+};
+
+enum class vm_verdict : std::uint8_t {
+    done,
+    /// Not up, or leaving: try again later.
+    busy,
+    /// A later leader has given orders for this VM.
+    fenced,
+    /// No such VM, or it isn't part of the wave.
+    unknown,
+    /// No clear answer: the order may have been carried out.
+    unclear,
+};
+
+constexpr std::string_view name_of(vm_verdict verdict) {
+    switch (verdict) {
+    case vm_verdict::done:
+        return "done";
+    case vm_verdict::busy:
+        return "busy";
+    case vm_verdict::fenced:
+        return "fenced";
+    case vm_verdict::unknown:
+        return "unknown";
+    case vm_verdict::unclear:
+        return "unclear";
+    }
+    return "unnamed";
+}
+
+struct vm_manager_options {
+    /// Interval of reading the list while nothing is under way.
+    duration list_interval = std::chrono::seconds(4);
+    /// After an order without a clear answer.
+    duration retry_interval = std::chrono::milliseconds(400);
+    /// How long a maintained VM stays away; from the platform's settings.
+    duration maintenance_time = std::chrono::seconds(2);
+    /// Time in which a VM's ending tasks usually end.
+    duration drain_time = std::chrono::seconds(3);
+    /// Part of a wave's time in which it should be done, in percent.
+    std::int64_t wave_time_percent = 70;
+    /// A pool must have had more than it needs for this long before it gives
+    /// a VM away: its queue's next burst costs two moves and a late start.
+    duration surplus_time = std::chrono::seconds(2);
+    /// Room beyond the present need, in percent of it.
+    std::int64_t headroom_percent = 15;
+};
+
+class vm_manager {
+public:
+    vm_manager(engine& jobs, vm_manager_options options);
+
+    /// \brief A new leader knows no list and trusts no earlier answer.
+    void reset(instant now);
+    bool wants_list(instant now) const { return now >= next_list_; }
+    void take_list(std::vector<vm_record> list, instant now);
+    /// \brief Notes that reading the list failed.
+    void list_failed(instant now);
+
+    /// \returns the orders to give now; each is answered by \c order_done.
+    std::vector<vm_order> decide(instant now);
+    void order_done(const vm_order& order, vm_verdict verdict, instant now);
+
+private:
+    struct order_state {
+        bool in_flight = false;
+        instant next_attempt{};
+        // When the service last said that the order was carried out.
+        std::optional<instant> confirmed;
+        bool fenced = false;
+    };
+    struct pool_state {
+        std::vector<const endpoint_view*> members;
+        resources capacity;
+        resources running;
+        resources waiting;
+        // VMs that lasting tasks need, each on one of its own.
+        std::uint32_t least = 0;
+        std::size_t arriving = 0;
+        std::size_t wanted = 0;
+    };
+
+    void decide_waves(std::vector<vm_order>& orders, instant now);
+    void decide_wave(const wire::MaintenanceWaveT& wave,
+        std::vector<vm_order>& orders, instant now);
+    void follow_step(const wire::MaintenanceStepT& step,
+        std::vector<vm_order>& orders, instant now);
+    void choose_next(
+        const wire::MaintenanceWaveT& wave, std::size_t down, instant now);
+    bool is_on_standby(const vm_id& vm) const;
+    void order_maintenance(std::uint64_t wave, const vm_id& vm,
+        const endpoint_life& life, instant now);
+    /// Tasks of one step that aren't at work outside a VM, and those on it.
+    struct step_absence {
+        std::uint32_t here = 0;
+        std::uint32_t elsewhere = 0;
+    };
+    static bool is_budgeted(const task_place& place);
+    bool is_at_work_elsewhere(
+        const task_name& name, const endpoint_view& view) const;
+    step_absence absence_without(
+        const run_ref& run, const endpoint_view& view) const;
+    void evacuate(const endpoint_view& view);
+    bool may_end_tasks(const endpoint_view& view) const;
+    std::size_t lasting_tasks(const endpoint_view& view) const;
+    std::size_t ending_tasks(const endpoint_view& view) const;
+    const endpoint_view* find_vm(const vm_id& vm) const;
+    void index_vms();
+    /// Whether a VM has taken no new task for so long that no start for it
+    /// can be under way.
+    bool is_settled(const vm_id& vm, instant now) const;
+
+    void decide_moves(std::vector<vm_order>& orders, instant now);
+    void measure_pools(instant now);
+    void measure_job(const wire::JobT& job);
+    std::size_t wanted_vms(const pool_state& pool) const;
+    void grow(const std::string& name, pool_state& pool,
+        std::vector<vm_order>& orders, instant now);
+    void shrink(const std::string& name, pool_state& pool,
+        std::vector<vm_order>& orders, instant now);
+    void order_move(const vm_id& vm, const std::string& pool,
+        std::vector<vm_order>& orders);
+    const std::string* standby_pool() const;
+
+    engine& jobs_;
+    vm_manager_options options_;
+    instant next_list_{};
+    std::map<vm_id, vm_record> list_;
+    std::map<vm_id, order_state> maintaining_;
+    std::map<vm_id, order_state> moving_;
+    std::map<vm_id, pool_id> targets_;
+    // VMs that take no new task: about to be maintained, or about to move.
+    std::set<vm_id> chosen_;
+    std::set<vm_id> leaving_;
+    // VMs whose maintenance was ordered and that aren't back yet: their tasks
+    // count as away even while they are still listed.
+    std::set<vm_id> going_down_;
+    // Since when a VM of either set takes no new task.
+    std::map<vm_id, instant> reserved_since_;
+    std::map<vm_id, std::string> endpoint_of_;
+    std::map<std::string, pool_state> pools_;
+    std::map<std::string, instant> surplus_since_;
+    // VMs of each pool when this leader first saw the list.
+    std::map<std::string, std::size_t> home_size_;
+};
+
+} // namespace dragonflymount::jobs
+
+#endif
--- /dev/null
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -0,0 +1,285 @@
+// Maintenance waves: who is next, and what may be ended for it.
+#include "dragonflymount/src/Jobs/VmManager.hpp"
+
+#include <algorithm>
+
+namespace dragonflymount::jobs {
+namespace {
+
+// Reports that were on their way when a VM went down arrive within this time.
+constexpr duration late_report_time = std::chrono::seconds(1);
+
+const wire::MaintenanceStepT* find_step(
+    const wire::MaintenanceWaveT& wave, const std::string& vm) {
+    for (const auto& step : wave.steps) {
+        if (step->vm == vm) {
+            return step.get();
+        }
+    }
+    return nullptr;
+}
+
+wire::MaintenanceStepT with_phase(
+    wire::MaintenanceStepT step, wire::maintenance_phase phase) {
+    step.phase = phase;
+    return step;
+}
+
+} // namespace
+
+const endpoint_view* vm_manager::find_vm(const vm_id& vm) const {
+    const auto found = endpoint_of_.find(vm);
+    return found == endpoint_of_.end() ? nullptr
+                                       : jobs_.endpoints().find(found->second);
+}
+
+void vm_manager::decide_waves(std::vector<vm_order>& orders, instant now) {
+    chosen_.clear();
+    for (const auto& [number, wave] : jobs_.agreed().waves()) {
+        for (const auto& step : wave.steps) {
+            if (step->phase == wire::maintenance_phase::ordered) {
+                going_down_.insert(vm_id(step->vm));
+            }
+        }
+    }
+    for (const auto& [number, wave] : jobs_.agreed().waves()) {
+        if (!is_complete(wave)) {
+            decide_wave(wave, orders, now);
+        }
+    }
+}
+
+void vm_manager::decide_wave(const wire::MaintenanceWaveT& wave,
+    std::vector<vm_order>& orders, instant now) {
+    std::size_t down = 0;
+    for (const auto& step : wave.steps) {
+        if (step->phase == wire::maintenance_phase::ordered) {
+            ++down;
+            chosen_.insert(vm_id(step->vm));
+            follow_step(*step, orders, now);
+        }
+    }
+    choose_next(wave, down, now);
+}
+
+// The service's word that the order was carried out is needed: a VM that
+// crashes on its own comes back under a new life, too.
+void vm_manager::follow_step(const wire::MaintenanceStepT& step,
+    std::vector<vm_order>& orders, instant now) {
+    const vm_id vm(step.vm);
+    order_state& order = maintaining_[vm];
+    if (!order.confirmed) {
+        if (!order.in_flight && !order.fenced && now >= order.next_attempt) {
+            order.in_flight = true;
+            orders.push_back(
+                {vm_order::kind::maintain, vm, pool_id(), step.wave});
+        }
+        return;
+    }
+    const endpoint_view* view = find_vm(vm);
+    const endpoint_life before{step.endpoint, step.life};
+    const bool reports_again = view != nullptr && view->life != before &&
+        view->heard > *order.confirmed + late_report_time;
+    // A VM of a standby pool reports neither before nor after.
+    const bool never_reports = step.endpoint.empty() &&
+        now > *order.confirmed + options_.maintenance_time + late_report_time;
+    if (reports_again || never_reports) {
+        jobs_.note_maintenance(
+            with_phase(step, wire::maintenance_phase::returned));
+        maintaining_.erase(vm);
+        going_down_.erase(vm);
+    }
+}
+
+std::size_t vm_manager::lasting_tasks(const endpoint_view& view) const {
+    const endpoint_load* load = jobs_.agreed().load_of(view.life);
+    return load == nullptr
+        ? 0
+        : static_cast<std::size_t>(std::count_if(
+              load->runs.begin(), load->runs.end(), [this](const run_ref& run) {
+                  const task_place place = jobs_.agreed().find_task(run.task);
+                  return place && place.step->long_running;
+              }));
+}
+
+std::size_t vm_manager::ending_tasks(const endpoint_view& view) const {
+    const endpoint_load* load = jobs_.agreed().load_of(view.life);
+    return load == nullptr ? 0 : load->runs.size() - lasting_tasks(view);
+}
+
+bool vm_manager::is_at_work_elsewhere(
+    const task_name& name, const endpoint_view& view) const {
+    const task_place place = jobs_.agreed().find_task(name);
+    return std::any_of(place.task->runs.begin(), place.task->runs.end(),
+        [&](const auto& record) {
+            const endpoint_life life{record->endpoint, record->life};
+            const auto* other = jobs_.endpoints().find_life(life);
+            if (other == nullptr || life == view.life ||
+                going_down_.contains(other->vm)) {
+                return false;
+            }
+            const run_ref run{name, record->number};
+            const auto listed = other->running.find(run);
+            return !jobs_.is_stop_requested(run) &&
+                listed != other->running.end() && listed->second.percent >= 100;
+        });
+}
+
+bool vm_manager::is_budgeted(const task_place& place) {
+    return place && place.step->max_unavailable > 0 &&
+        place.job->phase == wire::job_phase::active;
+}
+
+vm_manager::step_absence vm_manager::absence_without(
+    const run_ref& run, const endpoint_view& view) const {
+    const task_place place = jobs_.agreed().find_task(run.task);
+    step_absence absence;
+    for (std::uint32_t k = 0; k < place.group->tasks.size(); ++k) {
+        task_name name = run.task;
+        name.index = k;
+        const auto& runs = place.group->tasks[k]->runs;
+        if (std::any_of(runs.begin(), runs.end(), [&](const auto& record) {
+                return record->endpoint == view.life.endpoint &&
+                    record->life == view.life.number;
+            })) {
+            ++absence.here;
+        } else if (!is_at_work_elsewhere(name, view)) {
+            ++absence.elsewhere;
+        }
+    }
+    return absence;
+}
+
+// Availability budget: tasks of a step that are away for any reason, and
+// those that would be ended here, stay within what the step allows.
+bool vm_manager::may_end_tasks(const endpoint_view& view) const {
+    const endpoint_load* load = jobs_.agreed().load_of(view.life);
+    return load == nullptr ||
+        std::all_of(
+            load->runs.begin(), load->runs.end(), [&](const run_ref& run) {
+                const task_place place = jobs_.agreed().find_task(run.task);
+                if (!is_budgeted(place)) {
+                    return true;
+                }
+                const step_absence absence = absence_without(run, view);
+                return absence.here + absence.elsewhere <=
+                    place.step->max_unavailable;
+            });
+}
+
+// A VM that holds more tasks of a step than may be away at once is emptied
+// one task after the other; each is at work elsewhere before the next ends.
+void vm_manager::evacuate(const endpoint_view& view) {
+    const endpoint_load* load = jobs_.agreed().load_of(view.life);
+    for (const run_ref& run : load->runs) {
+        const task_place place = jobs_.agreed().find_task(run.task);
+        if (!is_budgeted(place)) {
+            continue;
+        }
+        const step_absence absence = absence_without(run, view);
+        const auto listed = view.running.find(run);
+        if (absence.here > place.step->max_unavailable &&
+            absence.elsewhere < place.step->max_unavailable &&
+            listed != view.running.end() && listed->second.percent >= 100 &&
+            !jobs_.is_stop_requested(run)) {
+            jobs_.request_stop(run);
+            return;
+        }
+    }
+}
+
+// As many at once as the time that is left needs, and no more: each takes
+// room from its pool.
+void vm_manager::choose_next(
+    const wire::MaintenanceWaveT& wave, std::size_t down, instant now) {
+    std::vector<const endpoint_view*> waiting;
+    std::vector<vm_id> resting;
+    std::size_t left = 0;
+    for (const std::string& vm : wave.vms) {
+        const wire::MaintenanceStepT* step = find_step(wave, vm);
+        if (step != nullptr &&
+            step->phase != wire::maintenance_phase::waiting) {
+            continue;
+        }
+        ++left;
+        const endpoint_view* view = find_vm(vm_id(vm));
+        const order_state& order = maintaining_[vm_id(vm)];
+        if (view != nullptr && now >= order.next_attempt &&
+            now - view->heard < jobs_.endpoints().options().silence_limit) {
+            waiting.push_back(view);
+        } else if (view == nullptr && is_on_standby(vm_id(vm)) &&
+            now >= order.next_attempt) {
+            resting.push_back(vm_id(vm));
+        }
+    }
+    const std::uint64_t passed = jobs_.agreed().time_ms() - wave.started_ms;
+    const auto goal = wave.duration_ms *
+        static_cast<std::uint64_t>(options_.wave_time_percent) / 100;
+    const std::uint64_t time_left = goal > passed ? goal - passed : 0;
+    const std::uint64_t each =
+        to_wire_ms(options_.maintenance_time + options_.drain_time);
+    const std::size_t rounds =
+        std::max<std::size_t>(1, static_cast<std::size_t>(time_left / each));
+    const std::size_t most = std::max<std::size_t>(1, wave.most_down);
+    const std::size_t at_once = std::min(most, (left + rounds - 1) / rounds);
+    std::sort(waiting.begin(), waiting.end(),
+        [this](const endpoint_view* left_view, const endpoint_view* right) {
+            return std::make_tuple(ending_tasks(*left_view),
+                       lasting_tasks(*left_view),
+                       left_view->vm) < std::make_tuple(ending_tasks(*right),
+                                            lasting_tasks(*right), right->vm);
+        });
+    for (const vm_id& vm : resting) {
+        if (down >= most) {
+            return;
+        }
+        ++down;
+        chosen_.insert(vm);
+        order_maintenance(wave.number, vm, {}, now);
+    }
+    const bool urgent = passed + each >= wave.duration_ms;
+    for (const endpoint_view* view : waiting) {
+        if (down >= at_once) {
+            return;
+        }
+        if (!may_end_tasks(*view)) {
+            if (is_settled(view->vm, now)) {
+                evacuate(*view);
+            }
+            chosen_.insert(view->vm);
+            continue;
+        }
+        ++down;
+        chosen_.insert(view->vm);
+        if ((ending_tasks(*view) > 0 && !urgent) ||
+            !is_settled(view->vm, now)) {
+            continue;
+        }
+        order_maintenance(wave.number, view->vm, view->life, now);
+    }
+}
+
+bool vm_manager::is_on_standby(const vm_id& vm) const {
+    const std::string* standby = standby_pool();
+    const auto record = list_.find(vm);
+    return standby != nullptr && record != list_.end() &&
+        record->second.condition == vm_condition::up &&
+        record->second.pool.str() == *standby && !targets_.contains(vm);
+}
+
+void vm_manager::order_maintenance(std::uint64_t wave, const vm_id& vm,
+    const endpoint_life& life, instant now) {
+    wire::MaintenanceStepT step;
+    step.wave = wave;
+    step.vm = vm.str();
+    step.phase = wire::maintenance_phase::ordered;
+    step.endpoint = life.endpoint;
+    step.life = life.number;
+    // Until the batch is agreed it isn't chosen again.
+    going_down_.insert(vm);
+    maintaining_[vm] = {};
+    maintaining_[vm].next_attempt = now + options_.retry_interval;
+    jobs_.note_maintenance(step);
+}
+
+} // namespace dragonflymount::jobs
--- a/dragonflymount/src/Runtime/Process.cpp
+++ b/dragonflymount/src/Runtime/Process.cpp
@@ -22,6 +22,8 @@
     google::InitGoogleLogging(argv[0]);
     // A peer that is gone is an error of the write, not of the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // Settings are read at start; a changed file counts from the next one.
+    std::signal(SIGHUP, SIG_IGN);
     const std::string path = absl::GetFlag(FLAGS_config);
     if (path.empty()) {
         std::cerr << "--config FILE is missing\n";
--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -30,10 +30,10 @@
 
 } // namespace
 
-settings::schema scheduler_schema() {
+settings::schema_builder scheduler_settings_of() {
     using settings::kind;
-    return settings::schema_builder()
-        .require("scheduler", "control", kind::address)
+    settings::schema_builder builder;
+    builder.require("scheduler", "control", kind::address)
         .require("scheduler", "peer-port", kind::count)
         .require("scheduler", "seeds", kind::addresses)
         .require("scheduler", "data", kind::folder)
@@ -52,12 +52,11 @@
                     read.time("scheduler", "election-timeout");
             }})
         .verify({"scheduler", "task-lease", "longest-lease",
-            "at most 'longest-lease'",
-            [](const settings::values& read) {
+            "at most 'longest-lease'", [](const settings::values& read) {
                 return read.time("scheduler", "task-lease") <=
                     read.time("scheduler", "longest-lease");
-            }})
-        .build();
+            }});
+    return builder;
 }
 
 scheduler_settings make_scheduler_settings(const settings::values& read) {
--- a/programs/scheduler/settings.hpp
+++ b/programs/scheduler/settings.hpp
@@ -6,7 +6,8 @@
 
 namespace dragonflymount::scheduler_program {
 
-settings::schema scheduler_schema();
+/// \brief What every scheduler takes; a program may add sections.
+settings::schema_builder scheduler_settings_of();
 
 scheduler_settings make_scheduler_settings(const settings::values& read);
 
--- a/tests/core/event_test.cpp
+++ b/tests/core/event_test.cpp
@@ -39,7 +39,7 @@
     const std::regex use(R"(event::([a-z_]+))");
     std::set<std::string> names;
     const std::filesystem::path sources(DFM_SOURCES);
-    for (const char* folder : {"dragonflymount", "programs"}) {
+    for (const char* folder : {"dragonflymount", "programs", "platform"}) {
         for (const auto& file :
             std::filesystem::recursive_directory_iterator(sources / folder)) {
             const std::filesystem::path& path = file.path();
