--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -128,6 +128,15 @@
     views_.erase(found);
 }
 
+void endpoint_table::end_life(const endpoint_life& life) {
+    std::uint64_t& over = over_[life.endpoint];
+    over = std::max(over, life.number);
+    const auto found = views_.find(life.endpoint);
+    if (found != views_.end() && found->second.life == life) {
+        views_.erase(found);
+    }
+}
+
 bool endpoint_table::is_over(const endpoint_life& life, instant now) const {
     if (life.number <= newest_in(over_, life.endpoint) ||
         life.number < newest_in(newest_of_endpoint_, life.endpoint)) {
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -91,7 +91,7 @@
 /// \brief Timing of endpoints.
 struct endpoint_options {
     /// Lease that each answered report extends to.
-    duration lease = std::chrono::seconds(6);
+    duration lease = std::chrono::seconds(9);
     /// Longest lease that any leader grants.
     duration longest_lease = std::chrono::seconds(10);
     /// An endpoint that is silent for this long gets no new task: two report
@@ -132,6 +132,8 @@
     void extend_lease(endpoint_view& view, instant reported);
     /// \brief The endpoint said that it leaves, or is known to be gone.
     void remove(const std::string& endpoint);
+    /// \brief The VM service says that a life is over.
+    void end_life(const endpoint_life& life);
     /// \brief Whether nothing can be running any more in \p life.
     bool is_over(const endpoint_life& life, instant now) const;
 
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -22,7 +22,10 @@
     task_name task;
     std::uint32_t run = 0;
 
-    friend auto operator<=>(const run_ref&, const run_ref&) = default;
+    friend bool operator==(const run_ref&, const run_ref&) = default;
+    friend bool operator<(const run_ref& left, const run_ref& right) {
+        return std::tie(left.task, left.run) < std::tie(right.task, right.run);
+    }
 };
 
 /// \brief What the agreed runs take of one life of an endpoint.
--- a/dragonflymount/src/Jobs/Types.hpp
+++ b/dragonflymount/src/Jobs/Types.hpp
@@ -5,9 +5,9 @@
 #include "dragonflymount/wire.hpp"
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace dragonflymount::jobs {
 
@@ -24,7 +24,11 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    friend auto operator<=>(const task_name&, const task_name&) = default;
+    friend bool operator==(const task_name&, const task_name&) = default;
+    friend bool operator<(const task_name& left, const task_name& right) {
+        return std::tie(left.job, left.occurrence, left.step, left.index) <
+            std::tie(right.job, right.occurrence, right.step, right.index);
+    }
 };
 
 /// \brief One life of an endpoint: it ends with a crash, a restart or a move
@@ -35,8 +39,13 @@
     /// since 1970; a later life of the same endpoint has a larger number.
     std::uint64_t number = 0;
 
-    friend auto operator<=>(
+    friend bool operator==(
         const endpoint_life&, const endpoint_life&) = default;
+    friend bool operator<(
+        const endpoint_life& left, const endpoint_life& right) {
+        return std::tie(left.endpoint, left.number) <
+            std::tie(right.endpoint, right.number);
+    }
 };
 
 /// \brief What tasks use and VMs offer.
--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -32,31 +32,23 @@
     endpoint_of_.clear();
     home_size_.clear();
     going_down_.clear();
+    led_since_ = now;
     next_list_ = now;
 }
 
 void vm_manager::take_list(std::vector<vm_record> list, instant now) {
     next_list_ = now + options_.list_interval;
+    list_taken_ = now;
     list_.clear();
     const bool first = home_size_.empty();
     for (vm_record& record : list) {
-        // The service knows at once that a VM is down or lives anew; reports
-        // only fall silent.
-        const bool gone = record.condition == vm_condition::down ||
-            record.condition == vm_condition::maintained;
-        for (const auto& [endpoint, view] : jobs_.endpoints().views()) {
-            if (view.vm == record.vm && gone &&
-                now - view.heard > jobs_.endpoints().options().silence_limit) {
-                jobs_.leave(endpoint);
-                break;
-            }
-        }
         if (first) {
             ++home_size_[record.pool.str()];
         }
         const vm_id vm = record.vm;
         list_[vm] = std::move(record);
     }
+    end_unlisted_lives(now);
     for (const auto& [number, wave] : jobs_.agreed().waves()) {
         for (const std::string& vm : wave.vms) {
             const bool open = std::none_of(
@@ -75,6 +67,44 @@
     }
 }
 
+// The service knows at once that a VM is down or has another endpoint, where
+// reports only fall silent; tasks there need not wait for a lease to end.
+void vm_manager::end_unlisted_lives(instant now) {
+    std::set<std::string> living;
+    for (const auto& [vm, record] : list_) {
+        if (record.condition == vm_condition::up) {
+            living.insert(record.endpoint);
+        }
+    }
+    std::vector<endpoint_life> ended;
+    for (const auto& [life, load] : jobs_.agreed().loads()) {
+        if (!living.contains(life.endpoint) && is_silent(life, now)) {
+            ended.push_back(life);
+        }
+    }
+    for (const endpoint_life& life : ended) {
+        jobs_.endpoints().end_life(life);
+    }
+}
+
+bool vm_manager::is_silent(const endpoint_life& life, instant now) const {
+    const endpoint_view* view = jobs_.endpoints().find_life(life);
+    const instant heard = view != nullptr ? view->heard : led_since_;
+    return now - heard > jobs_.endpoints().options().silence_limit;
+}
+
+// A life with tasks fell silent: the list tells whether its VM is down.
+void vm_manager::watch_silence(instant now) {
+    if (now - list_taken_ < options_.urgent_list_interval) {
+        return;
+    }
+    const auto& loads = jobs_.agreed().loads();
+    if (std::any_of(loads.begin(), loads.end(),
+            [&](const auto& entry) { return is_silent(entry.first, now); })) {
+        next_list_ = std::min(next_list_, now);
+    }
+}
+
 void vm_manager::list_failed(instant now) {
     next_list_ = now + options_.retry_interval;
 }
@@ -100,6 +130,7 @@
 
 std::vector<vm_order> vm_manager::decide(instant now) {
     index_vms();
+    watch_silence(now);
     std::vector<vm_order> orders;
     decide_waves(orders, now);
     decide_moves(orders, now);
@@ -125,7 +156,7 @@
         held.confirmed = now;
         // Everything there has ended; its tasks need not wait for a lease.
         if (const endpoint_view* view = find_vm(order.vm);
-            view != nullptr && view->heard <= now) {
+            view != nullptr && view->life == held.life) {
             jobs_.leave(view->life.endpoint);
         }
         break;
@@ -272,10 +303,11 @@
     }
 }
 
-void vm_manager::order_move(
-    const vm_id& vm, const std::string& pool, std::vector<vm_order>& orders) {
+void vm_manager::order_move(const vm_id& vm, const std::string& pool,
+    const endpoint_life& life, std::vector<vm_order>& orders) {
     order_state& order = moving_[vm];
     order = {};
+    order.life = life;
     order.in_flight = true;
     targets_[vm] = pool_id(pool);
     orders.push_back({vm_order::kind::move, vm, pool_id(pool), 0});
@@ -296,7 +328,7 @@
             record.condition == vm_condition::up && !targets_.contains(vm) &&
             !chosen_.contains(vm) && find_vm(vm) == nullptr;
         if (free) {
-            order_move(vm, name, orders);
+            order_move(vm, name, {}, orders);
             record.pool = pool_id(name);
             ++pool.arriving;
             --missing;
@@ -341,7 +373,7 @@
         leaving_.insert(view->vm);
         if (ending_tasks(*view) == 0 && !targets_.contains(view->vm) &&
             is_settled(view->vm, now)) {
-            order_move(view->vm, *standby_pool(), orders);
+            order_move(view->vm, *standby_pool(), view->life, orders);
         }
     }
 }
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -65,6 +65,8 @@
 struct vm_manager_options {
     /// Interval of reading the list while nothing is under way.
     duration list_interval = std::chrono::seconds(4);
+    /// The same while an endpoint with tasks is silent.
+    duration urgent_list_interval = std::chrono::seconds(1);
     /// After an order without a clear answer.
     duration retry_interval = std::chrono::milliseconds(400);
     /// How long a maintained VM stays away; from the platform's settings.
@@ -102,6 +104,10 @@
         // When the service last said that the order was carried out.
         std::optional<instant> confirmed;
         bool fenced = false;
+        // Its end is gathered for the next batch.
+        bool finished = false;
+        // The life that the order ends.
+        endpoint_life life;
     };
     struct pool_state {
         std::vector<const endpoint_view*> members;
@@ -131,15 +137,18 @@
     };
     static bool is_budgeted(const task_place& place);
     bool is_at_work_elsewhere(
-        const task_name& name, const endpoint_view& view) const;
+        const task_name& name, const endpoint_view& view, instant now) const;
     step_absence absence_without(
-        const run_ref& run, const endpoint_view& view) const;
-    void evacuate(const endpoint_view& view);
-    bool may_end_tasks(const endpoint_view& view) const;
+        const run_ref& run, const endpoint_view& view, instant now) const;
+    void evacuate(const endpoint_view& view, instant now);
+    bool may_end_tasks(const endpoint_view& view, instant now) const;
     std::size_t lasting_tasks(const endpoint_view& view) const;
     std::size_t ending_tasks(const endpoint_view& view) const;
     const endpoint_view* find_vm(const vm_id& vm) const;
     void index_vms();
+    void end_unlisted_lives(instant now);
+    bool is_silent(const endpoint_life& life, instant now) const;
+    void watch_silence(instant now);
     /// Whether a VM has taken no new task for so long that no start for it
     /// can be under way.
     bool is_settled(const vm_id& vm, instant now) const;
@@ -153,11 +162,13 @@
     void shrink(const std::string& name, pool_state& pool,
         std::vector<vm_order>& orders, instant now);
     void order_move(const vm_id& vm, const std::string& pool,
-        std::vector<vm_order>& orders);
+        const endpoint_life& life, std::vector<vm_order>& orders);
     const std::string* standby_pool() const;
 
     engine& jobs_;
     vm_manager_options options_;
+    instant led_since_{};
+    instant list_taken_{};
     instant next_list_{};
     std::map<vm_id, vm_record> list_;
     std::map<vm_id, order_state> maintaining_;
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -38,7 +38,11 @@
     for (const auto& [number, wave] : jobs_.agreed().waves()) {
         for (const auto& step : wave.steps) {
             if (step->phase == wire::maintenance_phase::ordered) {
-                going_down_.insert(vm_id(step->vm));
+                const vm_id vm(step->vm);
+                const auto order = maintaining_.find(vm);
+                if (order == maintaining_.end() || !order->second.finished) {
+                    going_down_.insert(vm);
+                }
             }
         }
     }
@@ -68,6 +72,10 @@
     std::vector<vm_order>& orders, instant now) {
     const vm_id vm(step.vm);
     order_state& order = maintaining_[vm];
+    order.life = {step.endpoint, step.life};
+    if (order.finished) {
+        return;
+    }
     if (!order.confirmed) {
         if (!order.in_flight && !order.fenced && now >= order.next_attempt) {
             order.in_flight = true;
@@ -77,8 +85,7 @@
         return;
     }
     const endpoint_view* view = find_vm(vm);
-    const endpoint_life before{step.endpoint, step.life};
-    const bool reports_again = view != nullptr && view->life != before &&
+    const bool reports_again = view != nullptr && view->life != order.life &&
         view->heard > *order.confirmed + late_report_time;
     // A VM of a standby pool reports neither before nor after.
     const bool never_reports = step.endpoint.empty() &&
@@ -86,7 +93,7 @@
     if (reports_again || never_reports) {
         jobs_.note_maintenance(
             with_phase(step, wire::maintenance_phase::returned));
-        maintaining_.erase(vm);
+        order.finished = true;
         going_down_.erase(vm);
     }
 }
@@ -108,13 +115,15 @@
 }
 
 bool vm_manager::is_at_work_elsewhere(
-    const task_name& name, const endpoint_view& view) const {
+    const task_name& name, const endpoint_view& view, instant now) const {
     const task_place place = jobs_.agreed().find_task(name);
     return std::any_of(place.task->runs.begin(), place.task->runs.end(),
         [&](const auto& record) {
             const endpoint_life life{record->endpoint, record->life};
             const auto* other = jobs_.endpoints().find_life(life);
             if (other == nullptr || life == view.life ||
+                now - other->heard >
+                    jobs_.endpoints().options().silence_limit ||
                 going_down_.contains(other->vm)) {
                 return false;
             }
@@ -131,19 +140,24 @@
 }
 
 vm_manager::step_absence vm_manager::absence_without(
-    const run_ref& run, const endpoint_view& view) const {
+    const run_ref& run, const endpoint_view& view, instant now) const {
     const task_place place = jobs_.agreed().find_task(run.task);
     step_absence absence;
     for (std::uint32_t k = 0; k < place.group->tasks.size(); ++k) {
         task_name name = run.task;
         name.index = k;
         const auto& runs = place.group->tasks[k]->runs;
-        if (std::any_of(runs.begin(), runs.end(), [&](const auto& record) {
+        const auto held =
+            std::find_if(runs.begin(), runs.end(), [&](const auto& record) {
                 return record->endpoint == view.life.endpoint &&
                     record->life == view.life.number;
-            })) {
+            });
+        // A run that was told to stop is away, though it is still listed.
+        const bool here = held != runs.end() &&
+            !jobs_.is_stop_requested({name, (*held)->number});
+        if (here) {
             ++absence.here;
-        } else if (!is_at_work_elsewhere(name, view)) {
+        } else if (!is_at_work_elsewhere(name, view, now)) {
             ++absence.elsewhere;
         }
     }
@@ -152,7 +166,7 @@
 
 // Availability budget: tasks of a step that are away for any reason, and
 // those that would be ended here, stay within what the step allows.
-bool vm_manager::may_end_tasks(const endpoint_view& view) const {
+bool vm_manager::may_end_tasks(const endpoint_view& view, instant now) const {
     const endpoint_load* load = jobs_.agreed().load_of(view.life);
     return load == nullptr ||
         std::all_of(
@@ -161,7 +175,7 @@
                 if (!is_budgeted(place)) {
                     return true;
                 }
-                const step_absence absence = absence_without(run, view);
+                const step_absence absence = absence_without(run, view, now);
                 return absence.here + absence.elsewhere <=
                     place.step->max_unavailable;
             });
@@ -169,14 +183,14 @@
 
 // A VM that holds more tasks of a step than may be away at once is emptied
 // one task after the other; each is at work elsewhere before the next ends.
-void vm_manager::evacuate(const endpoint_view& view) {
+void vm_manager::evacuate(const endpoint_view& view, instant now) {
     const endpoint_load* load = jobs_.agreed().load_of(view.life);
     for (const run_ref& run : load->runs) {
         const task_place place = jobs_.agreed().find_task(run.task);
         if (!is_budgeted(place)) {
             continue;
         }
-        const step_absence absence = absence_without(run, view);
+        const step_absence absence = absence_without(run, view, now);
         const auto listed = view.running.find(run);
         if (absence.here > place.step->max_unavailable &&
             absence.elsewhere < place.step->max_unavailable &&
@@ -242,9 +256,9 @@
         if (down >= at_once) {
             return;
         }
-        if (!may_end_tasks(*view)) {
+        if (!may_end_tasks(*view, now)) {
             if (is_settled(view->vm, now)) {
-                evacuate(*view);
+                evacuate(*view, now);
             }
             chosen_.insert(view->vm);
             continue;
--- a/dragonflymount/src/Runtime/Process.cpp
+++ b/dragonflymount/src/Runtime/Process.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/usage.h>
 
 #include <csignal>
+#include <cstdio>
 #include <iostream>
 
 ABSL_FLAG(std::string, config, "", "INI file with this process's settings");
@@ -17,7 +18,9 @@
     int argc, char** argv, const settings::schema& expected) {
     absl::SetProgramUsageMessage("--config FILE");
     absl::ParseCommandLine(argc, argv);
-    FLAGS_logtostderr = true;
+    // Line by line, so that a killed process leaves its last line behind.
+    std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+    FLAGS_logtostdout = true;
     FLAGS_v = absl::GetFlag(FLAGS_verbosity);
     google::InitGoogleLogging(argv[0]);
     // A peer that is gone is an error of the write, not of the process.
--- /dev/null
+++ b/programs/scheduler/decision_log.cpp
@@ -0,0 +1,95 @@
+// Lines of agreed decisions.
+#include "programs/scheduler/decision_log.hpp"
+
+#include <glog/logging.h>
+
+namespace dragonflymount::scheduler_program {
+namespace {
+
+std::string_view name_of(wire::run_end how) {
+    return wire::EnumNamerun_end(how);
+}
+
+std::string describe(const wire::TaskNameT& name) {
+    return jobs::to_string(jobs::from_wire(name));
+}
+
+} // namespace
+
+void decision_log::write(
+    const wire::JobBatchT& batch, log_term term, duration waited, instant now) {
+    term_ = term;
+    waited_ = waited;
+    now_ = now;
+    write_jobs(batch);
+    write_runs(batch);
+    if (budget_.spend(now)) {
+        const std::uint64_t left_out = budget_.take_left_out();
+        if (left_out > 0) {
+            LOG(WARNING) << event::log_lines_left_out << "lines=" << left_out;
+        }
+    }
+}
+
+void decision_log::write_jobs(const wire::JobBatchT& batch) {
+    const auto waited_us = waited_.count();
+    for (const auto& job : batch.submitted) {
+        ++counts_.accepted;
+        if (budget_.spend(now_)) {
+            LOG(INFO) << event::job_accepted
+                      << "job=" << jobs::to_string(jobs::job_id(job->id))
+                      << " queue=" << job->queue << " team=" << job->team
+                      << " steps=" << job->spec->steps.size()
+                      << " catalogue=" << agreed_.catalogue().version
+                      << " term=" << term_ << " agreed_us=" << waited_us;
+        }
+    }
+    for (const auto& order : batch.cancelled) {
+        ++counts_.cancelled;
+        if (budget_.spend(now_)) {
+            LOG(INFO) << event::job_cancelled
+                      << "job=" << jobs::to_string(jobs::job_id(order->job))
+                      << " term=" << term_ << " agreed_us=" << waited_us;
+        }
+    }
+}
+
+void decision_log::write_runs(const wire::JobBatchT& batch) {
+    for (const auto& ended : batch.ended) {
+        ++counts_.ended[ended->how];
+        if (!ended->task || !budget_.spend(now_)) {
+            continue;
+        }
+        const wire::JobT* job =
+            agreed_.find_job(jobs::job_id(ended->task->job));
+        LOG(INFO) << event::run_ended << "task=" << describe(*ended->task)
+                  << " run=" << ended->run << " how=" << name_of(ended->how)
+                  << " endpoint=" << ended->endpoint << " life=" << ended->life
+                  << " number=" << ended->number << " job_phase="
+                  << (job == nullptr ? "unknown"
+                                     : wire::EnumNamejob_phase(job->phase))
+                  << " term=" << term_;
+    }
+    for (const auto& order : batch.started) {
+        ++counts_.started;
+        if (budget_.spend(now_)) {
+            LOG(INFO) << event::run_started << "task=" << describe(*order->task)
+                      << " run=" << order->run
+                      << " endpoint=" << order->endpoint
+                      << " life=" << order->life
+                      << " catalogue=" << agreed_.catalogue().version
+                      << " term=" << term_;
+        }
+    }
+    for (const auto& step : batch.maintained) {
+        if (budget_.spend(now_)) {
+            LOG(INFO) << event::vm_maintained << "wave=" << step->wave
+                      << " vm=" << step->vm << " phase="
+                      << wire::EnumNamemaintenance_phase(step->phase)
+                      << " endpoint=" << step->endpoint
+                      << " life=" << step->life << " term=" << term_;
+        }
+    }
+}
+
+} // namespace dragonflymount::scheduler_program
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -20,6 +20,7 @@
     : context_(context), settings_(std::move(settings)),
       replica_(context, settings_.replica),
       engine_(replica_.agreed(), settings_.engine),
+      decisions_(replica_.agreed()),
       members_(replica_, self_of(settings_), settings_.voters),
       listener_(context, settings_.replica.connections),
       timer_(context, tick_interval, [this] { tick(); }) {
@@ -74,20 +75,68 @@
         return;
     }
     pumping_ = true;
-    auto batch = engine_.take_batch(
-        runtime::system_clock::now(), runtime::wall_time_ms());
-    if (batch) {
+    const instant proposed = runtime::system_clock::now();
+    if (auto batch = engine_.take_batch(proposed, runtime::wall_time_ms())) {
+        // Kept to be logged; packing takes a copy of its own.
+        const auto kept = std::make_shared<wire::JobBatchT>(*batch);
+        const log_term term = replica_.replica().term();
         replica_.propose(wire::encode_command(std::move(*batch)),
-            [this](const wire::ProposeReplyT& reply) {
-                engine_.batch_done(
-                    reply.result == wire::proposal_result::accepted,
-                    runtime::system_clock::now());
-                asio::post(context_, [this] { pump(); });
+            [this, kept, term, proposed](const wire::ProposeReplyT& reply) {
+                finish(*kept, term, proposed,
+                    reply.result == wire::proposal_result::accepted);
             });
     }
     pumping_ = false;
 }
 
+void scheduler::finish(const wire::JobBatchT& batch, log_term term,
+    instant proposed, bool agreed) {
+    const instant now = runtime::system_clock::now();
+    if (agreed) {
+        agreement_times_.add(now - proposed);
+        decisions_.write(batch, term, now - proposed, now);
+    }
+    engine_.batch_done(agreed, now);
+    asio::post(context_, [this] { pump(); });
+}
+
+std::string scheduler::metrics() const {
+    const agreement::replica& replica = replica_.replica();
+    const decision_counts& counts = decisions_.counts();
+    runtime::metrics_page page;
+    const auto figure = [&page](const char* name, const char* type,
+                            const char* help, auto value) {
+        page.metric(name, type, help).value(static_cast<double>(value));
+    };
+    figure("dfm_replica_leads", "gauge", "1 while this replica leads.",
+        replica_.is_settled_leader() ? 1 : 0);
+    figure("dfm_replica_term", "gauge", "Term of the agreement.",
+        replica.term().value());
+    figure("dfm_replica_commit", "gauge", "Index of the last agreed record.",
+        replica.commit_index().value());
+    figure("dfm_catalogue_version", "gauge", "Catalogue in force here.",
+        agreed().catalogue().version);
+    figure("dfm_jobs_active", "gauge", "Jobs that are not over.",
+        agreed().active_jobs().size());
+    figure("dfm_endpoints", "gauge", "Endpoints that this leader has heard.",
+        engine_.endpoints().views().size());
+    figure("dfm_jobs_accepted_total", "counter", "Jobs accepted here.",
+        counts.accepted);
+    figure("dfm_jobs_cancelled_total", "counter", "Cancels agreed here.",
+        counts.cancelled);
+    figure("dfm_runs_started_total", "counter", "Runs started here.",
+        counts.started);
+    page.metric("dfm_runs_ended_total", "counter", "Ends noted here.");
+    for (const auto& [how, count] : counts.ended) {
+        page.value(
+            static_cast<double>(count), {{"how", wire::EnumNamerun_end(how)}});
+    }
+    page.metric("dfm_agreement_seconds", "summary",
+            "From a batch's proposal until it was agreed.")
+        .value(agreement_times_);
+    return page.text();
+}
+
 void scheduler::tick() {
     const instant now = runtime::system_clock::now();
     members_.tick(now);
--- a/programs/scheduler/scheduler.hpp
+++ b/programs/scheduler/scheduler.hpp
@@ -5,6 +5,8 @@
 
 #include "dragonflymount/hosting.hpp"
 #include "dragonflymount/jobs.hpp"
+#include "dragonflymount/src/Runtime/Metrics.hpp"
+#include "programs/scheduler/decision_log.hpp"
 #include "programs/scheduler/member_keeper.hpp"
 
 namespace dragonflymount::scheduler_program {
@@ -36,6 +38,8 @@
     jobs::engine& engine() { return engine_; }
     const jobs::state& agreed() const { return replica_.agreed(); }
     const replica_host& replica() const { return replica_; }
+    /// \returns the counters and gauges of this process as a page.
+    std::string metrics() const;
     /// \returns the name of the leader, empty if none is known.
     const std::string& leader() const {
         return replica_.replica().leader().str();
@@ -52,17 +56,22 @@
         std::uint64_t correlation, const wire::JobCallT& call);
     void add_hints(wire::JobReplyT& reply) const;
     void change_leadership(bool leads);
+    void finish(const wire::JobBatchT& batch, log_term term, instant proposed,
+        bool agreed);
     void tick();
 
     asio::io_context& context_;
     scheduler_settings settings_;
     replica_host replica_;
     jobs::engine engine_;
+    decision_log decisions_;
     member_keeper members_;
     runtime::listener listener_;
     runtime::repeating_timer timer_;
     std::function<void(bool)> on_leadership_;
     bool pumping_ = false;
+    // From a batch's proposal until it was agreed.
+    runtime::time_summary agreement_times_;
 };
 
 } // namespace dragonflymount::scheduler_program
--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -35,6 +35,7 @@
     settings::schema_builder builder;
     builder.require("scheduler", "control", kind::address)
         .require("scheduler", "peer-port", kind::count)
+        .require("scheduler", "metrics", kind::address)
         .require("scheduler", "seeds", kind::addresses)
         .require("scheduler", "data", kind::folder)
         .allow("scheduler", "new-site", kind::name, "false")
@@ -42,7 +43,7 @@
         .allow("scheduler", "snapshot-records", kind::count, "4096")
         .allow("scheduler", "election-timeout", kind::time, "700ms")
         .allow("scheduler", "heartbeat", kind::time, "120ms")
-        .allow("scheduler", "task-lease", kind::time, "6s")
+        .allow("scheduler", "task-lease", kind::time, "9s")
         .allow("scheduler", "longest-lease", kind::time, "10s")
         .verify({"scheduler", "new-site", {}, "true or false", &is_truth_value})
         .verify({"scheduler", "heartbeat", "election-timeout",
--- /dev/null
+++ b/tests/jobs/engine_test.cpp
@@ -0,0 +1,302 @@
+// The leader's engine: what is answered when, leases, and lost endpoints.
+#include "tests/jobs/job_builder.hpp"
+
+#include <gtest/gtest.h>
+
+#include <list>
+
+namespace dragonflymount::jobs::test {
+namespace {
+
+/// An engine whose batches are agreed when the test says so.
+class job_engine : public testing::Test {
+protected:
+    job_engine() : engine_(jobs_.agreed, engine_options{}) {
+        engine_.lead(log_term(3), now_);
+    }
+    /// Agrees on batches until nothing is left to agree on.
+    void settle() {
+        for (int k = 0; k < 10; ++k) {
+            auto batch = engine_.take_batch(now_, jobs_.time_ms);
+            if (!batch) {
+                return;
+            }
+            jobs_.apply(std::move(*batch));
+            engine_.batch_done(true, now_);
+        }
+    }
+    void pass(std::int64_t ms) {
+        now_ += std::chrono::milliseconds(ms);
+        engine_.tick(now_);
+        settle();
+    }
+    wire::JobCallT call(
+        wire::job_verb verb, std::uint64_t id, const std::string& key = "key") {
+        wire::JobCallT made;
+        made.verb = verb;
+        made.host = "host";
+        made.path = "/q/" + to_string(job_id(id));
+        made.key = key;
+        if (verb == wire::job_verb::submit) {
+            made.spec = std::make_unique<wire::JobSpecT>(
+                *job_builder(id).step(1).build()->spec);
+        }
+        return made;
+    }
+    std::optional<wire::JobReplyT>& ask(const wire::JobCallT& made) {
+        replies_.emplace_back();
+        auto& place = replies_.back();
+        engine_.call(made,
+            [&place](wire::JobReplyT reply) { place = std::move(reply); });
+        return place;
+    }
+    std::optional<endpoint_orders>& report(endpoint_report made) {
+        orders_.emplace_back();
+        auto& place = orders_.back();
+        engine_.report(
+            made,
+            [&place](
+                const std::optional<endpoint_orders>& told) { place = told; },
+            now_);
+        settle();
+        return place;
+    }
+    endpoint_report running(
+        std::uint64_t sequence, const task_name& name, std::uint32_t percent) {
+        endpoint_report made = make_report("e1", sequence);
+        running_task listed;
+        listed.run = {name, 1};
+        listed.percent = percent;
+        made.running.push_back(listed);
+        return made;
+    }
+
+    agreed_jobs jobs_;
+    instant now_ = at_ms(100'000);
+    engine engine_;
+    std::list<std::optional<wire::JobReplyT>> replies_;
+    std::list<std::optional<endpoint_orders>> orders_;
+};
+
+TEST_F(job_engine, accepts_a_job_only_once_it_is_agreed) {
+    const auto& reply = ask(call(wire::job_verb::submit, 7));
+    EXPECT_FALSE(reply);
+    settle();
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->status, wire::job_status::accepted);
+    const auto& again = ask(call(wire::job_verb::submit, 7));
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->status, wire::job_status::accepted);
+    EXPECT_EQ(jobs_.agreed.job_count(), 1U);
+}
+
+TEST_F(job_engine, says_that_the_outcome_is_open_when_the_lead_is_lost) {
+    const auto& reply = ask(call(wire::job_verb::submit, 7));
+    ASSERT_TRUE(engine_.take_batch(now_, jobs_.time_ms));
+    engine_.resign();
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->status, wire::job_status::interrupted);
+}
+
+TEST_F(job_engine, checks_route_and_key) {
+    auto elsewhere = call(wire::job_verb::read, 7);
+    elsewhere.path = "/nowhere/1";
+    EXPECT_EQ(ask(elsewhere)->status, wire::job_status::not_found);
+    EXPECT_EQ(ask(call(wire::job_verb::submit, 7, "stolen"))->status,
+        wire::job_status::unauthorized);
+    EXPECT_EQ(ask(call(wire::job_verb::read, 7))->status,
+        wire::job_status::unknown_job);
+    EXPECT_FALSE(engine_.take_batch(now_, jobs_.time_ms));
+}
+
+TEST_F(job_engine, tells_an_endpoint_of_a_start_only_once_it_is_agreed) {
+    ask(call(wire::job_verb::submit, 7));
+    settle();
+    auto& told = report(make_report("e1", 1));
+    ASSERT_TRUE(told);
+    ASSERT_EQ(told->starts.size(), 1U);
+    EXPECT_EQ(told->starts[0].run, (run_ref{task(7), 1}));
+    EXPECT_EQ(told->fence, 3U);
+    EXPECT_TRUE(told->lease);
+    EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
+}
+
+TEST_F(job_engine, repeats_a_start_that_was_not_received) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    auto& told = report(make_report("e1", 2));
+    ASSERT_TRUE(told);
+    ASSERT_EQ(told->starts.size(), 1U);
+    EXPECT_EQ(told->starts[0].run.run, 1U);
+}
+
+TEST_F(job_engine, acknowledges_an_end_only_once_it_is_agreed) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    endpoint_report made = make_report("e1", 2);
+    made.ended.push_back({1, {task(7), 1}, wire::run_end::done, ""});
+    std::optional<endpoint_orders> told;
+    engine_.report(
+        made, [&](const auto& orders) { told = orders; }, now_);
+    EXPECT_FALSE(told);
+    settle();
+    ASSERT_TRUE(told);
+    EXPECT_EQ(told->acknowledged, 1U);
+    EXPECT_EQ(
+        ask(call(wire::job_verb::read, 7))->phase, wire::job_phase::complete);
+}
+
+TEST_F(job_engine, stops_what_runs_of_a_cancelled_job) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    report(running(2, task(7), 10));
+    const auto& reply = ask(call(wire::job_verb::cancel, 7));
+    EXPECT_FALSE(reply);
+    settle();
+    EXPECT_EQ(reply->status, wire::job_status::accepted);
+    auto& told = report(running(3, task(7), 20));
+    ASSERT_TRUE(told);
+    ASSERT_EQ(told->stops.size(), 1U);
+    EXPECT_EQ(told->stops[0], (run_ref{task(7), 1}));
+}
+
+TEST_F(job_engine, never_sends_the_start_of_a_job_cancelled_meanwhile) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    ask(call(wire::job_verb::cancel, 7));
+    settle();
+    auto& told = report(make_report("e1", 2));
+    pass(700);
+    ASSERT_TRUE(told);
+    EXPECT_TRUE(told->starts.empty());
+    EXPECT_TRUE(jobs_.agreed.loads().empty());
+}
+
+TEST_F(job_engine, starts_again_only_after_a_silent_endpoints_lease) {
+    // The leases of an earlier leader have ended by now.
+    pass(20'000);
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    report(running(2, task(7), 10));
+    const instant granted = now_;
+    while (now_ < lease_end(granted, endpoint_options{}.lease)) {
+        EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
+        pass(100);
+    }
+    pass(100);
+    EXPECT_EQ(jobs_.agreed.find_run({task(7), 1}), nullptr);
+    report(make_report("e2", 1));
+    EXPECT_NE(jobs_.agreed.find_run({task(7), 2}), nullptr);
+}
+
+TEST_F(job_engine, a_new_leader_waits_for_the_longest_lease) {
+    jobs_.submit(job_builder(7).step(1).build());
+    jobs_.start(task(7), 1, {"unheard", 1});
+    const instant led = now_;
+    report(make_report("e2", 1));
+    while (now_ + std::chrono::milliseconds(100) <
+        lease_end(led, endpoint_options{}.longest_lease)) {
+        pass(100);
+        ASSERT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
+        report(make_report(
+            "e2", static_cast<std::uint64_t>(now_.time_since_epoch().count())));
+    }
+    pass(200);
+    EXPECT_EQ(jobs_.agreed.find_run({task(7), 1}), nullptr);
+}
+
+TEST_F(job_engine, a_new_life_at_the_address_ends_the_old_one_at_once) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    endpoint_report reborn = make_report("e9", 1);
+    reborn.life.number = 2;
+    reborn.address = "e1:1";
+    auto& told = report(reborn);
+    ASSERT_TRUE(told);
+    ASSERT_EQ(told->starts.size(), 1U);
+    EXPECT_EQ(told->starts[0].run, (run_ref{task(7), 2}));
+}
+
+TEST_F(job_engine, a_late_report_of_an_ended_life_gets_no_lease) {
+    endpoint_report reborn = make_report("e1", 1);
+    reborn.life.number = 2;
+    report(reborn);
+    auto& told = report(make_report("e1", 99));
+    ASSERT_TRUE(told);
+    EXPECT_FALSE(told->lease);
+    EXPECT_TRUE(told->starts.empty());
+}
+
+TEST_F(job_engine, a_crossed_older_report_changes_nothing) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    report(running(5, task(7), 50));
+    auto& told = report(make_report("e1", 4));
+    ASSERT_TRUE(told);
+    EXPECT_FALSE(told->lease);
+    EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
+}
+
+TEST_F(job_engine, moves_a_run_that_stands_still) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    std::uint64_t sequence = 2;
+    report(running(sequence++, task(7), 10));
+    for (int k = 0; k < 30; ++k) {
+        pass(100);
+        report(running(sequence++, task(7), 10));
+    }
+    auto& told = report(running(sequence++, task(7), 10));
+    ASSERT_TRUE(told);
+    ASSERT_EQ(told->stops.size(), 1U);
+    endpoint_report made = make_report("e1", sequence);
+    made.ended.push_back({1, {task(7), 1}, wire::run_end::stopped, ""});
+    report(made);
+    report(make_report("e2", 1));
+    ASSERT_NE(jobs_.agreed.find_run({task(7), 2}), nullptr);
+    EXPECT_EQ(jobs_.agreed.find_run({task(7), 2})->endpoint, "e2");
+}
+
+TEST_F(job_engine, avoids_an_endpoint_that_fails_tasks_of_several_jobs) {
+    std::uint64_t sequence = 1;
+    std::uint64_t number = 1;
+    report(make_report("e1", sequence++));
+    for (std::uint64_t id = 7; id < 9; ++id) {
+        ask(call(wire::job_verb::submit, id));
+        settle();
+        endpoint_report made = make_report("e1", sequence++);
+        made.ended.push_back(
+            {number++, {task(id), 1}, wire::run_end::failed, ""});
+        report(made);
+    }
+    EXPECT_FALSE(engine_.endpoints().can_take_tasks(
+        *engine_.endpoints().find("e1"), now_));
+}
+
+TEST_F(job_engine, acknowledges_an_older_catalogue_without_taking_it) {
+    bool committed = false;
+    engine_.put_catalogue(
+        make_catalogue(9), [&](bool agreed) { committed = agreed; });
+    EXPECT_FALSE(committed);
+    settle();
+    EXPECT_TRUE(committed);
+    committed = false;
+    engine_.put_catalogue(
+        make_catalogue(4), [&](bool agreed) { committed = agreed; });
+    EXPECT_TRUE(committed);
+    EXPECT_EQ(jobs_.agreed.catalogue().version, 9U);
+}
+
+TEST_F(job_engine, begins_no_occurrence_before_its_time) {
+    jobs_.submit(
+        job_builder(7).step(1).repeats(2, first_time_ms + 50, 1000).build());
+    settle();
+    EXPECT_FALSE(jobs_.agreed.find_task(task(7)));
+    jobs_.time_ms = first_time_ms + 50;
+    settle();
+    EXPECT_TRUE(jobs_.agreed.find_task(task(7)));
+    EXPECT_FALSE(jobs_.agreed.find_task(task(7, 0, 0, 1)));
+}
+
+} // namespace
+} // namespace dragonflymount::jobs::test
--- /dev/null
+++ b/tests/jobs/placement_test.cpp
@@ -0,0 +1,148 @@
+// The placement round: room, limits, labels, gangs and order of service.
+#include "tests/jobs/job_builder.hpp"
+
+#include <gtest/gtest.h>
+
+namespace dragonflymount::jobs::test {
+namespace {
+
+class placement_round : public testing::Test {
+protected:
+    placement_round() : endpoints_(endpoint_options{}) {
+        endpoints_.reset(at_ms(0));
+    }
+    void add(const std::string& endpoint,
+        const std::vector<std::string>& labels = {"kind", "rack"}) {
+        endpoint_report report = make_report(endpoint, 1);
+        report.labels = labels;
+        endpoints_.take(report, at_ms(10));
+    }
+    std::vector<placed_run> plan(instant now = at_ms(20)) {
+        return placement(jobs_.agreed, endpoints_, avoided_, reserved_, now)
+            .plan(1000);
+    }
+    void limit_cpu(std::uint64_t limit) {
+        wire::JobBatchT batch;
+        batch.catalogue =
+            std::make_unique<wire::CatalogueT>(make_catalogue(2, limit));
+        jobs_.apply(std::move(batch));
+    }
+
+    agreed_jobs jobs_;
+    endpoint_table endpoints_;
+    avoided_endpoints avoided_;
+    std::set<vm_id> reserved_;
+};
+
+TEST_F(placement_round, never_exceeds_a_vm) {
+    add("e1");
+    add("e2");
+    jobs_.submit(job_builder(7).step(20, 1500).build());
+    std::map<std::string, int> count;
+    for (const placed_run& placed : plan()) {
+        ++count[placed.life.endpoint];
+    }
+    EXPECT_EQ(count, (std::map<std::string, int>{{"e1", 2}, {"e2", 2}}));
+}
+
+TEST_F(placement_round, counts_runs_whose_end_is_unknown) {
+    add("e1");
+    jobs_.submit(job_builder(7).step(1, 3000).build());
+    jobs_.start(task(7), 1);
+    jobs_.cancel(7);
+    jobs_.submit(job_builder(8).step(1, 2000).build());
+    EXPECT_TRUE(plan().empty());
+    jobs_.end(task(7), 1, wire::run_end::stopped);
+    EXPECT_EQ(plan().size(), 1U);
+}
+
+TEST_F(placement_round, holds_a_teams_limit) {
+    add("e1");
+    add("e2");
+    limit_cpu(3000);
+    jobs_.submit(job_builder(7).step(8, 1000).build());
+    EXPECT_EQ(plan().size(), 3U);
+}
+
+TEST_F(placement_round, places_a_gang_whole_or_not_at_all) {
+    add("e1");
+    jobs_.submit(job_builder(7).step(3, 2000).gang().build());
+    EXPECT_TRUE(plan().empty());
+    add("e2");
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 3U);
+    for (const placed_run& member : placed) {
+        EXPECT_EQ(member.run.run, 1U);
+    }
+}
+
+// Two gangs, each of which fits alone: half of each would hold the room that
+// the other waits for.
+TEST_F(placement_round, two_gangs_never_hold_half_of_the_room_each) {
+    add("e1");
+    add("e2");
+    jobs_.submit(job_builder(7).step(3, 2000).gang().build());
+    jobs_.submit(job_builder(8).step(3, 2000).gang().build());
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 3U);
+    EXPECT_EQ(placed[0].run.task.job, placed[2].run.task.job);
+}
+
+TEST_F(placement_round, keeps_steps_in_order) {
+    add("e1");
+    jobs_.submit(job_builder(7).step(1).step(1).after(0).build());
+    ASSERT_EQ(plan().size(), 1U);
+    EXPECT_EQ(plan()[0].run.task.step, 0U);
+    jobs_.start(task(7), 1);
+    EXPECT_TRUE(plan().empty());
+    jobs_.end(task(7), 1, wire::run_end::done);
+    ASSERT_EQ(plan().size(), 1U);
+    EXPECT_EQ(plan()[0].run.task.step, 1U);
+}
+
+TEST_F(placement_round, asks_for_labels_and_spreads_by_anti_affinity) {
+    add("e1");
+    add("e2", {"kind", "gold", "rack"});
+    jobs_.submit(
+        job_builder(7).step(3, 100).label("gold").anti_affinity(2).build());
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 2U);
+    EXPECT_EQ(placed[0].life.endpoint, "e2");
+    EXPECT_EQ(placed[1].life.endpoint, "e2");
+}
+
+TEST_F(placement_round, uses_no_silent_draining_reserved_or_foreign_endpoint) {
+    add("silent");
+    endpoint_report draining = make_report("draining", 1);
+    draining.draining = true;
+    endpoints_.take(draining, at_ms(9000));
+    endpoint_report foreign = make_report("foreign", 1);
+    foreign.pool = pool_id("other");
+    endpoints_.take(foreign, at_ms(9000));
+    endpoints_.take(make_report("reserved", 1), at_ms(9000));
+    reserved_.insert(vm_id("vm-reserved"));
+    jobs_.submit(job_builder(7).step(4).build());
+    EXPECT_TRUE(plan(at_ms(9000)).empty());
+}
+
+TEST_F(placement_round, tries_a_failed_task_elsewhere) {
+    add("e1");
+    jobs_.submit(job_builder(7).step(1).build());
+    avoided_[task(7)].insert("e1");
+    EXPECT_TRUE(plan().empty());
+    add("e2");
+    ASSERT_EQ(plan().size(), 1U);
+    EXPECT_EQ(plan()[0].life.endpoint, "e2");
+}
+
+TEST_F(placement_round, serves_lasting_tasks_first) {
+    add("e1");
+    jobs_.submit(job_builder(7).step(1, 3000).build());
+    jobs_.submit(job_builder(8).step(1, 3000).lasting(0).build());
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].run.task.job, job_id(8));
+}
+
+} // namespace
+} // namespace dragonflymount::jobs::test
--- /dev/null
+++ b/tests/jobs/state_test.cpp
@@ -0,0 +1,187 @@
+// The agreed jobs: attempts, ends, cancels, occurrences and images.
+#include "tests/jobs/job_builder.hpp"
+
+#include <gtest/gtest.h>
+
+namespace dragonflymount::jobs::test {
+namespace {
+
+using wire::job_phase;
+using wire::run_end;
+
+TEST(job_state, completes_when_every_task_has_ended_done) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(2).step(1).after(0).build());
+    jobs.start(task(7, 0, 0), 1);
+    jobs.start(task(7, 0, 1), 1);
+    jobs.end(task(7, 0, 0), 1, run_end::done);
+    jobs.end(task(7, 0, 1), 1, run_end::done);
+    EXPECT_EQ(jobs.phase(7), job_phase::active);
+    jobs.start(task(7, 1, 0), 1);
+    jobs.end(task(7, 1, 0), 1, run_end::done);
+    EXPECT_EQ(jobs.phase(7), job_phase::complete);
+    EXPECT_TRUE(jobs.agreed.loads().empty());
+}
+
+TEST(job_state, a_second_submission_of_an_id_changes_nothing) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(1).build());
+    jobs.start(task(7), 1);
+    jobs.submit(job_builder(7).step(3).build());
+    EXPECT_EQ(jobs.agreed.find_job(job_id(7))->spec->steps[0]->count, 1U);
+    EXPECT_NE(jobs.agreed.find_run({task(7), 1}), nullptr);
+}
+
+TEST(job_state, only_failed_ends_count_as_attempts) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(1).build());
+    std::uint32_t run = 0;
+    for (const run_end how : {run_end::lost, run_end::stopped, run_end::refused,
+             run_end::lapsed, run_end::broken, run_end::alone}) {
+        jobs.start(task(7), ++run);
+        jobs.end(task(7), run, how);
+    }
+    EXPECT_EQ(jobs.phase(7), job_phase::active);
+    for (int k = 0; k < 2; ++k) {
+        jobs.start(task(7), ++run);
+        jobs.end(task(7), run, run_end::failed);
+        EXPECT_EQ(jobs.phase(7), job_phase::active);
+    }
+    jobs.start(task(7), ++run);
+    jobs.end(task(7), run, run_end::failed);
+    EXPECT_EQ(jobs.phase(7), job_phase::failed);
+}
+
+TEST(job_state, an_end_listed_twice_counts_once) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(1).build());
+    jobs.start(task(7), 1);
+    for (int k = 0; k < 5; ++k) {
+        jobs.end(task(7), 1, run_end::failed, 1);
+    }
+    EXPECT_EQ(jobs.agreed.find_task(task(7)).task->failures, 1U);
+    EXPECT_EQ(jobs.agreed.acknowledged({"e1", 1}), 1U);
+}
+
+TEST(job_state, an_end_of_another_life_ends_nothing) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(1).build());
+    jobs.start(task(7), 1, {"e1", 2});
+    jobs.end(task(7), 1, run_end::done, 1, {"e1", 1});
+    EXPECT_EQ(jobs.phase(7), job_phase::active);
+    EXPECT_NE(jobs.agreed.find_run({task(7), 1}), nullptr);
+}
+
+TEST(job_state, refuses_starts_that_could_double_a_task) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(1).step(1).build());
+    jobs.start(task(7), 3);
+    jobs.start(task(7), 3);
+    jobs.start(task(7), 2);
+    EXPECT_EQ(jobs.agreed.find_task(task(7)).task->runs.size(), 1U);
+    jobs.end(task(7), 3, run_end::done);
+    jobs.start(task(7), 4);
+    EXPECT_TRUE(jobs.agreed.find_task(task(7)).task->runs.empty());
+}
+
+TEST(job_state, a_start_after_the_cancel_is_refused) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(2).build());
+    jobs.start(task(7, 0, 0), 1);
+    jobs.cancel(7);
+    EXPECT_EQ(jobs.phase(7), job_phase::cancelled);
+    // What may still run keeps its room until its end is known.
+    EXPECT_EQ(jobs.agreed.load_of({"e1", 1})->used.cpu_milli, 1000);
+    EXPECT_FALSE(jobs.agreed.is_wanted({task(7, 0, 0), 1}));
+    jobs.start(task(7, 0, 1), 1);
+    EXPECT_EQ(jobs.agreed.load_of({"e1", 1})->runs.size(), 1U);
+    jobs.end(task(7, 0, 0), 1, run_end::stopped);
+    EXPECT_TRUE(jobs.agreed.loads().empty());
+    EXPECT_EQ(jobs.agreed.usage_of_team("team"), resources{});
+}
+
+TEST(job_state, one_end_completes_a_gang_and_one_failure_counts_once) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(3).gang().build());
+    for (std::uint32_t k = 0; k < 3; ++k) {
+        jobs.start(task(7, 0, k), 1);
+    }
+    jobs.end(task(7, 0, 0), 1, run_end::failed);
+    jobs.end(task(7, 0, 1), 1, run_end::failed);
+    jobs.end(task(7, 0, 2), 1, run_end::broken);
+    EXPECT_EQ(jobs.agreed.find_task(task(7)).group->gang_failures, 1U);
+    for (std::uint32_t k = 0; k < 3; ++k) {
+        jobs.start(task(7, 0, k), 2);
+    }
+    jobs.end(task(7, 0, 1), 2, run_end::done);
+    EXPECT_EQ(jobs.phase(7), job_phase::complete);
+}
+
+TEST(job_state, a_lasting_task_is_never_done_nor_failed) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(1).lasting(1).build());
+    for (std::uint32_t run = 1; run < 9; ++run) {
+        jobs.start(task(7), run);
+        jobs.end(task(7), run, run % 2 == 0 ? run_end::done : run_end::failed);
+        EXPECT_EQ(jobs.phase(7), job_phase::active);
+    }
+}
+
+TEST(job_state, occurrences_overlap_and_complete_together) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(1).repeats(2, first_time_ms, 10).build());
+    EXPECT_FALSE(jobs.agreed.find_task(task(7)));
+    for (std::uint32_t number = 0; number < 2; ++number) {
+        wire::JobBatchT batch;
+        auto due = std::make_unique<wire::OccurrenceDueT>();
+        due->job = 7;
+        due->number = number;
+        batch.due.push_back(std::move(due));
+        jobs.apply(std::move(batch));
+    }
+    jobs.start(task(7, 0, 0, 1), 1);
+    jobs.end(task(7, 0, 0, 1), 1, run_end::done);
+    EXPECT_EQ(jobs.phase(7), job_phase::active);
+    jobs.start(task(7, 0, 0, 0), 1);
+    jobs.end(task(7, 0, 0, 0), 1, run_end::done);
+    EXPECT_EQ(jobs.phase(7), job_phase::complete);
+}
+
+TEST(job_state, only_a_higher_version_changes_the_catalogue) {
+    agreed_jobs jobs;
+    for (const std::uint64_t version : {5U, 3U, 5U}) {
+        wire::JobBatchT batch;
+        batch.catalogue = std::make_unique<wire::CatalogueT>(
+            make_catalogue(version, version * 10));
+        jobs.apply(std::move(batch));
+    }
+    EXPECT_EQ(jobs.agreed.catalogue().version, 5U);
+    EXPECT_EQ(jobs.agreed.find_team("team")->cpu_limit, 50U);
+}
+
+TEST(job_state, an_image_holds_all_that_was_agreed) {
+    agreed_jobs jobs;
+    jobs.submit(job_builder(7).step(2).build());
+    jobs.submit(job_builder(8).step(1).build());
+    jobs.start(task(7, 0, 0), 4);
+    jobs.start(task(8), 1);
+    jobs.end(task(8), 1, run_end::done, 9);
+    state loaded;
+    ASSERT_TRUE(loaded.load(jobs.agreed.save()));
+    EXPECT_EQ(loaded.catalogue().version, 1U);
+    EXPECT_EQ(loaded.find_job(job_id(8))->phase, job_phase::complete);
+    EXPECT_EQ(loaded.active_jobs().size(), 1U);
+    EXPECT_EQ(loaded.find_task(task(7)).task->last_run, 4U);
+    EXPECT_EQ(loaded.load_of({"e1", 1})->used.cpu_milli, 1000);
+    EXPECT_EQ(loaded.usage_of_team("team").cpu_milli, 1000);
+    EXPECT_EQ(loaded.acknowledged({"e1", 1}), 9U);
+}
+
+TEST(job_state, a_damaged_image_is_refused) {
+    state loaded;
+    EXPECT_FALSE(loaded.load(bytes{1, 2, 3, 4, 5, 6, 7, 8}));
+    EXPECT_FALSE(loaded.has_catalogue());
+}
+
+} // namespace
+} // namespace dragonflymount::jobs::test
--- /dev/null
+++ b/tests/jobs/vm_manager_test.cpp
@@ -0,0 +1,222 @@
+// Maintenance waves under availability budgets, and loans of standby VMs.
+#include "tests/jobs/job_builder.hpp"
+
+#include <gtest/gtest.h>
+
+namespace dragonflymount::jobs::test {
+namespace {
+
+class vm_orders : public testing::Test {
+protected:
+    vm_orders()
+        : engine_(jobs_.agreed, engine_options{}),
+          manager_(engine_, vm_manager_options{}) {
+        engine_.lead(log_term(1), now_);
+        manager_.reset(now_);
+    }
+    void settle() {
+        for (int k = 0; k < 10; ++k) {
+            auto batch = engine_.take_batch(now_, jobs_.time_ms);
+            if (!batch) {
+                return;
+            }
+            jobs_.apply(std::move(*batch));
+            engine_.batch_done(true, now_);
+        }
+    }
+    void report(const std::string& endpoint, std::uint64_t life = 1) {
+        endpoint_report made = make_report(endpoint, ++sequence_);
+        made.life = {endpoint, life};
+        const endpoint_load* load = jobs_.agreed.load_of(made.life);
+        if (load != nullptr) {
+            for (const run_ref& run : load->runs) {
+                running_task listed;
+                listed.run = run;
+                listed.percent = 100;
+                made.running.push_back(listed);
+            }
+        }
+        engine_.report(
+            made, [](const auto&) {}, now_);
+        settle();
+    }
+    void start_wave(const std::vector<std::string>& vms, std::uint32_t most) {
+        wire::MaintenanceWaveT wave;
+        wave.number = 1;
+        wave.vms = vms;
+        wave.duration_ms = 20'000;
+        wave.most_down = most;
+        engine_.start_wave(std::move(wave), [](bool) {});
+        settle();
+    }
+    /// Lets time pass in steps, with a report of each endpoint named.
+    std::vector<vm_order> pass(
+        std::int64_t ms, const std::vector<std::string>& endpoints) {
+        std::vector<vm_order> given;
+        for (std::int64_t passed = 0; passed < ms; passed += 100) {
+            now_ += std::chrono::milliseconds(100);
+            jobs_.time_ms += 100;
+            for (const std::string& endpoint : endpoints) {
+                report(endpoint);
+            }
+            for (vm_order& order : manager_.decide(now_)) {
+                given.push_back(std::move(order));
+            }
+            settle();
+        }
+        return given;
+    }
+
+    agreed_jobs jobs_;
+    instant now_ = at_ms(100'000);
+    engine engine_;
+    vm_manager manager_;
+    std::uint64_t sequence_ = 0;
+};
+
+TEST_F(vm_orders, agrees_on_maintenance_before_ordering_it) {
+    report("e1");
+    start_wave({"vm-e1"}, 1);
+    const auto given = pass(1000, {"e1"});
+    ASSERT_EQ(given.size(), 1U);
+    EXPECT_EQ(given[0].vm, vm_id("vm-e1"));
+    ASSERT_EQ(jobs_.agreed.waves().at(1).steps.size(), 1U);
+    EXPECT_EQ(jobs_.agreed.waves().at(1).steps[0]->phase,
+        wire::maintenance_phase::ordered);
+}
+
+TEST_F(vm_orders, takes_no_more_down_than_the_wave_allows) {
+    for (const char* endpoint : {"e1", "e2", "e3"}) {
+        report(endpoint);
+    }
+    start_wave({"vm-e1", "vm-e2", "vm-e3"}, 2);
+    const auto given = pass(3000, {"e1", "e2", "e3"});
+    EXPECT_EQ(given.size(), 2U);
+}
+
+TEST_F(vm_orders, is_complete_only_when_the_order_was_carried_out) {
+    report("e1");
+    start_wave({"vm-e1"}, 1);
+    auto given = pass(1000, {"e1"});
+    ASSERT_EQ(given.size(), 1U);
+    // A crash of its own brings a new life, but is no maintenance.
+    report("e1", 2);
+    pass(3000, {});
+    EXPECT_FALSE(is_complete(jobs_.agreed.waves().at(1)));
+    manager_.order_done(given[0], vm_verdict::done, now_);
+    pass(3000, {});
+    EXPECT_FALSE(is_complete(jobs_.agreed.waves().at(1)));
+    report("e1", 3);
+    pass(300, {});
+    EXPECT_TRUE(is_complete(jobs_.agreed.waves().at(1)));
+}
+
+TEST_F(vm_orders, waits_for_tasks_that_will_end) {
+    report("e1");
+    jobs_.submit(job_builder(7).step(1).build());
+    engine_.tick(now_);
+    settle();
+    start_wave({"vm-e1"}, 1);
+    EXPECT_TRUE(pass(3000, {"e1"}).empty());
+    jobs_.end(task(7), 1, wire::run_end::done);
+    EXPECT_EQ(pass(1500, {"e1"}).size(), 1U);
+}
+
+TEST_F(vm_orders, keeps_the_availability_budget_of_a_step) {
+    for (const char* endpoint : {"e1", "e2", "e3"}) {
+        report(endpoint);
+    }
+    jobs_.submit(job_builder(7).step(3).lasting(1).build());
+    engine_.tick(now_);
+    settle();
+    ASSERT_EQ(jobs_.agreed.loads().size(), 3U);
+    start_wave({"vm-e1", "vm-e2", "vm-e3"}, 3);
+    // All three are at work: one may go, the others must wait for it.
+    EXPECT_EQ(pass(3000, {"e1", "e2", "e3"}).size(), 1U);
+}
+
+TEST_F(vm_orders, ends_nothing_while_a_task_of_the_step_is_away) {
+    for (const char* endpoint : {"e1", "e2"}) {
+        report(endpoint);
+    }
+    jobs_.submit(job_builder(7).step(3).lasting(1).build());
+    engine_.tick(now_);
+    settle();
+    start_wave({"vm-e1", "vm-e2"}, 2);
+    EXPECT_TRUE(pass(5000, {"e1", "e2"}).empty());
+}
+
+TEST_F(vm_orders, empties_a_vm_one_task_of_a_step_after_the_other) {
+    report("e1");
+    jobs_.submit(job_builder(7).step(2).lasting(1).anti_affinity(0).build());
+    engine_.tick(now_);
+    settle();
+    ASSERT_EQ(jobs_.agreed.load_of({"e1", 1})->runs.size(), 2U);
+    report("e2");
+    start_wave({"vm-e1"}, 1);
+    EXPECT_TRUE(pass(2000, {"e1", "e2"}).empty());
+    const int stops = (engine_.is_stop_requested({task(7, 0, 0), 1}) ? 1 : 0) +
+        (engine_.is_stop_requested({task(7, 0, 1), 1}) ? 1 : 0);
+    EXPECT_EQ(stops, 1);
+}
+
+TEST_F(vm_orders, lends_standby_vms_to_a_pool_that_lacks_room) {
+    for (const char* endpoint : {"e1", "e2", "e3"}) {
+        report(endpoint);
+    }
+    std::vector<vm_record> list;
+    for (const char* vm : {"s1", "s2", "s3", "s4"}) {
+        list.push_back(
+            {vm_id(vm), pool_id("standby"), vm_condition::up, "", {}});
+    }
+    manager_.take_list(std::move(list), now_);
+    EXPECT_TRUE(pass(500, {"e1", "e2", "e3"}).empty());
+    jobs_.submit(job_builder(7).step(16, 1000).build());
+    const auto given = pass(300, {"e1", "e2", "e3"});
+    ASSERT_EQ(given.size(), 2U);
+    EXPECT_EQ(given[0].what, vm_order::kind::move);
+    EXPECT_EQ(given[0].pool, pool_id("pool"));
+}
+
+TEST_F(vm_orders, believes_the_list_that_a_silent_endpoint_is_gone) {
+    report("e1");
+    jobs_.submit(job_builder(7).step(1).build());
+    engine_.tick(now_);
+    settle();
+    const auto list = [](vm_condition condition, const std::string& endpoint) {
+        return std::vector<vm_record>{
+            {vm_id("vm-e1"), pool_id("pool"), condition, endpoint, {}}};
+    };
+    manager_.take_list(list(vm_condition::down, ""), now_);
+    settle();
+    EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
+    pass(4000, {});
+    EXPECT_TRUE(manager_.wants_list(now_));
+    manager_.take_list(list(vm_condition::up, "e1"), now_);
+    settle();
+    EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
+    manager_.take_list(list(vm_condition::down, ""), now_);
+    settle();
+    EXPECT_EQ(jobs_.agreed.find_run({task(7), 1}), nullptr);
+}
+
+TEST_F(vm_orders, gives_no_order_twice_while_one_is_under_way) {
+    report("e1");
+    start_wave({"vm-e1"}, 1);
+    const auto given = pass(5000, {"e1"});
+    EXPECT_EQ(given.size(), 1U);
+    manager_.order_done(given[0], vm_verdict::unclear, now_);
+    EXPECT_EQ(pass(1000, {"e1"}).size(), 1U);
+}
+
+TEST_F(vm_orders, gives_no_further_order_once_fenced) {
+    report("e1");
+    start_wave({"vm-e1"}, 1);
+    const auto given = pass(1000, {"e1"});
+    ASSERT_EQ(given.size(), 1U);
+    manager_.order_done(given[0], vm_verdict::fenced, now_);
+    EXPECT_TRUE(pass(5000, {"e1"}).empty());
+}
+
+} // namespace
+} // namespace dragonflymount::jobs::test
