--- a/dragonflymount/src/Runtime/Http.hpp
+++ b/dragonflymount/src/Runtime/Http.hpp
@@ -59,7 +59,7 @@
 /// come at any time; if the connection is gone by then, it is dropped.
 class http_server {
 public:
-    using responder = std::function<void(http_response)>;
+    using responder = std::function<void(const http_response&)>;
     using handler = std::function<void(http_request&&, responder)>;
 
     http_server(asio::io_context& context, http_limits limits);
@@ -105,8 +105,8 @@
     /// \brief Sends one request.
     /// \param address "IP:port".
     /// \param on_reply called once, with errc::timeout after \p limit.
-    void send(const std::string& address, http_request request, duration limit,
-        handler on_reply);
+    void send(const std::string& address, const http_request& request,
+        duration limit, handler on_reply);
     void stop();
 
 private:
--- a/dragonflymount/src/Runtime/HttpClient.cpp
+++ b/dragonflymount/src/Runtime/HttpClient.cpp
@@ -99,7 +99,7 @@
                     return;
                 }
                 self->buffer_.append(self->chunk_.data(), n);
-                if (!internal::feed(self->parser_, self->buffer_)) {
+                if (internal::feed(self->parser_, self->buffer_)) {
                     self->fail(make_error_code(errc::malformed_message),
                         "parse reply");
                 } else if (self->parser_.is_done()) {
@@ -166,7 +166,7 @@
     stop();
 }
 
-void http_client::send(const std::string& address, http_request request,
+void http_client::send(const std::string& address, const http_request& request,
     duration limit, handler on_reply) {
     auto exchange = std::make_shared<http_exchange>(
         *this, address, encode(request, address), std::move(on_reply));
--- a/dragonflymount/src/Runtime/HttpMessage.hpp
+++ b/dragonflymount/src/Runtime/HttpMessage.hpp
@@ -16,22 +16,22 @@
 inline constexpr std::size_t read_bytes = 4096;
 
 /// \brief Feeds a parser with what a connection holds.
-/// \returns false if the bytes are no valid message.
+/// \returns why the bytes are no valid message, or no error.
 template <class Parser>
-bool feed(Parser& parser, std::string& buffer) {
+boost::system::error_code feed(Parser& parser, std::string& buffer) {
     while (!buffer.empty() && !parser.is_done()) {
         boost::system::error_code code;
         const std::size_t used = parser.put(
             boost::asio::const_buffer(buffer.data(), buffer.size()), code);
         buffer.erase(0, used);
         if (code == http::error::need_more) {
-            return true;
+            return {};
         }
         if (code) {
-            return false;
+            return code;
         }
     }
-    return true;
+    return {};
 }
 
 template <class Fields>
--- a/dragonflymount/src/Runtime/HttpServer.cpp
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -121,8 +121,8 @@
     }
 
     void parse() {
-        if (!internal::feed(*parser_, buffer_)) {
-            refuse();
+        if (const auto code = internal::feed(*parser_, buffer_)) {
+            refuse(code == internal::http::error::body_limit ? 413 : 400);
             return;
         }
         if (!parser_->is_done()) {
@@ -147,15 +147,14 @@
     }
 
     // What follows a message that can't be parsed can't be trusted either.
-    void refuse() {
+    void refuse(unsigned status) {
         replying_ = true;
         close_after_ = true;
         ++server_->open_requests_;
-        const bool too_long = parser_->is_header_done();
-        reply({too_long ? 413U : 400U, {}, {}});
+        reply({status, {}, {}});
     }
 
-    void reply(http_response content) {
+    void reply(const http_response& content) {
         if (server_ == nullptr || !replying_) {
             return;
         }
--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -70,7 +70,7 @@
         [this](const auto&, wire::message&& content) {
             receive(std::move(content));
         },
-        [this](const auto&, const failure& error) {
+        [](const auto&, const failure& error) {
             LOG(WARNING) << event::connection_failed << "leader "
                          << error.message();
         });
--- a/tests/jobs/engine_test.cpp
+++ b/tests/jobs/engine_test.cpp
@@ -50,7 +50,7 @@
             [&place](wire::JobReplyT reply) { place = std::move(reply); });
         return place;
     }
-    std::optional<endpoint_orders>& report(endpoint_report made) {
+    std::optional<endpoint_orders>& report(const endpoint_report& made) {
         orders_.emplace_back();
         auto& place = orders_.back();
         engine_.report(
