--- a/dragonflymount/src/Runtime/HttpServer.cpp
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -138,10 +138,10 @@
         close_after_ = !message.keep_alive();
         replying_ = true;
         ++server_->open_requests_;
-        server_->on_request_(
-            std::move(request), [weak = weak_from_this()](http_response reply) {
+        server_->on_request_(std::move(request),
+            [weak = weak_from_this()](const http_response& reply) {
                 if (const auto self = weak.lock()) {
-                    self->reply(std::move(reply));
+                    self->reply(reply);
                 }
             });
     }
--- a/tests/runtime/http_test.cpp
+++ b/tests/runtime/http_test.cpp
@@ -30,9 +30,10 @@
         limits.body_bytes = 1000;
         return limits;
     }
-    result<http_response> ask(http_request request, duration limit = patience) {
+    result<http_response> ask(
+        const http_request& request, duration limit = patience) {
         std::optional<result<http_response>> outcome;
-        client_.send(server_.address(), std::move(request), limit,
+        client_.send(server_.address(), request, limit,
             [&](result<http_response> reply) {
                 outcome.emplace(std::move(reply));
             });
