Size every pool by the need of its queues, and move VMs both ways

Cause: pools kept the size that they were first seen with and grew only from the standby pool. Change: a pool's need is the widest step of each occurrence, cut to what its team may run; VMs that a pool can spare go to the pool that lacks most, or to the standby pool. Tasks that last share few VMs, so that the others can go. Ruled out: processor time of the scheduler (0.03 of a core).

--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -11,6 +11,9 @@
 // of the pool's steps wait for the next round.
 constexpr std::size_t most_misses_in_pool = 48;
 
+// Tasks of one lasting step that share a VM while others have room.
+constexpr std::uint32_t most_lasting_together = 2;
+
 bool is_ready(
     const wire::JobOccurrenceT& occurrence, const wire::JobStepT& step) {
     return std::all_of(step.depends_on.begin(), step.depends_on.end(),
@@ -92,6 +95,15 @@
     return std::move(placed_);
 }
 
+bool placement::holds_lasting(const endpoint_load* load) const {
+    return load != nullptr &&
+        std::any_of(
+            load->runs.begin(), load->runs.end(), [this](const run_ref& run) {
+                const task_place place = agreed_.find_task(run.task);
+                return place && place.step->long_running;
+            });
+}
+
 void placement::collect_candidates() {
     for (const auto& [endpoint, view] : endpoints_.views()) {
         if (!endpoints_.can_take_tasks(view, now_) ||
@@ -101,7 +113,7 @@
         const endpoint_load* load = agreed_.load_of(view.life);
         const resources room =
             load == nullptr ? view.capacity : view.capacity - load->used;
-        pools_[view.pool.str()].push_back({&view, room});
+        pools_[view.pool.str()].push_back({&view, room, holds_lasting(load)});
     }
 }
 
@@ -206,6 +218,7 @@
         return false;
     }
     place->room -= room_of(*open.spec);
+    place->holds_lasting = place->holds_lasting || open.spec->long_running;
     team_usage_[open.job->team] += usage_of(*open.spec);
     ++spread.at_endpoint[place->view->life.endpoint];
     spread.racks.insert(place->view->rack);
@@ -252,17 +265,19 @@
             !spread.racks.contains(view.rack);
         const bool cold = view.warm_from > now_;
         const bool suspect = !view.failed_jobs.empty();
-        // Tasks that last are spread, so that one VM can go without taking
-        // more of a step with it than the step allows.
         const auto beside = spread.at_endpoint.find(view.life.endpoint);
-        const std::uint32_t crowding =
+        const std::uint32_t of_step =
             step.long_running && beside != spread.at_endpoint.end()
             ? beside->second
             : 0;
+        // Tasks that last share few VMs, so that the others can change their
+        // pool; but a crash may take only so many of one step with it.
+        const bool crowded = of_step >= most_lasting_together;
+        const bool apart = step.long_running && !place.holds_lasting;
         // Of equal places the one with most room: what a crash takes with it
         // stays small.
-        return std::make_tuple(other_rack, far, suspect, cold, crowding,
-            -place.room.cpu_milli, view.life.endpoint);
+        return std::make_tuple(other_rack, far, suspect, cold, crowded, apart,
+            of_step, -place.room.cpu_milli, view.life.endpoint);
     };
     for (candidate& place : pool->second) {
         if (may_use(open, name, spread, place) &&
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -33,6 +33,8 @@
     struct candidate {
         const endpoint_view* view = nullptr;
         resources room;
+        // Whether a task that lasts is there.
+        bool holds_lasting = false;
     };
     struct open_step {
         const wire::JobT* job = nullptr;
@@ -53,6 +55,7 @@
     };
 
     void collect_candidates();
+    bool holds_lasting(const endpoint_load* load) const;
     void collect_steps();
     void collect_steps(const wire::JobT& job);
     void place_step(const open_step& open, std::size_t most);
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -75,8 +75,8 @@
     duration drain_time = std::chrono::seconds(3);
     /// Part of a wave's time in which it should be done, in percent.
     std::int64_t wave_time_percent = 70;
-    /// A pool must have had more than it needs for this long before it gives
-    /// a VM away: its queue's next burst costs two moves and a late start.
+    /// A pool must have had more than it needs for this long before a VM goes
+    /// on standby: about the time in which a VM costs as much as two moves.
     duration surplus_time = std::chrono::seconds(2);
     /// Room beyond the present need, in percent of it.
     std::int64_t headroom_percent = 15;
@@ -112,8 +112,8 @@
     struct pool_state {
         std::vector<const endpoint_view*> members;
         resources capacity;
-        resources running;
-        resources waiting;
+        // Room for all that its queues have to do.
+        resources need;
         // VMs that lasting tasks need, each on one of its own.
         std::uint32_t least = 0;
         std::size_t arriving = 0;
@@ -153,13 +153,20 @@
     /// can be under way.
     bool is_settled(const vm_id& vm, instant now) const;
 
+    /// Room that each team needs in each pool.
+    using need_map = std::map<std::string, std::map<std::string, resources>>;
+
     void decide_moves(std::vector<vm_order>& orders, instant now);
+    void forget_ended_moves(instant now);
     void measure_pools(instant now);
-    void measure_job(const wire::JobT& job);
+    void measure_job(const wire::JobT& job, need_map& needs);
+    void add_needs(const need_map& needs);
     std::size_t wanted_vms(const pool_state& pool) const;
-    void grow(const std::string& name, pool_state& pool,
-        std::vector<vm_order>& orders, instant now);
+    static std::size_t missing(const pool_state& pool);
+    void grow(const std::string& name, std::vector<vm_order>& orders);
+    std::vector<const endpoint_view*> spare_vms(const pool_state& pool) const;
     void shrink(const std::string& name, pool_state& pool,
+        const std::vector<std::string>& short_pools,
         std::vector<vm_order>& orders, instant now);
     void order_move(const vm_id& vm, const std::string& pool,
         const endpoint_life& life, std::vector<vm_order>& orders);
@@ -185,8 +192,8 @@
     std::map<vm_id, std::string> endpoint_of_;
     std::map<std::string, pool_state> pools_;
     std::map<std::string, instant> surplus_since_;
-    // VMs of each pool when this leader first saw the list.
-    std::map<std::string, std::size_t> home_size_;
+    // Moves that the service refused: pools of other kinds of VMs.
+    std::set<std::pair<vm_id, pool_id>> refused_moves_;
 };
 
 } // namespace dragonflymount::jobs
