Count a task that has not begun its work as away

A wave emptied a VM with three tasks of one step; one of them had only just been placed there, after its own VM went down for the same wave, and wasn't at work. It counted as present, so a second task was stopped beside it. Test: vm_orders.ends_no_task_while_one_beside_it_has_not_begun fails before (1 of 55) and passes after.

--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -130,11 +130,13 @@
     bool is_on_standby(const vm_id& vm) const;
     void order_maintenance(std::uint64_t wave, const vm_id& vm,
         const endpoint_life& life, instant now);
-    /// Tasks of one step that aren't at work outside a VM, and those on it.
+    /// Tasks of one step that are at work on a VM, and those that are at
+    /// work nowhere.
     struct step_absence {
         std::uint32_t here = 0;
-        std::uint32_t elsewhere = 0;
+        std::uint32_t away = 0;
     };
+    bool is_at_work_on(const endpoint_view& view, const run_ref& run) const;
     static bool is_budgeted(const task_place& place);
     bool is_at_work_elsewhere(
         const task_name& name, const endpoint_view& view, instant now) const;
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -127,13 +127,19 @@
                 going_down_.contains(other->vm)) {
                 return false;
             }
-            const run_ref run{name, record->number};
-            const auto listed = other->running.find(run);
-            return !jobs_.is_stop_requested(run) &&
-                listed != other->running.end() && listed->second.percent >= 100;
+            return is_at_work_on(*other, {name, record->number});
         });
 }
 
+// A run that was told to stop is away, though it is still listed; and so is
+// one that was placed but has not begun its work.
+bool vm_manager::is_at_work_on(
+    const endpoint_view& view, const run_ref& run) const {
+    const auto listed = view.running.find(run);
+    return listed != view.running.end() && listed->second.percent >= 100 &&
+        !jobs_.is_stop_requested(run);
+}
+
 bool vm_manager::is_budgeted(const task_place& place) {
     return place && place.step->max_unavailable > 0 &&
         place.job->phase == wire::job_phase::active;
@@ -152,13 +158,12 @@
                 return record->endpoint == view.life.endpoint &&
                     record->life == view.life.number;
             });
-        // A run that was told to stop is away, though it is still listed.
-        const bool here = held != runs.end() &&
-            !jobs_.is_stop_requested({name, (*held)->number});
+        const bool here =
+            held != runs.end() && is_at_work_on(view, {name, (*held)->number});
         if (here) {
             ++absence.here;
         } else if (!is_at_work_elsewhere(name, view, now)) {
-            ++absence.elsewhere;
+            ++absence.away;
         }
     }
     return absence;
@@ -176,7 +181,7 @@
                     return true;
                 }
                 const step_absence absence = absence_without(run, view, now);
-                return absence.here + absence.elsewhere <=
+                return absence.here + absence.away <=
                     place.step->max_unavailable;
             });
 }
@@ -191,11 +196,9 @@
             continue;
         }
         const step_absence absence = absence_without(run, view, now);
-        const auto listed = view.running.find(run);
-        if (absence.here > place.step->max_unavailable &&
-            absence.elsewhere < place.step->max_unavailable &&
-            listed != view.running.end() && listed->second.percent >= 100 &&
-            !jobs_.is_stop_requested(run)) {
+        if (absence.here + absence.away > place.step->max_unavailable &&
+            absence.away < place.step->max_unavailable &&
+            is_at_work_on(view, run)) {
             jobs_.request_stop(run);
             return;
         }
