Place work that can still be in time before late work

Load pattern: a burst above what the pool holds. In order of due time alone each job begins when it can only just be late, and then all are late. Change: steps go by what they can still reach (in time, late, of no use any more), then by the instant at which they must begin. Tests: placement_round.puts_work_that_can_be_in_time_before_late_work, puts_late_work_before_useless_work, keeps_lasting_tasks_on_few_endpoints.

--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -37,27 +37,62 @@
     return limit > 0 && amount > static_cast<std::int64_t>(limit);
 }
 
-} // namespace
-
-std::uint64_t longest_chain_ms(const wire::JobSpecT& spec) {
+// \param time_of the time that a step still takes, by its number.
+template <class TimeOf>
+std::uint64_t longest_chain(const wire::JobSpecT& spec, TimeOf time_of) {
     std::vector<std::uint64_t> chains;
     std::uint64_t longest = 0;
-    for (const auto& step : spec.steps) {
+    for (std::size_t k = 0; k < spec.steps.size(); ++k) {
         std::uint64_t before = 0;
-        for (const std::uint32_t earlier : step->depends_on) {
+        for (const std::uint32_t earlier : spec.steps[k]->depends_on) {
             before = std::max(before, chains[earlier]);
         }
-        chains.push_back(before + step->estimate_ms);
+        chains.push_back(before + time_of(k));
         longest = std::max(longest, chains.back());
     }
     return longest;
 }
 
-std::uint64_t due_time_ms(const wire::JobT& job, std::uint32_t occurrence,
-    const wire::JobQueueT& queue) {
-    const std::uint64_t begin = job.spec->repeats > 0
+std::uint64_t begin_time_ms(const wire::JobT& job, std::uint32_t occurrence) {
+    return job.spec->repeats > 0
         ? job.spec->start_at_ms + occurrence * job.spec->interval_ms
         : job.accepted_ms;
+}
+
+// Load pattern: a burst above what the pool holds. In order of due time alone
+// each job would begin when it can only just be late, and all would be; those
+// that can't be in time any more make way for those that can.
+timeliness outlook_of(std::uint64_t begin, std::uint64_t due,
+    std::uint64_t remaining, std::uint64_t now) {
+    const std::uint64_t objective = due - begin;
+    if (now + remaining <= due) {
+        return timeliness::on_time;
+    }
+    return now + remaining <= begin + latest_use_factor * objective
+        ? timeliness::late
+        : timeliness::useless;
+}
+
+} // namespace
+
+std::uint64_t longest_chain_ms(const wire::JobSpecT& spec) {
+    return longest_chain(spec, [&](std::size_t k) -> std::uint64_t {
+        return spec.steps[k]->estimate_ms;
+    });
+}
+
+std::uint64_t remaining_chain_ms(
+    const wire::JobSpecT& spec, const wire::JobOccurrenceT& occurrence) {
+    return longest_chain(spec, [&](std::size_t k) -> std::uint64_t {
+        const wire::StepTasksT& group = *occurrence.steps[k];
+        return group.done == group.tasks.size() ? 0
+                                                : spec.steps[k]->estimate_ms;
+    });
+}
+
+std::uint64_t due_time_ms(const wire::JobT& job, std::uint32_t occurrence,
+    const wire::JobQueueT& queue) {
+    const std::uint64_t begin = begin_time_ms(job, occurrence);
     const double chain = static_cast<double>(longest_chain_ms(*job.spec));
     return begin + static_cast<std::uint64_t>(queue.stretch * chain) +
         queue.objective_ms;
@@ -123,10 +158,10 @@
     }
     std::sort(steps_.begin(), steps_.end(),
         [](const open_step& left, const open_step& right) {
-            return std::make_tuple(!left.lasting, left.priority, left.due_ms,
-                       left.job->id, left.step) <
-                std::make_tuple(!right.lasting, right.priority, right.due_ms,
-                    right.job->id, right.step);
+            return std::make_tuple(!left.lasting, left.priority, left.outlook,
+                       left.begin_by_ms, left.job->id, left.step) <
+                std::make_tuple(!right.lasting, right.priority, right.outlook,
+                    right.begin_by_ms, right.job->id, right.step);
         });
 }
 
@@ -136,6 +171,12 @@
         return;
     }
     for (const auto& occurrence : job.occurrences) {
+        const std::uint64_t due = due_time_ms(job, occurrence->number, *queue);
+        const std::uint64_t remaining =
+            remaining_chain_ms(*job.spec, *occurrence);
+        const timeliness outlook =
+            outlook_of(begin_time_ms(job, occurrence->number), due, remaining,
+                agreed_.time_ms());
         for (std::uint32_t k = 0; k < occurrence->steps.size(); ++k) {
             const wire::StepTasksT& group = *occurrence->steps[k];
             const wire::JobStepT& step = *job.spec->steps[k];
@@ -146,8 +187,8 @@
                 continue;
             }
             steps_.push_back({&job, occurrence.get(), k, &step, queue,
-                step.long_running, queue->priority,
-                due_time_ms(job, occurrence->number, *queue)});
+                step.long_running, queue->priority, outlook,
+                due > remaining ? due - remaining : 0});
         }
     }
 }
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -18,6 +18,18 @@
     endpoint_life life;
 };
 
+/// \brief What starting a job's next step now can still reach.
+enum class timeliness : std::uint8_t {
+    on_time,
+    late,
+    /// Later than \c latest_use_factor times the objective.
+    useless,
+};
+
+/// Work that takes longer than this multiple of its objective is of no use
+/// to its caller any more.
+inline constexpr std::uint64_t latest_use_factor = 3;
+
 class placement {
 public:
     /// \param reserved VMs that take no new task, since they are about to
@@ -42,11 +54,12 @@
         std::uint32_t step = 0;
         const wire::JobStepT* spec = nullptr;
         const wire::JobQueueT* queue = nullptr;
-        // Order of service: lasting tasks, then priority, then the instant
-        // by which the job should be complete.
+        // Order of service: lasting tasks, then priority, then what can
+        // still be in time, then the instant by which the step must begin.
         bool lasting = false;
         std::uint32_t priority = 0;
-        std::uint64_t due_ms = 0;
+        timeliness outlook = timeliness::on_time;
+        std::uint64_t begin_by_ms = 0;
     };
     // Tasks of one step at each endpoint, and the racks that they use.
     struct step_spread {
@@ -88,6 +101,11 @@
 /// \returns the longest chain of declared run times through the steps.
 std::uint64_t longest_chain_ms(const wire::JobSpecT& spec);
 
+/// \returns the longest chain of declared run times through the steps that
+/// are not done.
+std::uint64_t remaining_chain_ms(
+    const wire::JobSpecT& spec, const wire::JobOccurrenceT& occurrence);
+
 } // namespace dragonflymount::jobs
 
 #endif
--- a/tests/jobs/placement_test.cpp
+++ b/tests/jobs/placement_test.cpp
@@ -135,6 +135,45 @@
     EXPECT_EQ(plan()[0].life.endpoint, "e2");
 }
 
+// Load: a burst twice as large as the pool. Jobs that can't be in time any
+// more make way for those that can.
+TEST_F(placement_round, puts_work_that_can_be_in_time_before_late_work) {
+    add("e1");
+    jobs_.submit(job_builder(7).step(1, 3000).build());
+    // The queue's objective is 2 x 1000 ms and 1000 ms more.
+    jobs_.time_ms += 2500;
+    jobs_.submit(job_builder(8).step(1, 3000).build());
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].run.task.job, job_id(8));
+}
+
+TEST_F(placement_round, puts_late_work_before_useless_work) {
+    add("e1");
+    jobs_.submit(job_builder(7).step(1, 3000).build());
+    jobs_.time_ms += 6000;
+    jobs_.submit(job_builder(8).step(1, 3000).build());
+    jobs_.time_ms += 2500;
+    jobs_.submit(job_builder(9).step(1, 100).build());
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 2U);
+    EXPECT_EQ(placed[0].run.task.job, job_id(9));
+    EXPECT_EQ(placed[1].run.task.job, job_id(8));
+}
+
+TEST_F(placement_round, keeps_lasting_tasks_on_few_endpoints) {
+    for (const char* endpoint : {"e1", "e2", "e3", "e4", "e5"}) {
+        add(endpoint);
+    }
+    jobs_.submit(
+        job_builder(7).step(5, 100).lasting(1).anti_affinity(0).build());
+    std::map<std::string, int> count;
+    for (const placed_run& placed : plan()) {
+        ++count[placed.life.endpoint];
+    }
+    EXPECT_EQ(count.size(), 3U);
+}
+
 TEST_F(placement_round, serves_lasting_tasks_first) {
     add("e1");
     jobs_.submit(job_builder(7).step(1, 3000).build());
