Replace a lost voter by a replica that stands ready

Cause: a replica that was lost for good kept its vote. With its successor promoted beside it a quorum needed every replica that was left, and without, one more loss ended the quorum. Change: the leader removes a voter that is silent for 3 s once a replica without a vote stands ready, promotes that one, and forgets replicas without a vote after a minute. The decision is pure (MemberPlan). A replica that was removed while cut off asks to join again. Tests: member_plan.*

--- a/dragonflymount/agreement.hpp
+++ b/dragonflymount/agreement.hpp
@@ -4,6 +4,7 @@
 
 #include "dragonflymount/src/Agreement/FileStore.hpp"
 #include "dragonflymount/src/Agreement/Log.hpp"
+#include "dragonflymount/src/Agreement/MemberPlan.hpp"
 #include "dragonflymount/src/Agreement/MemoryStore.hpp"
 #include "dragonflymount/src/Agreement/Replica.hpp"
 #include "dragonflymount/src/Agreement/Types.hpp"
--- /dev/null
+++ b/dragonflymount/src/Agreement/MemberPlan.cpp
@@ -0,0 +1,54 @@
+// Promotion of replicas that stand ready, and removal of those that are gone.
+#include "dragonflymount/src/Agreement/MemberPlan.hpp"
+
+#include <algorithm>
+
+namespace dragonflymount::agreement {
+namespace {
+
+template <class Predicate>
+const member_status* find_member(
+    const std::vector<member_status>& members, Predicate holds) {
+    const auto found = std::find_if(members.begin(), members.end(), holds);
+    return found == members.end() ? nullptr : &*found;
+}
+
+member_change make_change(
+    wire::replica_change change, const member_status& status) {
+    return {change, status.subject};
+}
+
+} // namespace
+
+// The silent voter goes before its successor is promoted: with one voter more
+// for a moment, a quorum would need every replica that is left.
+std::optional<member_change> plan_change(
+    const std::vector<member_status>& members, const replica_id& self,
+    const member_policy& policy) {
+    const auto voting = static_cast<std::size_t>(std::count_if(members.begin(),
+        members.end(), [](const auto& peer) { return peer.subject.voter; }));
+    const member_status* ready = find_member(members, [&](const auto& peer) {
+        return !peer.subject.voter && peer.caught_up &&
+            peer.silent < policy.replace_after;
+    });
+    if (ready != nullptr && voting < policy.voters) {
+        return make_change(wire::replica_change::promote, *ready);
+    }
+    const member_status* lost = find_member(members, [&](const auto& peer) {
+        return peer.subject.voter && peer.subject.id != self &&
+            peer.silent >= policy.replace_after;
+    });
+    if (ready != nullptr && lost != nullptr) {
+        return make_change(wire::replica_change::remove, *lost);
+    }
+    const member_status* gone = find_member(members, [&](const auto& peer) {
+        return !peer.subject.voter && peer.subject.id != self &&
+            peer.silent >= policy.forget_after;
+    });
+    if (gone != nullptr) {
+        return make_change(wire::replica_change::remove, *gone);
+    }
+    return std::nullopt;
+}
+
+} // namespace dragonflymount::agreement
--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -157,4 +157,11 @@
     return found == peers_.end() ? log_index(0) : found->second.match;
 }
 
+instant replica::acknowledged(const replica_id& peer) const {
+    const auto found = peers_.find(peer);
+    return found == peers_.end()
+        ? leader_since_
+        : std::max(leader_since_, found->second.acknowledged);
+}
+
 } // namespace dragonflymount::agreement
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -107,6 +107,9 @@
     }
     /// \returns how far \p peer's log is known to match the leader's.
     log_index match_index(const replica_id& peer) const;
+    /// \returns when the newest round that \p peer has answered was sent; the
+    /// instant at which this replica began to lead if it has answered none.
+    instant acknowledged(const replica_id& peer) const;
 
 private:
     struct progress {
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -1,4 +1,4 @@
-// Admission and promotion of replicas.
+// Admission, promotion and removal of replicas.
 #include "programs/scheduler/member_keeper.hpp"
 
 #include <algorithm>
@@ -52,7 +52,7 @@
     }
     next_change_ = now + change_interval;
     if (!admit_next()) {
-        promote_next();
+        change_next(now);
     }
 }
 
@@ -63,7 +63,10 @@
             return peer.id == self_.id &&
                 peer.identity == replica_.replica().identity();
         });
-    if (admitted || now < next_join_) {
+    // A replica that was removed while it was cut off still finds itself among
+    // the members that it knows, but no leader sends to it.
+    const bool has_leader = !replica_.replica().leader().empty();
+    if ((admitted && has_leader) || now < next_join_) {
         return;
     }
     next_join_ = now + join_interval;
@@ -91,20 +94,19 @@
     return false;
 }
 
-void member_keeper::promote_next() {
-    const auto& members = replica_.replica().members();
-    const auto voting = static_cast<std::size_t>(std::count_if(members.begin(),
-        members.end(), [](const auto& peer) { return peer.voter; }));
-    if (voting >= voters_) {
-        return;
+void member_keeper::change_next(instant now) {
+    std::vector<agreement::member_status> members;
+    for (const agreement::member& peer : replica_.replica().members()) {
+        const bool caught_up = replica_.replica().match_index(peer.id) >=
+            replica_.replica().commit_index();
+        members.push_back(
+            {peer, caught_up, now - replica_.replica().acknowledged(peer.id)});
     }
-    for (const agreement::member& peer : members) {
-        if (!peer.voter &&
-            replica_.replica().match_index(peer.id) >=
-                replica_.replica().commit_index()) {
-            change(wire::replica_change::promote, peer);
-            return;
-        }
+    agreement::member_policy policy;
+    policy.voters = voters_;
+    const auto due = agreement::plan_change(members, self_.id, policy);
+    if (due) {
+        change(due->change, due->subject);
     }
 }
 
@@ -113,14 +115,13 @@
     wire::ChangeReplicaT request;
     request.change = kind;
     request.member = std::make_unique<wire::MemberT>(to_wire(subject));
-    const bool admits = kind == wire::replica_change::admit;
     replica_.change(
-        request, [id = subject.id, admits](const wire::ProposeReplyT& reply) {
+        request, [id = subject.id, kind](const wire::ProposeReplyT& reply) {
             if (reply.result == wire::proposal_result::accepted) {
-                LOG(INFO) << event::replica_joined << "replica=" << id
-                          << " change=" << (admits ? "admit" : "promote");
+                LOG(INFO) << event::members_changed << "replica=" << id
+                          << " change=" << wire::EnumNamereplica_change(kind);
             } else {
-                VLOG(1) << event::replica_joined << "replica=" << id
+                VLOG(1) << event::members_changed << "replica=" << id
                         << " refused=" << reply.detail;
             }
         });
--- a/programs/scheduler/member_keeper.hpp
+++ b/programs/scheduler/member_keeper.hpp
@@ -1,5 +1,6 @@
 // Keeps the wanted number of voting replicas: admits replicas that ask to
-// join or that lost their disk, and promotes them once they have the log.
+// join or that lost their disk, promotes them once they have the log, and
+// removes those that are gone once another stands ready.
 //
 // Changes go one at a time and only from the leader; the log refuses a second
 // one before the first is committed.
@@ -27,7 +28,7 @@
 private:
     void ask_to_join(instant now);
     bool admit_next();
-    void promote_next();
+    void change_next(instant now);
     void change(wire::replica_change kind, const agreement::member& subject);
 
     replica_host& replica_;
--- /dev/null
+++ b/tests/agreement/member_plan_test.cpp
@@ -0,0 +1,76 @@
+// Which member is promoted or removed, and when.
+#include "dragonflymount/src/Agreement/MemberPlan.hpp"
+
+#include <gtest/gtest.h>
+
+namespace dragonflymount::agreement::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+member_status make_status(
+    const std::string& id, bool voter, duration silent = 0s) {
+    member_status status;
+    status.subject.id = replica_id(id);
+    status.subject.voter = voter;
+    status.caught_up = true;
+    status.silent = silent;
+    return status;
+}
+
+std::optional<member_change> plan(const std::vector<member_status>& members) {
+    return plan_change(members, replica_id("a"), member_policy{});
+}
+
+TEST(member_plan, promotes_a_ready_replica_while_a_vote_is_free) {
+    const auto due = plan({make_status("a", true), make_status("b", true),
+        make_status("c", false)});
+    ASSERT_TRUE(due);
+    EXPECT_EQ(due->change, wire::replica_change::promote);
+    EXPECT_EQ(due->subject.id, replica_id("c"));
+}
+
+TEST(member_plan, promotes_none_that_lacks_records_or_is_silent) {
+    member_status behind = make_status("c", false);
+    behind.caught_up = false;
+    EXPECT_FALSE(
+        plan({make_status("a", true), make_status("b", true), behind}));
+    EXPECT_FALSE(plan({make_status("a", true), make_status("b", true),
+        make_status("c", false, 4s)}));
+}
+
+TEST(member_plan, replaces_a_lost_voter_by_one_that_stands_ready) {
+    std::vector<member_status> members{make_status("a", true),
+        make_status("b", true), make_status("c", true, 4s),
+        make_status("d", false)};
+    const auto removal = plan(members);
+    ASSERT_TRUE(removal);
+    EXPECT_EQ(removal->change, wire::replica_change::remove);
+    EXPECT_EQ(removal->subject.id, replica_id("c"));
+    members.erase(members.begin() + 2);
+    const auto promotion = plan(members);
+    ASSERT_TRUE(promotion);
+    EXPECT_EQ(promotion->change, wire::replica_change::promote);
+    EXPECT_EQ(promotion->subject.id, replica_id("d"));
+}
+
+TEST(member_plan, keeps_a_silent_voter_that_nobody_could_replace) {
+    EXPECT_FALSE(plan({make_status("a", true), make_status("b", true),
+        make_status("c", true, 1h)}));
+}
+
+TEST(member_plan, never_removes_the_leader_itself) {
+    EXPECT_FALSE(plan({make_status("a", true, 1h), make_status("b", true),
+        make_status("c", true), make_status("d", false)}));
+}
+
+TEST(member_plan, forgets_a_replica_without_a_vote_that_is_gone) {
+    const auto due = plan({make_status("a", true), make_status("b", true),
+        make_status("c", true), make_status("d", false, 2min)});
+    ASSERT_TRUE(due);
+    EXPECT_EQ(due->change, wire::replica_change::remove);
+    EXPECT_EQ(due->subject.id, replica_id("d"));
+}
+
+} // namespace
+} // namespace dragonflymount::agreement::test
