Read the settings again at SIGHUP; open listening sockets in one place

The lines that bind and listen, and those that run a supervised program, stood twice; the listener of framed connections now waits after an accept that failed, like the HTTP one.

--- a/dragonflymount/src/Runtime/Connection.cpp
+++ b/dragonflymount/src/Runtime/Connection.cpp
@@ -1,6 +1,8 @@
 // Reading, writing, heartbeats and reconnection.
 #include "dragonflymount/src/Runtime/Connection.hpp"
 
+#include "dragonflymount/src/Runtime/Listening.hpp"
+
 #include <absl/strings/str_cat.h>
 #include <glog/logging.h>
 
@@ -192,57 +194,56 @@
     connection::close_handler on_close) {
     on_message_ = std::move(on_message);
     on_close_ = std::move(on_close);
-    const auto endpoint = parse_address(address);
-    if (!endpoint) {
-        return endpoint.error();
-    }
-    asio::error_code code;
-    acceptor_.open(endpoint->protocol(), code);
-    if (!code) {
-        acceptor_.set_option(asio::socket_base::reuse_address(true), code);
-    }
-    if (!code) {
-        acceptor_.bind(*endpoint, code);
-    }
-    if (!code) {
-        acceptor_.listen(asio::socket_base::max_listen_connections, code);
-    }
-    if (code) {
-        return failure{code, "listen", address, {}};
+    result<done> status = open_acceptor(acceptor_, address);
+    if (!status) {
+        return status;
     }
     accept();
     return done{};
 }
 
 std::string listener::address() const {
-    const auto local = acceptor_.local_endpoint();
-    return absl::StrCat(local.address().to_string(), ":", local.port());
+    return address_of(acceptor_);
 }
 
-void listener::accept() {
-    acceptor_.async_accept(
-        [this](std::error_code code, asio::ip::tcp::socket socket) {
-            if (code == asio::error::operation_aborted) {
-                return;
-            }
-            if (!code) {
-                auto accepted =
-                    std::make_shared<connection>(std::move(socket), options_);
-                connections_.insert(accepted);
-                accepted->start(on_message_,
-                    [this](const connection::pointer& closed,
-                        const failure& error) {
-                        connections_.erase(closed);
-                        on_close_(closed, error);
-                    });
-            }
+// Out of descriptors, say: they are free again once connections end.
+void listener::accept_later() {
+    retry_timer_.expires_after(accept_retry);
+    retry_timer_.async_wait([this](std::error_code cancelled) {
+        if (!cancelled) {
             accept();
-        });
+        }
+    });
+}
+
+void listener::accept() {
+    acceptor_.async_accept([this](std::error_code code,
+                               asio::ip::tcp::socket socket) {
+        if (code == asio::error::operation_aborted) {
+            return;
+        }
+        if (code) {
+            LOG(WARNING) << event::connection_failed
+                         << "accept: " << code.message();
+            accept_later();
+            return;
+        }
+        auto accepted =
+            std::make_shared<connection>(std::move(socket), options_);
+        connections_.insert(accepted);
+        accepted->start(on_message_,
+            [this](const connection::pointer& closed, const failure& error) {
+                connections_.erase(closed);
+                on_close_(closed, error);
+            });
+        accept();
+    });
 }
 
 void listener::stop() {
     asio::error_code ignored;
     acceptor_.close(ignored);
+    retry_timer_.cancel();
     const auto connections = std::move(connections_);
     connections_.clear();
     for (const auto& open : connections) {
--- a/dragonflymount/src/Runtime/Connection.hpp
+++ b/dragonflymount/src/Runtime/Connection.hpp
@@ -72,7 +72,7 @@
 class listener {
 public:
     listener(asio::io_context& context, connection_options options)
-        : acceptor_(context), options_(options) {}
+        : acceptor_(context), retry_timer_(context), options_(options) {}
 
     /// \param address "IP:port"; port 0 lets the system choose.
     result<done> start(const std::string& address,
@@ -87,8 +87,10 @@
 
 private:
     void accept();
+    void accept_later();
 
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer retry_timer_;
     connection_options options_;
     connection::message_handler on_message_;
     connection::close_handler on_close_;
--- a/dragonflymount/src/Runtime/HttpServer.cpp
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -1,6 +1,7 @@
 // The HTTP server: one session a connection.
 #include "dragonflymount/src/Runtime/Connection.hpp"
 #include "dragonflymount/src/Runtime/HttpMessage.hpp"
+#include "dragonflymount/src/Runtime/Listening.hpp"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -13,9 +14,6 @@
 namespace {
 
 constexpr duration sweep_interval = std::chrono::seconds(1);
-// After an accept that failed, for want of descriptors for example.
-constexpr duration accept_retry = std::chrono::milliseconds(100);
-constexpr int listen_backlog = 1024;
 
 std::string_view find_header(
     const http_headers& headers, std::string_view name) {
@@ -208,23 +206,9 @@
 result<done> http_server::start(
     const std::string& address, handler on_request) {
     on_request_ = std::move(on_request);
-    const auto endpoint = parse_address(address);
-    if (!endpoint) {
-        return endpoint.error();
-    }
-    asio::error_code code;
-    acceptor_.open(endpoint->protocol(), code);
-    if (!code) {
-        acceptor_.set_option(asio::socket_base::reuse_address(true), code);
-    }
-    if (!code) {
-        acceptor_.bind(*endpoint, code);
-    }
-    if (!code) {
-        acceptor_.listen(listen_backlog, code);
-    }
-    if (code) {
-        return failure{code, "listen for HTTP", address, {}};
+    result<done> status = open_acceptor(acceptor_, address);
+    if (!status) {
+        return status;
     }
     accept();
     sweep();
@@ -232,8 +216,7 @@
 }
 
 std::string http_server::address() const {
-    const auto local = acceptor_.local_endpoint();
-    return absl::StrCat(local.address().to_string(), ":", local.port());
+    return address_of(acceptor_);
 }
 
 void http_server::accept() {
--- a/dragonflymount/src/Runtime/Process.cpp
+++ b/dragonflymount/src/Runtime/Process.cpp
@@ -25,7 +25,7 @@
     google::InitGoogleLogging(argv[0]);
     // A peer that is gone is an error of the write, not of the process.
     std::signal(SIGPIPE, SIG_IGN);
-    // Settings are read at start; a changed file counts from the next one.
+    // Until, and unless, a reload_signal takes it.
     std::signal(SIGHUP, SIG_IGN);
     const std::string path = absl::GetFlag(FLAGS_config);
     if (path.empty()) {
@@ -50,6 +50,44 @@
     });
 }
 
+reload_signal::reload_signal(
+    asio::io_context& context, settings::schema expected, apply_handler apply)
+    : signals_(context, SIGHUP), expected_(std::move(expected)),
+      apply_(std::move(apply)) {
+    wait();
+}
+
+void reload_signal::wait() {
+    signals_.async_wait([this](std::error_code code, int) {
+        if (!code) {
+            reload();
+            wait();
+        }
+    });
+}
+
+void reload_signal::reload() const {
+    const std::string path = absl::GetFlag(FLAGS_config);
+    const settings::read_result read = settings::read_file(path, expected_);
+    if (!read.ok()) {
+        LOG(ERROR) << event::settings_refused << "file=" << path << " error=\""
+                   << read.message() << '"';
+        return;
+    }
+    LOG(INFO) << event::settings_reloaded << "file=" << path
+              << " changes=" << apply_(read.settings);
+}
+
+int run_until_signal(asio::io_context& context, supervisor& root) {
+    const result<done> started = root.start();
+    if (!started) {
+        std::cerr << started.error().message() << '\n';
+        return status_failed;
+    }
+    const stop_signal stop(context, [&root] { root.stop(); });
+    return root.run();
+}
+
 void repeating_timer::start() {
     timer_.expires_after(interval_);
     timer_.async_wait([this](std::error_code code) {
--- a/dragonflymount/src/Runtime/Process.hpp
+++ b/dragonflymount/src/Runtime/Process.hpp
@@ -27,6 +27,30 @@
     asio::signal_set signals_;
 };
 
+/// \brief Reads the settings file again at SIGHUP. A file with errors changes
+/// nothing; the error is logged.
+class reload_signal {
+public:
+    using apply_handler = std::function<std::string(const settings::values&)>;
+
+    /// \param apply puts in force what may change in a running process, and
+    /// names it; the rest counts from the next start.
+    reload_signal(asio::io_context& context, settings::schema expected,
+        apply_handler apply);
+
+private:
+    void wait();
+    void reload() const;
+
+    asio::signal_set signals_;
+    settings::schema expected_;
+    apply_handler apply_;
+};
+
+/// \brief Starts \p root, runs it until SIGTERM or SIGINT, and stops it.
+/// \returns the exit status.
+int run_until_signal(asio::io_context& context, supervisor& root);
+
 /// \brief Calls \p action every \p interval until stopped.
 class repeating_timer {
 public:
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -104,11 +104,5 @@
     root.add(replica);
     root.add(planning);
     root.add(service);
-    const result<done> started = root.start();
-    if (!started) {
-        std::cerr << started.error().message() << '\n';
-        return runtime::status_failed;
-    }
-    const runtime::stop_signal stop(context, [&root] { root.stop(); });
-    return root.run();
+    return runtime::run_until_signal(context, root);
 }
--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -76,6 +76,15 @@
         });
 }
 
+void leader_client::add_replicas(const std::vector<std::string>& addresses) {
+    for (const std::string& address : addresses) {
+        if (std::find(replicas_.begin(), replicas_.end(), address) ==
+            replicas_.end()) {
+            replicas_.push_back(address);
+        }
+    }
+}
+
 void leader_client::connect_next() {
     const auto found = std::find(replicas_.begin(), replicas_.end(), target_);
     const bool last =
--- a/programs/gateway/leader_client.hpp
+++ b/programs/gateway/leader_client.hpp
@@ -45,6 +45,8 @@
     /// \param limit how long the caller waits at most.
     void call(wire::JobCallT call, duration limit, reply_handler on_reply,
         failure_handler on_failure);
+    /// \brief Takes further replicas to ask for the leader.
+    void add_replicas(const std::vector<std::string>& addresses);
     std::size_t pending() const { return pending_.size(); }
     /// \returns the replica that calls are sent to.
     const std::string& target() const { return target_; }
