Move runs that creep or stand still, and avoid their endpoints

Cause: a run at a slow endpoint was kept to its end (work that takes 6.5 times as long), a run that stood still was moved only after 2.5 s, and neither told against the endpoint, which got the next tasks as well. Change: a run that needs three times its declared time longer, or that made no progress for 1.2 s by its endpoint's own reports, starts elsewhere, for creeping only once; trouble with two jobs quarantines the endpoint, for 4, 8, 16 s, and such an endpoint no longer counts as room of its pool. Silence is no evidence about a run any more. Tests: job_engine.moves_a_run_that_creeps_but_only_once, takes_silence_for_no_evidence_about_a_run, avoids_an_endpoint_at_which_runs_stand_still.

--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -96,10 +96,12 @@
         progress.percent = listed.percent;
         progress.load = listed.load;
         progress.checkpoint = listed.checkpoint;
+        progress.first_percent = listed.percent;
         progress.first_seen = now;
         progress.advanced = now;
         const auto before = view.running.find(listed.run);
         if (before != view.running.end()) {
+            progress.first_percent = before->second.first_percent;
             progress.first_seen = before->second.first_seen;
             if (before->second.percent >= listed.percent) {
                 progress.advanced = before->second.advanced;
@@ -152,20 +154,28 @@
     if (found == views_.end() || found->second.life != life) {
         return;
     }
-    endpoint_view& view = found->second;
     if (how == wire::run_end::done) {
-        view.failed_jobs.clear();
-        ++view.successes;
+        found->second.troubled_jobs.clear();
     } else if (how == wire::run_end::failed) {
-        view.failed_jobs.insert(run.task.job);
-        if (view.failed_jobs.size() >= failures_to_quarantine) {
-            quarantine(view, now);
-        }
+        note_trouble(life.endpoint, run.task.job, now);
     }
 }
 
-void endpoint_table::quarantine(endpoint_view& view, instant now) const {
-    view.quarantined_until = now + options_.quarantine;
+void endpoint_table::note_trouble(
+    const std::string& endpoint, job_id job, instant now) {
+    endpoint_view* view = find(endpoint);
+    if (view == nullptr) {
+        return;
+    }
+    view->troubled_jobs.insert(job);
+    if (view->troubled_jobs.size() < troubles_to_quarantine ||
+        now < view->quarantined_until) {
+        return;
+    }
+    const auto times =
+        1U << std::min(view->quarantines, most_quarantine_doublings);
+    view->quarantined_until = now + options_.quarantine * times;
+    ++view->quarantines;
 }
 
 bool endpoint_table::can_take_tasks(
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -52,6 +52,8 @@
 /// \brief How a run has been getting on.
 struct run_progress {
     std::uint32_t percent = 0;
+    // What was listed first: a run may begin at a checkpoint.
+    std::uint32_t first_percent = 0;
     std::uint32_t load = 0;
     std::string checkpoint;
     instant first_seen{};
@@ -79,13 +81,10 @@
     std::map<run_ref, run_progress> running;
     // Runs that the last report listed as ended.
     std::set<run_ref> ended;
-    // Failed runs of different jobs since the last success.
-    std::set<job_id> failed_jobs;
+    // Jobs of which a run failed, stood still or crept since the last success.
+    std::set<job_id> troubled_jobs;
     instant quarantined_until{};
-    // Successful ends, so that one that never succeeds can be told apart.
-    std::uint32_t successes = 0;
-    // Mean of the run time per declared estimate; 0 until something ended.
-    double slowness = 0.0;
+    std::uint32_t quarantines = 0;
 };
 
 /// \brief Timing of endpoints.
@@ -97,7 +96,8 @@
     /// An endpoint that is silent for this long gets no new task: two report
     /// intervals.
     duration silence_limit = std::chrono::milliseconds(3200);
-    /// How long an endpoint that failed tasks of several jobs is avoided.
+    /// How long an endpoint that failed tasks of several jobs is avoided the
+    /// first time; twice as long each further time.
     duration quarantine = std::chrono::seconds(4);
 };
 
@@ -106,8 +106,10 @@
 inline constexpr std::int64_t endpoint_drift_per_mille = 20;
 /// What is added to a lease for the time an endpoint takes to end its tasks.
 inline constexpr duration lease_margin = std::chrono::milliseconds(500);
-/// Jobs that must fail in a row at one endpoint before it is avoided.
-inline constexpr std::size_t failures_to_quarantine = 2;
+/// Jobs that must have trouble in a row at one endpoint before it is avoided.
+inline constexpr std::size_t troubles_to_quarantine = 2;
+/// Quarantines after which their length grows no more.
+inline constexpr std::uint32_t most_quarantine_doublings = 2;
 
 /// \returns when a lease granted at \p granted has ended on any clock.
 constexpr instant lease_end(instant granted, duration lease) {
@@ -140,8 +142,9 @@
     /// \brief Notes how a run ended, as evidence about its endpoint.
     void note_end(const endpoint_life& life, const run_ref& run,
         wire::run_end how, instant now);
-    /// \brief Avoids an endpoint for a while.
-    void quarantine(endpoint_view& view, instant now) const;
+    /// \brief Notes that a run of \p job failed, stood still or crept there;
+    /// after trouble with several jobs the endpoint is avoided for a while.
+    void note_trouble(const std::string& endpoint, job_id job, instant now);
 
     bool can_take_tasks(const endpoint_view& view, instant now) const;
     const view_map& views() const { return views_; }
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -48,8 +48,13 @@
     /// acknowledgement and what starts in the room that became free.
     duration ends_hold = std::chrono::milliseconds(120);
     /// A run whose progress stands still for this long is stopped and started
-    /// elsewhere.
-    duration stall_limit = std::chrono::milliseconds(2500);
+    /// elsewhere: several times the step of one percent of a long task.
+    duration stall_limit = std::chrono::milliseconds(1200);
+    /// Age from which a run's rate of progress is taken as evidence.
+    duration least_observation = std::chrono::milliseconds(600);
+    /// A run that needs this many times its declared time longer is started
+    /// elsewhere; estimates are rough.
+    std::int64_t creep_factor = 3;
     /// Starts in one batch.
     std::size_t most_starts = 256;
 };
@@ -130,7 +135,10 @@
         const endpoint_life& life, wire::run_end how) const;
     bool is_unstarted(const endpoint_view& view, const run_ref& run) const;
     void note_missing(endpoint_view& view);
-    void find_stalled(instant now);
+    bool is_stalled(const run_progress& progress, instant heard) const;
+    bool is_creeping(const run_progress& progress, const wire::JobStepT& step,
+        instant heard) const;
+    void find_troubled(instant now);
 
     bool has_ending_tasks(const endpoint_view& view) const;
     endpoint_orders orders_for(const endpoint_view& view) const;
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -184,24 +184,51 @@
         return;
     }
     placement_due_ = true;
-    find_stalled(now);
+    find_troubled(now);
     reply_ready(now);
 }
 
-void engine::find_stalled(instant now) {
+// Judged by the endpoint's last report: silence is no evidence about a run.
+bool engine::is_stalled(const run_progress& progress, instant heard) const {
+    return heard - progress.advanced >= options_.stall_limit;
+}
+
+bool engine::is_creeping(const run_progress& progress,
+    const wire::JobStepT& step, instant heard) const {
+    const duration observed = heard - progress.first_seen;
+    if (observed < options_.least_observation) {
+        return false;
+    }
+    const std::uint32_t gained =
+        std::max(1U, progress.percent - progress.first_percent);
+    const duration left = observed * (100 - progress.percent) / gained;
+    const duration declared = std::chrono::milliseconds(step.estimate_ms);
+    return left > declared * options_.creep_factor + options_.stall_limit;
+}
+
+// A run is moved for creeping only once: if it creeps elsewhere, too, then
+// its estimate was wrong.
+void engine::find_troubled(instant now) {
+    std::vector<run_ref> troubled;
     for (const auto& [endpoint, view] : endpoints_.views()) {
         for (const auto& [run, progress] : view.running) {
-            if (now - progress.advanced < options_.stall_limit ||
+            const task_place place = agreed_.find_task(run.task);
+            if (!place || place.step->long_running || place.step->gang ||
                 progress.percent >= 100 || stop_requests_.contains(run)) {
                 continue;
             }
-            const task_place place = agreed_.find_task(run.task);
-            if (!place || place.step->long_running || place.step->gang) {
-                continue;
+            const bool creeps = !avoided_.contains(run.task) &&
+                is_creeping(progress, *place.step, view.heard);
+            if (creeps || is_stalled(progress, view.heard)) {
+                avoided_[run.task].insert(endpoint);
+                troubled.push_back(run);
             }
+        }
+        for (const run_ref& run : troubled) {
             stop_requests_.insert(run);
-            avoided_[run.task].insert(endpoint);
+            endpoints_.note_trouble(endpoint, run.task.job, now);
         }
+        troubled.clear();
     }
 }
 
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -305,7 +305,7 @@
         const bool other_rack = step.rack_local && !spread.racks.empty() &&
             !spread.racks.contains(view.rack);
         const bool cold = view.warm_from > now_;
-        const bool suspect = !view.failed_jobs.empty();
+        const bool suspect = !view.troubled_jobs.empty();
         const auto beside = spread.at_endpoint.find(view.life.endpoint);
         const std::uint32_t of_step =
             step.long_running && beside != spread.at_endpoint.end()
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -99,8 +99,8 @@
 void vm_manager::measure_pools(instant now) {
     pools_.clear();
     for (const auto& [endpoint, view] : jobs_.endpoints().views()) {
-        if (now - view.heard < jobs_.endpoints().options().silence_limit &&
-            !view.draining && !targets_.contains(view.vm)) {
+        if (jobs_.endpoints().can_take_tasks(view, now) &&
+            !targets_.contains(view.vm)) {
             pool_state& pool = pools_[view.pool.str()];
             pool.members.push_back(&view);
             pool.capacity += view.capacity;
--- a/tests/jobs/engine_test.cpp
+++ b/tests/jobs/engine_test.cpp
@@ -257,6 +257,64 @@
     EXPECT_EQ(jobs_.agreed.find_run({task(7), 2})->endpoint, "e2");
 }
 
+TEST_F(job_engine, moves_a_run_that_creeps_but_only_once) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    report(make_report("e2", 1));
+    const auto run_at = [&](const std::string& endpoint, std::uint32_t run,
+                            std::uint64_t sequence, std::uint32_t percent) {
+        endpoint_report made = running(sequence, task(7), percent);
+        made.life = {endpoint, 1};
+        made.vm = vm_id("vm-" + endpoint);
+        made.address = endpoint + ":1";
+        made.running[0].run.run = run;
+        return made;
+    };
+    // A tenth of the declared pace.
+    bool stopped = false;
+    std::uint64_t sequence = 2;
+    for (std::uint32_t percent = 1; percent < 20 && !stopped; ++percent) {
+        auto& told = report(run_at("e1", 1, sequence++, percent));
+        pass(100);
+        stopped = told && !told->stops.empty();
+    }
+    ASSERT_TRUE(stopped);
+    endpoint_report made = make_report("e1", sequence);
+    made.ended.push_back({1, {task(7), 1}, wire::run_end::stopped, ""});
+    report(made);
+    ASSERT_NE(jobs_.agreed.find_run({task(7), 2}), nullptr);
+    EXPECT_EQ(jobs_.agreed.find_run({task(7), 2})->endpoint, "e2");
+    for (std::uint32_t percent = 1; percent < 40; ++percent) {
+        auto& told = report(run_at("e2", 2, 1 + percent, percent));
+        pass(100);
+        EXPECT_TRUE(!told || told->stops.empty());
+    }
+}
+
+TEST_F(job_engine, takes_silence_for_no_evidence_about_a_run) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    report(running(2, task(7), 10));
+    for (int k = 0; k < 25; ++k) {
+        pass(100);
+    }
+    EXPECT_FALSE(engine_.is_stop_requested({task(7), 1}));
+}
+
+TEST_F(job_engine, avoids_an_endpoint_at_which_runs_stand_still) {
+    ask(call(wire::job_verb::submit, 7));
+    ask(call(wire::job_verb::submit, 8));
+    report(make_report("e1", 1));
+    for (std::uint64_t sequence = 2; sequence < 20; ++sequence) {
+        endpoint_report made = running(sequence, task(7), 10);
+        made.running.push_back(running(0, task(8), 10).running[0]);
+        report(made);
+        pass(100);
+    }
+    EXPECT_FALSE(engine_.endpoints().can_take_tasks(
+        *engine_.endpoints().find("e1"), now_));
+}
+
 TEST_F(job_engine, avoids_an_endpoint_that_fails_tasks_of_several_jobs) {
     std::uint64_t sequence = 1;
     std::uint64_t number = 1;
