Give no task to an endpoint that is silent for 1.5 s

Change: both after 1.5 s; a list tells nothing about lives that were heard of since its reading began. Test: vm_orders.learns_nothing_from_a_list_about_lives_heard_since.

--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -93,9 +93,9 @@
     duration lease = std::chrono::seconds(9);
     /// Longest lease that any leader grants.
     duration longest_lease = std::chrono::seconds(10);
-    /// An endpoint that is silent for this long gets no new task: two report
-    /// intervals.
-    duration silence_limit = std::chrono::milliseconds(3200);
+    /// An endpoint that is silent for this long gets no new task: two times
+    /// that its reports are held, and a call that went astray.
+    duration silence_limit = std::chrono::milliseconds(1500);
     /// How long an endpoint that failed tasks of several jobs is avoided the
     /// first time; twice as long each further time.
     duration quarantine = std::chrono::seconds(4);
--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -33,7 +33,8 @@
     next_list_ = now;
 }
 
-void vm_manager::take_list(std::vector<vm_record> list, instant now) {
+void vm_manager::take_list(
+    std::vector<vm_record> list, instant requested, instant now) {
     next_list_ = now + options_.list_interval;
     list_taken_ = now;
     list_.clear();
@@ -41,7 +42,7 @@
         const vm_id vm = record.vm;
         list_[vm] = std::move(record);
     }
-    end_unlisted_lives(now);
+    end_unlisted_lives(requested, now);
     for (const auto& [number, wave] : jobs_.agreed().waves()) {
         for (const std::string& vm : wave.vms) {
             const bool open = std::none_of(
@@ -62,7 +63,7 @@
 
 // The service knows at once that a VM is down or has another endpoint, where
 // reports only fall silent; tasks there need not wait for a lease to end.
-void vm_manager::end_unlisted_lives(instant now) {
+void vm_manager::end_unlisted_lives(instant requested, instant now) {
     std::set<std::string> living;
     for (const auto& [vm, record] : list_) {
         if (record.condition == vm_condition::up) {
@@ -71,7 +72,8 @@
     }
     std::vector<endpoint_life> ended;
     for (const auto& [life, load] : jobs_.agreed().loads()) {
-        if (!living.contains(life.endpoint) && is_silent(life, now)) {
+        if (!living.contains(life.endpoint) && is_silent(life, now) &&
+            last_heard(life) < requested) {
             ended.push_back(life);
         }
     }
@@ -80,10 +82,13 @@
     }
 }
 
-bool vm_manager::is_silent(const endpoint_life& life, instant now) const {
+instant vm_manager::last_heard(const endpoint_life& life) const {
     const endpoint_view* view = jobs_.endpoints().find_life(life);
-    const instant heard = view != nullptr ? view->heard : led_since_;
-    return now - heard > jobs_.endpoints().options().silence_limit;
+    return view != nullptr ? view->heard : led_since_;
+}
+
+bool vm_manager::is_silent(const endpoint_life& life, instant now) const {
+    return now - last_heard(life) > jobs_.endpoints().options().silence_limit;
 }
 
 // A life with tasks fell silent: the list tells whether its VM is down.
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -89,7 +89,9 @@
     /// \brief A new leader knows no list and trusts no earlier answer.
     void reset(instant now);
     bool wants_list(instant now) const { return now >= next_list_; }
-    void take_list(std::vector<vm_record> list, instant now);
+    /// \param requested when its reading began: it tells nothing about lives
+    /// that were heard of since.
+    void take_list(std::vector<vm_record> list, instant requested, instant now);
     /// \brief Notes that reading the list failed.
     void list_failed(instant now);
 
@@ -148,7 +150,8 @@
     std::size_t ending_tasks(const endpoint_view& view) const;
     const endpoint_view* find_vm(const vm_id& vm) const;
     void index_vms();
-    void end_unlisted_lives(instant now);
+    void end_unlisted_lives(instant requested, instant now);
+    instant last_heard(const endpoint_life& life) const;
     bool is_silent(const endpoint_life& life, instant now) const;
     void watch_silence(instant now);
     /// Whether a VM has taken no new task for so long that no start for it
--- a/dragonflymount/src/Wire/messages_generated.h
+++ b/dragonflymount/src/Wire/messages_generated.h
@@ -2120,6 +2120,7 @@
   bool asynchronous = false;
   bool sent_before = false;
   bool forwarded = false;
+  uint64_t zone_epoch = 0;
   SubmitT() = default;
   SubmitT(const SubmitT &o);
   SubmitT(SubmitT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2134,7 +2135,8 @@
     VT_REQUEST = 4,
     VT_ASYNCHRONOUS = 6,
     VT_SENT_BEFORE = 8,
-    VT_FORWARDED = 10
+    VT_FORWARDED = 10,
+    VT_ZONE_EPOCH = 12
   };
   const dragonflymount::wire::Request *request() const {
     return GetPointer<const dragonflymount::wire::Request *>(VT_REQUEST);
@@ -2148,6 +2150,9 @@
   bool forwarded() const {
     return GetField<uint8_t>(VT_FORWARDED, 0) != 0;
   }
+  uint64_t zone_epoch() const {
+    return GetField<uint64_t>(VT_ZONE_EPOCH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -2155,6 +2160,7 @@
            VerifyField<uint8_t>(verifier, VT_ASYNCHRONOUS, 1) &&
            VerifyField<uint8_t>(verifier, VT_SENT_BEFORE, 1) &&
            VerifyField<uint8_t>(verifier, VT_FORWARDED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ZONE_EPOCH, 8) &&
            verifier.EndTable();
   }
   SubmitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2178,6 +2184,9 @@
   void add_forwarded(bool forwarded) {
     fbb_.AddElement<uint8_t>(Submit::VT_FORWARDED, static_cast<uint8_t>(forwarded), 0);
   }
+  void add_zone_epoch(uint64_t zone_epoch) {
+    fbb_.AddElement<uint64_t>(Submit::VT_ZONE_EPOCH, zone_epoch, 0);
+  }
   explicit SubmitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2194,8 +2203,10 @@
     flatbuffers::Offset<dragonflymount::wire::Request> request = 0,
     bool asynchronous = false,
     bool sent_before = false,
-    bool forwarded = false) {
+    bool forwarded = false,
+    uint64_t zone_epoch = 0) {
   SubmitBuilder builder_(_fbb);
+  builder_.add_zone_epoch(zone_epoch);
   builder_.add_request(request);
   builder_.add_forwarded(forwarded);
   builder_.add_sent_before(sent_before);
@@ -13354,7 +13365,8 @@
       : request((o.request) ? new dragonflymount::wire::RequestT(*o.request) : nullptr),
         asynchronous(o.asynchronous),
         sent_before(o.sent_before),
-        forwarded(o.forwarded) {
+        forwarded(o.forwarded),
+        zone_epoch(o.zone_epoch) {
 }
 
 inline SubmitT &SubmitT::operator=(SubmitT o) FLATBUFFERS_NOEXCEPT {
@@ -13362,6 +13374,7 @@
   std::swap(asynchronous, o.asynchronous);
   std::swap(sent_before, o.sent_before);
   std::swap(forwarded, o.forwarded);
+  std::swap(zone_epoch, o.zone_epoch);
   return *this;
 }
 
@@ -13378,6 +13391,7 @@
   { auto _e = asynchronous(); _o->asynchronous = _e; }
   { auto _e = sent_before(); _o->sent_before = _e; }
   { auto _e = forwarded(); _o->forwarded = _e; }
+  { auto _e = zone_epoch(); _o->zone_epoch = _e; }
 }
 
 inline flatbuffers::Offset<Submit> Submit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SubmitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -13392,12 +13406,14 @@
   auto _asynchronous = _o->asynchronous;
   auto _sent_before = _o->sent_before;
   auto _forwarded = _o->forwarded;
+  auto _zone_epoch = _o->zone_epoch;
   return dragonflymount::wire::CreateSubmit(
       _fbb,
       _request,
       _asynchronous,
       _sent_before,
-      _forwarded);
+      _forwarded,
+      _zone_epoch);
 }
 
 inline FetchT *Fetch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/dragonflymount/src/Zone/Coordinator.cpp
+++ b/dragonflymount/src/Zone/Coordinator.cpp
@@ -35,6 +35,11 @@
     if (!submit.request) {
         return;
     }
+    // A late copy for a coordinator before this one, which may have refused
+    // it; what still waits is sent again to this epoch.
+    if (submit.zone_epoch != 0 && submit.zone_epoch != epoch_.value()) {
+        return;
+    }
     const request_key key = key_of(*submit.request);
     auto [found, fresh] = requests_.try_emplace(key);
     request_record& record = found->second;
@@ -155,6 +160,8 @@
         return;
     }
     rules_ = rules;
+    // A lease that crossed a restart of this process leaves the rules out.
+    knows_rules_ = !rules_.pools.empty();
     dispatcher_.configure(rules_);
     if (lease.zone_lease_ms > 0) {
         zone_lease_end_ =
@@ -168,7 +175,7 @@
 }
 
 void coordinator::finish_recovery(instant now) {
-    if (recovered_ || now >= zone_lease_end_) {
+    if (recovered_ || !knows_rules_ || now >= zone_lease_end_) {
         return;
     }
     if (now < recovery_end_ && !endpoints_.all_fenced()) {
--- a/dragonflymount/src/Zone/Coordinator.hpp
+++ b/dragonflymount/src/Zone/Coordinator.hpp
@@ -208,6 +208,8 @@
     zone_epoch epoch_;
     std::uint32_t next_task_ = 1;
     rules::rule_set rules_;
+    // Without rules no service is known, and none may be called unknown.
+    bool knows_rules_ = false;
     endpoint_table endpoints_;
     grant_table grants_;
     request_map requests_;
--- a/dragonflymount/src/Zone/CoordinatorEndpoints.cpp
+++ b/dragonflymount/src/Zone/CoordinatorEndpoints.cpp
@@ -23,6 +23,11 @@
 
 wire::AnnounceReplyT coordinator::announce(
     const wire::AnnounceT& message, instant now) {
+    // The endpoint follows a successor: its tasks are no longer ours to ask
+    // after, nor their ends to confirm.
+    if (message.zone_epoch > epoch_.value()) {
+        return {};
+    }
     const vm_id vm(message.vm);
     endpoint& known = endpoints_.announce(message, now);
     known.fenced = message.zone_epoch == epoch_.value();
--- a/dragonflymount/src/Zone/Face.cpp
+++ b/dragonflymount/src/Zone/Face.cpp
@@ -116,6 +116,7 @@
     if (pending.first_epoch == zone_epoch()) {
         pending.first_epoch = coordinator_epoch_;
     }
+    submit.zone_epoch = coordinator_epoch_.value();
     submit.sent_before = pending.first_epoch != coordinator_epoch_;
     send(std::move(submit));
 }
--- a/tests/jobs/vm_manager_test.cpp
+++ b/tests/jobs/vm_manager_test.cpp
@@ -200,7 +200,7 @@
     endpoints.emplace_back("e1");
     endpoints.emplace_back("e2");
     endpoints.emplace_back("e3");
-    manager_.take_list(std::move(list), now_);
+    manager_.take_list(std::move(list), now_, now_);
     pass(3000, endpoints);
     jobs_.submit(job_builder(7).step(16, 1000).build());
     const auto given = pass(1000, endpoints);
@@ -221,7 +221,7 @@
         list.push_back({vm_id("vm-" + endpoints.back()), pool_id("pool"),
             vm_condition::up, endpoints.back(), {}});
     }
-    manager_.take_list(std::move(list), now_);
+    manager_.take_list(std::move(list), now_, now_);
     EXPECT_TRUE(pass(2000, endpoints).empty());
     const auto given = pass(4000, endpoints);
     ASSERT_EQ(given.size(), 2U);
@@ -237,7 +237,7 @@
         list.push_back(
             {vm_id(vm), pool_id("standby"), vm_condition::up, "", {}});
     }
-    manager_.take_list(std::move(list), now_);
+    manager_.take_list(std::move(list), now_, now_);
     jobs_.submit(job_builder(7).step(16, 1000).build());
     EXPECT_TRUE(pass(4000, endpoints).empty());
 }
@@ -251,7 +251,7 @@
         list.push_back(
             {vm_id(vm), pool_id("standby"), vm_condition::up, "", {}});
     }
-    manager_.take_list(std::move(list), now_);
+    manager_.take_list(std::move(list), now_, now_);
     EXPECT_TRUE(pass(3000, {"e1", "e2", "e3"}).empty());
     jobs_.submit(job_builder(7).step(16, 1000).build());
     const auto given = pass(300, {"e1", "e2", "e3"});
@@ -269,19 +269,34 @@
         return std::vector<vm_record>{
             {vm_id("vm-e1"), pool_id("pool"), condition, endpoint, {}}};
     };
-    manager_.take_list(list(vm_condition::down, ""), now_);
+    manager_.take_list(list(vm_condition::down, ""), now_, now_);
     settle();
     EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
     pass(4000, {});
     EXPECT_TRUE(manager_.wants_list(now_));
-    manager_.take_list(list(vm_condition::up, "e1"), now_);
+    manager_.take_list(list(vm_condition::up, "e1"), now_, now_);
     settle();
     EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
-    manager_.take_list(list(vm_condition::down, ""), now_);
+    manager_.take_list(list(vm_condition::down, ""), now_, now_);
     settle();
     EXPECT_EQ(jobs_.agreed.find_run({task(7), 1}), nullptr);
 }
 
+TEST_F(vm_orders, learns_nothing_from_a_list_about_lives_heard_since) {
+    report("e1");
+    jobs_.submit(job_builder(7).step(1).build());
+    engine_.tick(now_);
+    settle();
+    const instant requested = now_ - std::chrono::milliseconds(100);
+    // The answer took long, and the endpoint is silent since.
+    pass(4000, {});
+    manager_.take_list(
+        {{vm_id("vm-e1"), pool_id("pool"), vm_condition::moving, "", {}}},
+        requested, now_);
+    settle();
+    EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
+}
+
 TEST_F(vm_orders, gives_no_order_twice_while_one_is_under_way) {
     report("e1");
     start_wave({"vm-e1"}, 1);
--- a/tests/zone/site.cpp
+++ b/tests/zone/site.cpp
@@ -320,7 +320,12 @@
 void site::receive_lease(const process_name& name,
     const wire::EntryLeaseT& lease, std::uint64_t correlation) {
     entry_process& self = entries_.at(name);
-    const auto beat = beats_.find(correlation);
+    // Like the control client, an entry knows only its own beats: the answer
+    // to one of an earlier incarnation is not for this one.
+    const auto beat = self.beats.find(correlation);
+    if (beat == self.beats.end()) {
+        return;
+    }
     self.face->receive(lease, beat->second, now_);
     const zone_epoch epoch(lease.zone_epoch);
     if (epoch > self.epoch) {
--- a/tests/zone/site.hpp
+++ b/tests/zone/site.hpp
@@ -40,6 +40,8 @@
     process_name coordinator_name;
     std::uint64_t incarnation = 0;
     std::map<std::uint64_t, std::pair<std::uint64_t, instant>> proposals;
+    /// When each beat of this incarnation was sent, by its correlation.
+    std::map<std::uint64_t, instant> beats;
     instant next_beat{};
 };
 
@@ -169,7 +171,6 @@
     std::vector<process_name> origins_;
     std::vector<caller_record> callers_;
     std::uint64_t next_correlation_ = 1;
-    std::map<std::uint64_t, instant> beats_;
     std::map<std::string, instant> withdrawn_;
     std::map<process_name, rules_version> versions_;
     std::map<process_name, instant> last_heard_;
--- a/tests/zone/site_processes.cpp
+++ b/tests/zone/site_processes.cpp
@@ -66,7 +66,7 @@
         if (self.coordinator) {
             self.coordinator->report(beat);
         }
-        beats_[next_correlation_] = now_;
+        self.beats[next_correlation_] = now_;
         send(name, control_name,
             wire::make_message(std::move(beat), next_correlation_++));
     }
