Move VMs as soon as every listed endpoint is heard; release them sooner

Cause: after each change of leader pools stood still for 2.5 s, also while a burst waited; and a VM that nobody needed was paid for 2 s, where 2.3 s of it cost as much as the two moves. Change: a new leader moves once every listed VM has reported; a pool rests its spare VMs after 1 s, and keeps no VM beyond what its lasting tasks need. Test: vm_orders.moves_at_once_after_every_listed_endpoint_was_heard; the waiting time in puts_vms_that_nobody_needs_on_standby follows the setting.

--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -77,7 +77,7 @@
     std::int64_t wave_time_percent = 70;
     /// A pool must have had more than it needs for this long before a VM goes
     /// on standby: about the time in which a VM costs as much as two moves.
-    duration surplus_time = std::chrono::seconds(2);
+    duration surplus_time = std::chrono::seconds(1);
     /// Room beyond the present need, in percent of it.
     std::int64_t headroom_percent = 15;
 };
@@ -162,6 +162,7 @@
     using need_map = std::map<std::string, std::map<std::string, resources>>;
 
     void decide_moves(std::vector<vm_order>& orders, instant now);
+    bool knows_pools(instant now) const;
     void forget_ended_moves(instant now);
     void measure_pools(instant now);
     void measure_job(const wire::JobT& job, need_map& needs);
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t least_pool_size = 3;
 
 // A new leader has heard every endpoint by then: a report interval, and one
-// call that failed at a gateway.
+// call that failed at another replica.
 constexpr duration learning_time = std::chrono::milliseconds(2500);
 
 // A limit of 0 means none.
@@ -121,7 +121,7 @@
 
 std::size_t vm_manager::wanted_vms(const pool_state& pool) const {
     const std::size_t least =
-        std::max<std::size_t>(least_pool_size, pool.least + 1);
+        std::max<std::size_t>(least_pool_size, pool.least);
     if (pool.members.empty()) {
         return least;
     }
@@ -158,9 +158,25 @@
     });
 }
 
+// A new leader that moved VMs before it has heard the endpoints would take
+// every pool for empty.
+bool vm_manager::knows_pools(instant now) const {
+    if (list_.empty()) {
+        return false;
+    }
+    const std::string* standby = standby_pool();
+    return now - led_since_ >= learning_time ||
+        std::all_of(list_.begin(), list_.end(), [&](const auto& entry) {
+            const vm_record& record = entry.second;
+            return record.condition != vm_condition::up ||
+                (standby != nullptr && record.pool.str() == *standby) ||
+                find_vm(record.vm) != nullptr;
+        });
+}
+
 void vm_manager::decide_moves(std::vector<vm_order>& orders, instant now) {
     forget_ended_moves(now);
-    if (list_.empty() || now - led_since_ < learning_time) {
+    if (!knows_pools(now)) {
         return;
     }
     measure_pools(now);
