Report a gateway without a leader as not ready

The balancer sends them to the next zone when no gateway of a zone is ready. Change: a call that failed for want of a leader makes the gateway not ready; it looks for a leader every 0.3 s and is ready again at its first answer.

--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -100,6 +100,7 @@
     added.content = wire::make_message(std::move(call), correlation);
     added.on_reply = std::move(on_reply);
     added.on_failure = std::move(on_failure);
+    added.begun = now;
     added.deadline = now + limit;
     added.unsent_deadline = now + std::min(limit, settings_.unsent_limit);
     send(added);
@@ -131,6 +132,7 @@
     }
     const auto handler = std::move(found->second.on_reply);
     pending_.erase(found);
+    note_answer();
     handler(std::move(*reply));
 }
 
@@ -171,8 +173,42 @@
     for (const std::uint64_t correlation : failed) {
         const auto node = pending_.extract(correlation);
         const pending_call& call = node.mapped();
+        note_failure(call, now);
         call.on_failure(failure_of(call));
     }
+    if (!reaches_leader_ && now >= next_probe_) {
+        next_probe_ = now + settings_.probe_interval;
+        probe();
+    }
+}
+
+void leader_client::note_answer() {
+    if (!reaches_leader_) {
+        reaches_leader_ = true;
+        LOG(INFO) << event::leader_elected << "target=" << target_
+                  << " without_us="
+                  << (runtime::system_clock::now() - leader_lost_).count();
+    }
+}
+
+// A caller in a hurry gives up sooner than an election takes; that tells
+// nothing about the leader.
+void leader_client::note_failure(const pending_call& call, instant now) {
+    if (reaches_leader_ && now - call.begun >= settings_.unsent_limit) {
+        reaches_leader_ = false;
+        leader_lost_ = now;
+        LOG(WARNING) << event::leader_lost << "target=" << target_
+                     << " link=" << (link_->is_open() ? "open" : "closed");
+    }
+}
+
+// Any answer but a redirection shows a leader; this call asks for nothing.
+void leader_client::probe() {
+    wire::JobCallT call;
+    call.verb = wire::job_verb::read;
+    this->call(
+        std::move(call), settings_.unsent_limit, [](wire::JobReplyT&&) {},
+        [](call_failure) {});
 }
 
 } // namespace dragonflymount::gateway_program
--- a/programs/gateway/leader_client.hpp
+++ b/programs/gateway/leader_client.hpp
@@ -29,6 +29,8 @@
     /// A call that couldn't be sent for this long fails: an election takes
     /// less.
     duration unsent_limit = std::chrono::milliseconds(800);
+    /// How often a leader is looked for after a call has failed.
+    duration probe_interval = std::chrono::milliseconds(300);
 };
 
 class leader_client {
@@ -48,6 +50,9 @@
     /// \brief Takes further replicas to ask for the leader.
     void add_replicas(const std::vector<std::string>& addresses);
     std::size_t pending() const { return pending_.size(); }
+    /// \returns whether a leader has answered since the last call that failed.
+    /// While none has, probes are sent.
+    bool reaches_leader() const { return reaches_leader_; }
     /// \returns the replica that calls are sent to.
     const std::string& target() const { return target_; }
 
@@ -56,6 +61,7 @@
         wire::message content;
         reply_handler on_reply;
         failure_handler on_failure;
+        instant begun{};
         instant deadline{};
         // A call that has never been sent by then fails.
         instant unsent_deadline{};
@@ -74,6 +80,9 @@
     void send_pending();
     void send(pending_call& call);
     void watch();
+    void note_answer();
+    void note_failure(const pending_call& call, instant now);
+    void probe();
 
     asio::io_context& context_;
     leader_client_settings settings_;
@@ -91,6 +100,10 @@
     instant next_attempt_{};
     // The target said that it doesn't lead.
     bool misdirected_ = false;
+    // At the start nothing is known, and the first probe tells.
+    bool reaches_leader_ = false;
+    instant next_probe_{};
+    instant leader_lost_{};
 };
 
 } // namespace dragonflymount::gateway_program
--- /dev/null
+++ b/tests/platform/leader_client_test.cpp
@@ -0,0 +1,104 @@
+// The gateway's connection to the leader: losing it and finding it again.
+#include "programs/gateway/leader_client.hpp"
+
+#include <gtest/gtest.h>
+
+namespace dragonflymount::gateway_program::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A replica that answers every call as the leader.
+class fake_leader {
+public:
+    explicit fake_leader(asio::io_context& context) : context_(context) {
+        open("127.0.0.1:0");
+        address_ = listener_->address();
+    }
+    void open(const std::string& address) {
+        listener_ = std::make_unique<runtime::listener>(
+            context_, runtime::connection_options{});
+        const auto started = listener_->start(
+            address,
+            [](const auto& from, wire::message&& content) {
+                wire::JobReplyT reply;
+                reply.status = wire::job_status::not_found;
+                from->send(
+                    wire::make_message(std::move(reply), content.correlation));
+            },
+            [](const auto&, const failure&) {});
+        EXPECT_TRUE(started);
+    }
+    void stop() { listener_->stop(); }
+    const std::string& address() const { return address_; }
+
+private:
+    asio::io_context& context_;
+    std::unique_ptr<runtime::listener> listener_;
+    std::string address_;
+};
+
+class leader_client_test : public testing::Test {
+protected:
+    leader_client make_client() {
+        leader_client_settings settings;
+        settings.replicas = {leader_.address()};
+        return leader_client(context_, settings);
+    }
+    template <class Predicate>
+    bool run_until(Predicate holds) {
+        const auto limit = std::chrono::steady_clock::now() + 10s;
+        while (!holds() && std::chrono::steady_clock::now() < limit) {
+            context_.run_for(20ms);
+        }
+        return holds();
+    }
+
+    asio::io_context context_;
+    fake_leader leader_{context_};
+};
+
+TEST_F(leader_client_test, finds_the_leader_without_any_call) {
+    leader_client client = make_client();
+    EXPECT_FALSE(client.reaches_leader());
+    ASSERT_TRUE(client.start());
+    EXPECT_TRUE(run_until([&] { return client.reaches_leader(); }));
+    client.stop();
+    context_.run_for(50ms);
+}
+
+TEST_F(leader_client_test, notes_a_lost_leader_and_finds_it_again) {
+    leader_client client = make_client();
+    ASSERT_TRUE(client.start());
+    ASSERT_TRUE(run_until([&] { return client.reaches_leader(); }));
+    leader_.stop();
+    std::optional<call_failure> failed;
+    client.call(
+        wire::JobCallT{}, 3s, [](wire::JobReplyT&&) {},
+        [&](call_failure reason) { failed = reason; });
+    ASSERT_TRUE(run_until([&] { return failed.has_value(); }));
+    EXPECT_EQ(*failed, call_failure::not_sent);
+    EXPECT_FALSE(client.reaches_leader());
+    leader_.open(leader_.address());
+    EXPECT_TRUE(run_until([&] { return client.reaches_leader(); }));
+    client.stop();
+    context_.run_for(50ms);
+}
+
+TEST_F(leader_client_test, takes_a_caller_in_a_hurry_for_no_evidence) {
+    leader_client client = make_client();
+    ASSERT_TRUE(client.start());
+    ASSERT_TRUE(run_until([&] { return client.reaches_leader(); }));
+    leader_.stop();
+    bool failed = false;
+    client.call(
+        wire::JobCallT{}, 100ms, [](wire::JobReplyT&&) {},
+        [&](call_failure) { failed = true; });
+    ASSERT_TRUE(run_until([&] { return failed; }));
+    EXPECT_TRUE(client.reaches_leader());
+    client.stop();
+    context_.run_for(50ms);
+}
+
+} // namespace
+} // namespace dragonflymount::gateway_program::test
