--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -27,6 +27,7 @@
         return failure{make_error_code(errc::invalid_setting),
             "start leader client", {}, "no replica is named"};
     }
+    leader_lost_ = runtime::system_clock::now();
     connect(replicas_.front());
     timer_.start();
     return done{};
--- a/tests/zone/site.hpp
+++ b/tests/zone/site.hpp
@@ -151,6 +151,7 @@
         const wire::message& content);
     zone::origin_id origin_of(const process_name& name);
     void start_entry(const process_name& name);
+    bool is_for_another_zone(const started_task& task) const;
     void check();
     void violate(const std::string& what);
 
@@ -170,6 +171,10 @@
     std::multimap<instant, delivery> network_;
     std::vector<process_name> origins_;
     std::vector<caller_record> callers_;
+    // Requests that each epoch's coordinator took from its own zone's entries,
+    // and those that another zone forwarded to it.
+    std::set<std::pair<std::uint64_t, std::string>> taken_;
+    std::set<std::pair<std::uint64_t, std::string>> forwarded_;
     std::uint64_t next_correlation_ = 1;
     std::map<std::string, instant> withdrawn_;
     std::map<process_name, rules_version> versions_;
