Let a task go back to an endpoint that it avoids rather than never run

Change: an endpoint is avoided for 1.5 s after the run's end, and then only while another has room. Test: placement_round.goes_back_to_a_failed_endpoint_rather_than_nowhere; the test that tries a failed task elsewhere stays as it was. Also: an adopted non-idempotent task that its endpoint denies, because a thawed coordinator had its end confirmed, is not run again (matrix, answer sent; now a known cell).

--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -362,9 +362,13 @@
     for (const pending_end& pending : ends_in_flight_) {
         const run_ref& run = pending.end.run;
         endpoints_.note_end(pending.life, run, pending.end.how, now);
+        // A run that was moved is avoided from its end, not from the order.
+        const auto known = avoided_.find(run.task);
+        const bool was_moved = known != avoided_.end() &&
+            known->second.contains(pending.life.endpoint);
         if (pending.end.how == wire::run_end::failed ||
-            pending.end.how == wire::run_end::refused) {
-            avoided_[run.task].insert(pending.life.endpoint);
+            pending.end.how == wire::run_end::refused || was_moved) {
+            avoided_[run.task][pending.life.endpoint] = now;
         }
         stop_requests_.erase(run);
     }
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -220,7 +220,7 @@
             const bool creeps = !avoided_.contains(run.task) &&
                 is_creeping(progress, *place.step, view.heard);
             if (creeps || is_stalled(progress, view.heard)) {
-                avoided_[run.task].insert(endpoint);
+                avoided_[run.task][endpoint] = now;
                 troubled.push_back(run);
             }
         }
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -285,9 +285,19 @@
             return false;
         }
     }
+    const auto trouble = last_trouble(name, view.life.endpoint);
+    return !trouble || now_ - *trouble >= avoid_time;
+}
+
+std::optional<instant> placement::last_trouble(
+    const task_name& name, const std::string& endpoint) const {
     const auto avoided = avoided_.find(name);
-    return avoided == avoided_.end() ||
-        !avoided->second.contains(view.life.endpoint);
+    if (avoided == avoided_.end()) {
+        return std::nullopt;
+    }
+    const auto found = avoided->second.find(endpoint);
+    return found == avoided->second.end() ? std::nullopt
+                                          : std::optional(found->second);
 }
 
 placement::candidate* placement::choose(
@@ -317,8 +327,9 @@
         const bool apart = step.long_running && !place.holds_lasting;
         // Of equal places the one with most room: what a crash takes with it
         // stays small.
-        return std::make_tuple(other_rack, far, suspect, cold, crowded, apart,
-            of_step, -place.room.cpu_milli, view.life.endpoint);
+        const bool avoided = last_trouble(name, view.life.endpoint).has_value();
+        return std::make_tuple(avoided, other_rack, far, suspect, cold, crowded,
+            apart, of_step, -place.room.cpu_milli, view.life.endpoint);
     };
     for (candidate& place : pool->second) {
         if (may_use(open, name, spread, place) &&
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -10,8 +10,14 @@
 
 namespace dragonflymount::jobs {
 
-/// \brief Endpoints at which a task's runs have failed or stood still.
-using avoided_endpoints = std::map<task_name, std::set<std::string>>;
+/// \brief Endpoints at which a task's runs have failed, crept or stood still,
+/// and when the last of them did.
+using avoided_endpoints = std::map<task_name, std::map<std::string, instant>>;
+
+/// For this long a task waits for another endpoint than those it avoids; then
+/// it goes back to one rather than never run. About the time in which its pool
+/// gets a further VM.
+inline constexpr duration avoid_time = std::chrono::milliseconds(1500);
 
 struct placed_run {
     run_ref run;
@@ -81,6 +87,9 @@
         const step_spread& spread, const candidate& place) const;
     bool within_limit(const wire::JobT& job, const wire::JobStepT& step);
     step_spread spread_of(const open_step& open) const;
+    /// \returns when a run of \p name last had trouble there, if ever.
+    std::optional<instant> last_trouble(
+        const task_name& name, const std::string& endpoint) const;
 
     const state& agreed_;
     const endpoint_table& endpoints_;
--- a/dragonflymount/src/Zone/CoordinatorEndpoints.cpp
+++ b/dragonflymount/src/Zone/CoordinatorEndpoints.cpp
@@ -63,6 +63,10 @@
         key, *record, {policy::task_end::kind::not_run, {}, false}, now);
     if (record->cancelled) {
         refuse(key, *record, "cancelled", duration(0), now);
+    } else if (!record->request.idempotent &&
+        record->earlier != wire::outcome::none) {
+        // An adopted task whose end was confirmed elsewhere is denied, too.
+        refuse(key, *record, "its end was lost", duration(0), now);
     } else if (record->request.body.empty() && record->overdue) {
         // Adopted without its body: only the caller can send it again.
         refuse(key, *record, "its coordinator was lost", retry_when_full, now);
--- a/tests/jobs/placement_test.cpp
+++ b/tests/jobs/placement_test.cpp
@@ -128,13 +128,25 @@
 TEST_F(placement_round, tries_a_failed_task_elsewhere) {
     add("e1");
     jobs_.submit(job_builder(7).step(1).build());
-    avoided_[task(7)].insert("e1");
+    avoided_[task(7)]["e1"] = at_ms(15);
     EXPECT_TRUE(plan().empty());
     add("e2");
     ASSERT_EQ(plan().size(), 1U);
     EXPECT_EQ(plan()[0].life.endpoint, "e2");
 }
 
+TEST_F(placement_round, goes_back_to_a_failed_endpoint_rather_than_nowhere) {
+    add("e1");
+    jobs_.submit(job_builder(7).step(1).build());
+    avoided_[task(7)]["e1"] = at_ms(15);
+    endpoints_.take(make_report("e1", 2), at_ms(1000));
+    EXPECT_TRUE(plan(at_ms(1500)).empty());
+    EXPECT_EQ(plan(at_ms(1520)).size(), 1U);
+    endpoints_.take(make_report("e2", 1), at_ms(1500));
+    ASSERT_EQ(plan(at_ms(1520)).size(), 1U);
+    EXPECT_EQ(plan(at_ms(1520))[0].life.endpoint, "e2");
+}
+
 // Load: a burst twice as large as the pool. Jobs that can't be in time any
 // more make way for those that can.
 TEST_F(placement_round, puts_work_that_can_be_in_time_before_late_work) {
--- a/tests/jobs/vm_manager_test.cpp
+++ b/tests/jobs/vm_manager_test.cpp
@@ -245,6 +245,7 @@
 TEST_F(vm_orders, moves_at_once_after_every_listed_endpoint_was_heard) {
     const std::vector<std::string> endpoints{"e1", "e2", "e3"};
     std::vector<vm_record> list;
+    list.reserve(endpoints.size() + 1);
     for (const std::string& endpoint : endpoints) {
         list.push_back({vm_id("vm-" + endpoint), pool_id("pool"),
             vm_condition::up, endpoint, {}});
--- a/tests/zone/matrix_test.cpp
+++ b/tests/zone/matrix_test.cpp
@@ -278,7 +278,9 @@
         "an entry led an epoch of its earlier incarnation again"},
     {"submit", "messages late and crossed",
         "coordinator cut from half its endpoints", 81600193,
-        "an adopted task that was confirmed elsewhere was called not run"}};
+        "an adopted task that was confirmed elsewhere was called not run"},
+    {"answer sent", "messages late and crossed", "sender freezes", 81800187,
+        "an adopted task that was confirmed elsewhere ran again"}};
 
 const fault& find_fault(const std::string& name) {
     return *std::find_if(faults.begin(), faults.end(),
