Let a report and a batch cost what they change

Now the state keeps the jobs that can start a task, those with occurrences to come and the pending count of each queue; a held report is looked at when its endpoint's orders may have changed; leases are checked every 100 ms or when a life ended; trouble is judged when an endpoint reports; a pool's room is worked out when a step of it is placed, and the search for a place ends at the first that nothing speaks against. A gang that doesn't fit gives its places back instead of working on a copy of all pools. A run set back to a checkpoint counts as creeping (its progress was subtracted without a sign).

--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -38,6 +38,7 @@
 
 void endpoint_table::note_newer_life(const endpoint_report& report) {
     const std::uint64_t number = report.life.number;
+    ++ended_lives_;
     newest_of_endpoint_[report.life.endpoint] = number;
     newest_at_address_[report.address] = number;
     if (!report.vm.empty()) {
@@ -126,11 +127,13 @@
     if (found == views_.end()) {
         return;
     }
+    ++ended_lives_;
     over_[endpoint] = found->second.life.number;
     views_.erase(found);
 }
 
 void endpoint_table::end_life(const endpoint_life& life) {
+    ++ended_lives_;
     std::uint64_t& over = over_[life.endpoint];
     over = std::max(over, life.number);
     const auto found = views_.find(life.endpoint);
@@ -189,6 +192,11 @@
     return found == views_.end() ? nullptr : &found->second;
 }
 
+const endpoint_view* endpoint_table::find(const std::string& endpoint) const {
+    const auto found = views_.find(endpoint);
+    return found == views_.end() ? nullptr : &found->second;
+}
+
 const endpoint_view* endpoint_table::find_life(
     const endpoint_life& life) const {
     const auto found = views_.find(life.endpoint);
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -146,9 +146,14 @@
     /// after trouble with several jobs the endpoint is avoided for a while.
     void note_trouble(const std::string& endpoint, job_id job, instant now);
 
+    /// \returns how many lives are known to have ended; it grows whenever
+    /// \c is_over may have changed but for the time.
+    std::uint64_t ended_lives() const { return ended_lives_; }
+
     bool can_take_tasks(const endpoint_view& view, instant now) const;
     const view_map& views() const { return views_; }
     endpoint_view* find(const std::string& endpoint);
+    const endpoint_view* find(const std::string& endpoint) const;
     const endpoint_view* find_life(const endpoint_life& life) const;
     const endpoint_options& options() const { return options_; }
 
@@ -167,6 +172,7 @@
     std::map<vm_id, std::uint64_t> newest_of_vm_;
     // Lives that are known to be over, by the endpoint's name.
     std::map<std::string, std::uint64_t> over_;
+    std::uint64_t ended_lives_ = 0;
     // When this leader began, and the latest end of leases granted before.
     instant unknown_leases_end_{};
 };
--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -10,6 +10,9 @@
 // about the time that an election takes.
 constexpr std::uint32_t unready_retry_ms = 1000;
 
+// How often evidence about tasks that are done is dropped.
+constexpr duration forgetting_interval = std::chrono::seconds(1);
+
 wire::JobReplyT reply_of(wire::job_status status) {
     wire::JobReplyT reply;
     reply.status = status;
@@ -69,6 +72,13 @@
     answer_all(cancellers_, reply_of(wire::job_status::interrupted));
     answer_all(committers_, false);
     answer_all(committers_in_flight_, false);
+    with_ends_.clear();
+    touched_.clear();
+    touched_in_flight_.clear();
+    changed_jobs_.clear();
+    given_up_.clear();
+    next_lapse_check_ = {};
+    next_forgetting_ = {};
     const auto held = std::move(held_);
     held_.clear();
     for (const auto& [endpoint, report] : held) {
@@ -196,12 +206,7 @@
 void engine::count_pending(
     const wire::JobQueueT& queue, const call_handler& on_reply) const {
     wire::JobReplyT reply = reply_of(wire::job_status::pending);
-    for (const job_id id : agreed_.active_jobs()) {
-        const wire::JobT* job = agreed_.find_job(id);
-        if (job->queue == queue.name && !job->begun) {
-            ++reply.pending;
-        }
-    }
+    reply.pending = agreed_.pending_in(queue.name);
     on_reply(std::move(reply));
 }
 
@@ -271,8 +276,10 @@
         batch.started.empty() && batch.waves.empty() &&
         batch.maintained.empty() && committers_.empty();
     if (empty) {
+        reply_noted();
         return std::nullopt;
     }
+    note_touched(batch);
     committers_in_flight_ = std::move(committers_);
     committers_.clear();
     batch_in_flight_ = true;
@@ -302,16 +309,26 @@
     vanished_.clear();
     for (const run_ref& run : vanished) {
         if (const wire::TaskRunT* record = agreed_.find_run(run)) {
+            given_up_.insert(run);
             add_end(batch, run, {record->endpoint, record->life},
                 wire::run_end::lost);
         }
     }
+    if (now >= next_lapse_check_ || ended_lives_ != endpoints_.ended_lives()) {
+        next_lapse_check_ = now + options_.lapse_check_interval;
+        ended_lives_ = endpoints_.ended_lives();
+        collect_lapsed(batch, now);
+    }
+}
+
+void engine::collect_lapsed(wire::JobBatchT& batch, instant now) {
     for (const auto& [life, load] : agreed_.loads()) {
         if (!endpoints_.is_over(life, now)) {
             continue;
         }
         const endpoint_view* view = endpoints_.find_life(life);
         for (const run_ref& run : load.runs) {
+            given_up_.insert(run);
             add_end(batch, run, life, wire::run_end::lapsed);
             if (view != nullptr && view->running.contains(run)) {
                 batch.ended.back()->checkpoint =
@@ -322,12 +339,12 @@
 }
 
 void engine::collect_due(wire::JobBatchT& batch, std::uint64_t wall_ms) const {
-    for (const job_id id : agreed_.active_jobs()) {
+    for (const job_id id : agreed_.repeating_jobs()) {
         const wire::JobT& job = *agreed_.find_job(id);
         const wire::JobSpecT& spec = *job.spec;
         const std::uint64_t due =
             spec.start_at_ms + job.next_occurrence * spec.interval_ms;
-        if (job.next_occurrence < spec.repeats && due <= wall_ms) {
+        if (due <= wall_ms) {
             auto order = std::make_unique<wire::OccurrenceDueT>();
             order->job = id.value();
             order->number = job.next_occurrence;
@@ -359,6 +376,7 @@
     }
     batch_in_flight_ = false;
     placement_due_ = true;
+    ++agreed_batches_;
     for (const pending_end& pending : ends_in_flight_) {
         const run_ref& run = pending.end.run;
         endpoints_.note_end(pending.life, run, pending.end.how, now);
@@ -373,10 +391,6 @@
         stop_requests_.erase(run);
     }
     ends_in_flight_.clear();
-    std::erase_if(avoided_, [this](const auto& entry) {
-        const task_place place = agreed_.find_task(entry.first);
-        return !place || place.task->done;
-    });
     const auto accepted = reply_of(wire::job_status::accepted);
     for (const job_id id : std::exchange(submits_in_flight_, {})) {
         for (const auto& handler : std::exchange(submitters_[id], {})) {
@@ -391,10 +405,69 @@
         cancellers_.erase(id);
     }
     answer_all(committers_in_flight_, true);
-    for (auto& [endpoint, report] : held_) {
-        ++report.batches;
+    given_up_.clear();
+    touched_.merge(touched_in_flight_);
+    touched_in_flight_.clear();
+    touch_changed_jobs();
+    touched_.insert(with_ends_.begin(), with_ends_.end());
+    reply_touched();
+}
+
+// ---- What a batch changes --------------------------------------------------
+
+void engine::note_touched(const wire::JobBatchT& batch) {
+    for (const auto& order : batch.started) {
+        touched_in_flight_.insert(order->endpoint);
+    }
+    for (const auto& order : batch.cancelled) {
+        changed_jobs_.insert(job_id(order->job));
+    }
+    for (const auto& ended : batch.ended) {
+        changed_jobs_.insert(job_id(ended->task->job));
+    }
+}
+
+void engine::touch_runs(const wire::JobT& job) {
+    for (const auto& occurrence : job.occurrences) {
+        for (const auto& group : occurrence->steps) {
+            for (const auto& task : group->tasks) {
+                for (const auto& run : task->runs) {
+                    touched_.insert(run->endpoint);
+                }
+            }
+        }
+    }
+}
+
+// Runs of a job that was cancelled or has failed must stop, and so must other
+// runs of a task that is done.
+void engine::touch_changed_jobs() {
+    for (const job_id id : std::exchange(changed_jobs_, {})) {
+        if (const wire::JobT* job = agreed_.find_job(id)) {
+            touch_runs(*job);
+        }
+    }
+}
+
+void engine::request_stop(const run_ref& run) {
+    stop_requests_.insert(run);
+    if (const wire::TaskRunT* record = agreed_.find_run(run)) {
+        touched_.insert(record->endpoint);
     }
-    reply_ready(now);
+}
+
+void engine::forget_settled(instant now) {
+    if (now < next_forgetting_) {
+        return;
+    }
+    next_forgetting_ = now + forgetting_interval;
+    std::erase_if(avoided_, [this](const auto& entry) {
+        const task_place place = agreed_.find_task(entry.first);
+        return !place || place.task->done;
+    });
+    std::erase_if(stop_requests_, [this](const run_ref& run) {
+        return agreed_.find_run(run) == nullptr;
+    });
 }
 
 } // namespace dragonflymount::jobs
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -5,6 +5,9 @@
 // come out. One batch is under way at a time, so every decision rests on
 // agreed state alone. Nothing is accepted, taken note of, started or shown
 // before the log holds it.
+//
+// A report or a batch costs what it changes: held reports are looked at when
+// their endpoint's orders may have changed, and otherwise only for the time.
 #ifndef DRAGONFLYMOUNT_JOBS_ENGINE_HPP
 #define DRAGONFLYMOUNT_JOBS_ENGINE_HPP
 
@@ -55,6 +58,8 @@
     /// A run that needs this many times its declared time longer is started
     /// elsewhere; estimates are rough.
     std::int64_t creep_factor = 3;
+    /// How often leases that have ended are looked for.
+    duration lapse_check_interval = std::chrono::milliseconds(100);
     /// Starts in one batch.
     std::size_t most_starts = 256;
 };
@@ -98,7 +103,7 @@
     /// \brief VMs that get no new task.
     void reserve(std::set<vm_id> vms) { reserved_ = std::move(vms); }
     /// \brief Asks for the end of a run that is otherwise wanted.
-    void request_stop(const run_ref& run) { stop_requests_.insert(run); }
+    void request_stop(const run_ref& run);
     bool is_stop_requested(const run_ref& run) const {
         return stop_requests_.contains(run);
     }
@@ -110,8 +115,8 @@
         instant reply_by{};
         // The highest number among the ends that the report lists.
         std::uint64_t last_end = 0;
-        // Batches agreed since the report came.
-        std::uint32_t batches = 0;
+        // How many batches had been agreed when the report came.
+        std::uint64_t batches_before = 0;
     };
     struct pending_end {
         endpoint_life life;
@@ -129,21 +134,31 @@
 
     void collect_ends(const endpoint_report& report);
     void collect_ended(wire::JobBatchT& batch, instant now);
+    void collect_lapsed(wire::JobBatchT& batch, instant now);
     void collect_due(wire::JobBatchT& batch, std::uint64_t wall_ms) const;
     void collect_starts(wire::JobBatchT& batch, instant now);
     void add_end(wire::JobBatchT& batch, const run_ref& run,
         const endpoint_life& life, wire::run_end how) const;
     bool is_unstarted(const endpoint_view& view, const run_ref& run) const;
     void note_missing(endpoint_view& view);
+    void note_touched(const wire::JobBatchT& batch);
+    void touch_runs(const wire::JobT& job);
+    void touch_changed_jobs();
     bool is_stalled(const run_progress& progress, instant heard) const;
     bool is_creeping(const run_progress& progress, const wire::JobStepT& step,
         instant heard) const;
-    void find_troubled(instant now);
+    void find_troubled(const endpoint_view& view, instant now);
+    void forget_settled(instant now);
 
     bool has_ending_tasks(const endpoint_view& view) const;
     endpoint_orders orders_for(const endpoint_view& view) const;
     void reply(const std::string& endpoint);
-    void reply_ready(instant now);
+    bool is_noted(const endpoint_view& view, const held_report& held) const;
+    bool is_ready(const std::string& endpoint, const held_report& held) const;
+    void reply_if_ready(const std::string& endpoint);
+    void reply_touched();
+    void reply_noted();
+    void reply_overdue(instant now);
 
     const state& agreed_;
     engine_options options_;
@@ -175,6 +190,22 @@
     std::vector<commit_handler> committers_in_flight_;
 
     std::map<std::string, held_report> held_;
+    // Endpoints of held reports that list ends.
+    std::set<std::string> with_ends_;
+    // Endpoints whose orders may have changed since they were last looked at.
+    std::set<std::string> touched_;
+    // The same once the batch under way is agreed.
+    std::set<std::string> touched_in_flight_;
+    // Jobs that the batch under way may end, whose runs are then to be stopped.
+    std::set<job_id> changed_jobs_;
+    // Runs that the batch under way declares ended without their endpoint's
+    // word; they must not be started or kept meanwhile.
+    std::set<run_ref> given_up_;
+    std::uint64_t agreed_batches_ = 0;
+    instant next_lapse_check_{};
+    // How many lives had ended when lapsed runs were last looked for.
+    std::uint64_t ended_lives_ = 0;
+    instant next_forgetting_{};
     // The highest end number of each life that was put into a batch.
     std::map<endpoint_life, std::uint64_t> gathered_ends_;
     std::set<run_ref> stop_requests_;
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -8,14 +8,16 @@
 
 // The first batch after a report takes note of its ends, the second holds
 // what starts in the room that became free.
-constexpr std::uint32_t batches_to_refill = 2;
+constexpr std::uint64_t batches_to_refill = 2;
 
 } // namespace
 
 void engine::report(
     const endpoint_report& report, report_handler on_orders, instant now) {
     std::vector<run_ref> ran_before;
+    bool had_room = false;
     if (const auto* view = endpoints_.find_life(report.life)) {
+        had_room = endpoints_.can_take_tasks(*view, now);
         for (const auto& [run, progress] : view->running) {
             ran_before.push_back(run);
         }
@@ -29,7 +31,7 @@
         on_orders(outdated);
         return;
     }
-    placement_due_ = true;
+    placement_due_ = placement_due_ || !had_room;
     collect_ends(report);
     for (const run_ref& run : ran_before) {
         if (!view->running.contains(run) && !view->ended.contains(run)) {
@@ -37,19 +39,23 @@
         }
     }
     note_missing(*view);
+    find_troubled(*view, now);
     held_report& held = held_[report.life.endpoint];
     if (held.handler) {
         // The endpoint gave up waiting for the reply to its earlier report.
         held.handler(endpoint_orders{});
     }
-    held = {std::move(on_orders), now, now, 0, 0};
+    held = {std::move(on_orders), now, now, 0, agreed_batches_};
     if (!report.ended.empty()) {
         held.last_end = report.ended.back().number;
         held.reply_by = now + options_.ends_hold;
+        with_ends_.insert(report.life.endpoint);
     } else if (!has_ending_tasks(*view)) {
         held.reply_by = now + options_.idle_hold;
+        reply_if_ready(report.life.endpoint);
+    } else {
+        reply(report.life.endpoint);
     }
-    reply_ready(now);
 }
 
 void engine::collect_ends(const endpoint_report& report) {
@@ -90,6 +96,7 @@
     if (held != held_.end()) {
         held->second.handler(endpoint_orders{});
         held_.erase(held);
+        with_ends_.erase(endpoint);
     }
     endpoints_.remove(endpoint);
     placement_due_ = true;
@@ -97,12 +104,7 @@
 
 bool engine::has_ending_tasks(const endpoint_view& view) const {
     const endpoint_load* load = agreed_.load_of(view.life);
-    return load != nullptr &&
-        std::any_of(
-            load->runs.begin(), load->runs.end(), [this](const run_ref& run) {
-                const task_place place = agreed_.find_task(run.task);
-                return place && !place.step->long_running;
-            });
+    return load != nullptr && load->ending() > 0;
 }
 
 endpoint_orders engine::orders_for(const endpoint_view& view) const {
@@ -116,8 +118,8 @@
     std::set<run_ref> kept;
     if (load != nullptr) {
         for (const run_ref& run : load->runs) {
-            const bool wanted =
-                agreed_.is_wanted(run) && !stop_requests_.contains(run);
+            const bool wanted = agreed_.is_wanted(run) &&
+                !stop_requests_.contains(run) && !given_up_.contains(run);
             if (wanted) {
                 kept.insert(run);
             }
@@ -142,6 +144,7 @@
     const auto found = held_.find(endpoint);
     held_report held = std::move(found->second);
     held_.erase(found);
+    with_ends_.erase(endpoint);
     endpoint_view* view = endpoints_.find(endpoint);
     if (view == nullptr) {
         held.handler(endpoint_orders{});
@@ -152,29 +155,57 @@
     held.handler(orders);
 }
 
-void engine::reply_ready(instant now) {
-    std::vector<std::string> ready;
-    for (const auto& [endpoint, held] : held_) {
+bool engine::is_noted(
+    const endpoint_view& view, const held_report& held) const {
+    return agreed_.acknowledged(view.life) >= held.last_end;
+}
+
+bool engine::is_ready(
+    const std::string& endpoint, const held_report& held) const {
+    const endpoint_view* view = endpoints_.find(endpoint);
+    if (view == nullptr) {
+        return true;
+    }
+    if (held.last_end > 0) {
+        return is_noted(*view, held) &&
+            agreed_batches_ - held.batches_before >= batches_to_refill;
+    }
+    const endpoint_orders orders = orders_for(*view);
+    return !orders.starts.empty() || !orders.stops.empty();
+}
+
+void engine::reply_if_ready(const std::string& endpoint) {
+    const auto held = held_.find(endpoint);
+    if (held != held_.end() && is_ready(endpoint, held->second)) {
+        reply(endpoint);
+    }
+}
+
+void engine::reply_touched() {
+    for (const std::string& endpoint : std::exchange(touched_, {})) {
+        reply_if_ready(endpoint);
+    }
+}
+
+// Nothing is left to be agreed: what ended makes room for no further start.
+void engine::reply_noted() {
+    const std::set<std::string> waiting = with_ends_;
+    for (const std::string& endpoint : waiting) {
         const endpoint_view* view = endpoints_.find(endpoint);
-        if (view == nullptr || now >= held.reply_by) {
-            ready.push_back(endpoint);
-            continue;
-        }
-        if (held.last_end > 0) {
-            const bool noted =
-                agreed_.acknowledged(view->life) >= held.last_end;
-            if (noted &&
-                (held.batches >= batches_to_refill || !batch_in_flight_)) {
-                ready.push_back(endpoint);
-            }
-            continue;
+        if (view == nullptr || is_noted(*view, held_.at(endpoint))) {
+            reply(endpoint);
         }
-        const endpoint_orders orders = orders_for(*view);
-        if (!orders.starts.empty() || !orders.stops.empty()) {
-            ready.push_back(endpoint);
+    }
+}
+
+void engine::reply_overdue(instant now) {
+    std::vector<std::string> overdue;
+    for (const auto& [endpoint, held] : held_) {
+        if (now >= held.reply_by) {
+            overdue.push_back(endpoint);
         }
     }
-    for (const std::string& endpoint : ready) {
+    for (const std::string& endpoint : overdue) {
         reply(endpoint);
     }
 }
@@ -184,8 +215,9 @@
         return;
     }
     placement_due_ = true;
-    find_troubled(now);
-    reply_ready(now);
+    forget_settled(now);
+    reply_touched();
+    reply_overdue(now);
 }
 
 // Judged by the endpoint's last report: silence is no evidence about a run.
@@ -199,8 +231,10 @@
     if (observed < options_.least_observation) {
         return false;
     }
-    const std::uint32_t gained =
-        std::max(1U, progress.percent - progress.first_percent);
+    // A run that was set back to a checkpoint has gained nothing.
+    const std::uint32_t gained = progress.percent > progress.first_percent
+        ? progress.percent - progress.first_percent
+        : 1;
     const duration left = observed * (100 - progress.percent) / gained;
     const duration declared = std::chrono::milliseconds(step.estimate_ms);
     return left > declared * options_.creep_factor + options_.stall_limit;
@@ -208,27 +242,24 @@
 
 // A run is moved for creeping only once: if it creeps elsewhere, too, then
 // its estimate was wrong.
-void engine::find_troubled(instant now) {
+void engine::find_troubled(const endpoint_view& view, instant now) {
     std::vector<run_ref> troubled;
-    for (const auto& [endpoint, view] : endpoints_.views()) {
-        for (const auto& [run, progress] : view.running) {
-            const task_place place = agreed_.find_task(run.task);
-            if (!place || place.step->long_running || place.step->gang ||
-                progress.percent >= 100 || stop_requests_.contains(run)) {
-                continue;
-            }
-            const bool creeps = !avoided_.contains(run.task) &&
-                is_creeping(progress, *place.step, view.heard);
-            if (creeps || is_stalled(progress, view.heard)) {
-                avoided_[run.task][endpoint] = now;
-                troubled.push_back(run);
-            }
+    for (const auto& [run, progress] : view.running) {
+        const task_place place = agreed_.find_task(run.task);
+        if (!place || place.step->long_running || place.step->gang ||
+            progress.percent >= 100 || stop_requests_.contains(run)) {
+            continue;
         }
-        for (const run_ref& run : troubled) {
-            stop_requests_.insert(run);
-            endpoints_.note_trouble(endpoint, run.task.job, now);
+        const bool creeps = !avoided_.contains(run.task) &&
+            is_creeping(progress, *place.step, view.heard);
+        if (creeps || is_stalled(progress, view.heard)) {
+            avoided_[run.task][view.life.endpoint] = now;
+            troubled.push_back(run);
         }
-        troubled.clear();
+    }
+    for (const run_ref& run : troubled) {
+        stop_requests_.insert(run);
+        endpoints_.note_trouble(view.life.endpoint, run.task.job, now);
     }
 }
 
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -14,19 +14,6 @@
 // Tasks of one lasting step that share a VM while others have room.
 constexpr std::uint32_t most_lasting_together = 2;
 
-bool is_ready(
-    const wire::JobOccurrenceT& occurrence, const wire::JobStepT& step) {
-    return std::all_of(step.depends_on.begin(), step.depends_on.end(),
-        [&](std::uint32_t earlier) {
-            const auto& group = *occurrence.steps[earlier];
-            return group.done == group.tasks.size();
-        });
-}
-
-bool is_waiting(const wire::JobTaskT& task) {
-    return !task.done && task.runs.empty();
-}
-
 bool has_label(const endpoint_view& view, const std::string& label) {
     return std::find(view.labels.begin(), view.labels.end(), label) !=
         view.labels.end();
@@ -59,20 +46,6 @@
         : job.accepted_ms;
 }
 
-// Load pattern: a burst above what the pool holds. In order of due time alone
-// each job would begin when it can only just be late, and all would be; those
-// that can't be in time any more make way for those that can.
-timeliness outlook_of(std::uint64_t begin, std::uint64_t due,
-    std::uint64_t remaining, std::uint64_t now) {
-    const std::uint64_t objective = due - begin;
-    if (now + remaining <= due) {
-        return timeliness::on_time;
-    }
-    return now + remaining <= begin + latest_use_factor * objective
-        ? timeliness::late
-        : timeliness::useless;
-}
-
 } // namespace
 
 std::uint64_t longest_chain_ms(const wire::JobSpecT& spec) {
@@ -98,6 +71,24 @@
         queue.objective_ms;
 }
 
+// Load pattern: a burst above what the pool holds. In order of due time alone
+// each job would begin when it can only just be late, and all would be; those
+// that can't be in time any more make way for those that can.
+timeliness outlook_of(const wire::JobT& job,
+    const wire::JobOccurrenceT& occurrence, const wire::JobQueueT& queue,
+    std::uint64_t now_ms) {
+    const std::uint64_t begin = begin_time_ms(job, occurrence.number);
+    const std::uint64_t due = due_time_ms(job, occurrence.number, queue);
+    const std::uint64_t objective = due - begin;
+    const std::uint64_t end =
+        now_ms + remaining_chain_ms(*job.spec, occurrence);
+    if (end <= due) {
+        return timeliness::on_time;
+    }
+    return end <= begin + latest_use_factor * objective ? timeliness::late
+                                                        : timeliness::useless;
+}
+
 placement::placement(const state& agreed, const endpoint_table& endpoints,
     const avoided_endpoints& avoided, const std::set<vm_id>& reserved,
     instant now)
@@ -109,7 +100,7 @@
     if (steps_.empty()) {
         return {};
     }
-    collect_candidates();
+    sort_endpoints();
     std::map<std::string, std::size_t> misses;
     for (const open_step& open : steps_) {
         if (placed_.size() >= most) {
@@ -130,30 +121,42 @@
     return std::move(placed_);
 }
 
-bool placement::holds_lasting(const endpoint_load* load) const {
-    return load != nullptr &&
-        std::any_of(
-            load->runs.begin(), load->runs.end(), [this](const run_ref& run) {
-                const task_place place = agreed_.find_task(run.task);
-                return place && place.step->long_running;
-            });
-}
-
-void placement::collect_candidates() {
+void placement::sort_endpoints() {
     for (const auto& [endpoint, view] : endpoints_.views()) {
-        if (!endpoints_.can_take_tasks(view, now_) ||
-            reserved_.contains(view.vm)) {
-            continue;
+        if (endpoints_.can_take_tasks(view, now_) &&
+            !reserved_.contains(view.vm)) {
+            endpoints_of_[view.pool.str()].push_back(&view);
         }
-        const endpoint_load* load = agreed_.load_of(view.life);
+    }
+}
+
+placement::pool_room& placement::room_of_pool(const std::string& pool) {
+    const auto [found, inserted] = pools_.try_emplace(pool);
+    pool_room& made = found->second;
+    if (!inserted) {
+        return made;
+    }
+    for (const endpoint_view* view : endpoints_of_[pool]) {
+        const endpoint_load* load = agreed_.load_of(view->life);
+        const bool loaded = load != nullptr;
         const resources room =
-            load == nullptr ? view.capacity : view.capacity - load->used;
-        pools_[view.pool.str()].push_back({&view, room, holds_lasting(load)});
+            loaded ? view->capacity - load->used : view->capacity;
+        made.by_room.insert({room.cpu_milli, made.candidates.size()});
+        made.candidates.push_back({view, room, loaded && load->lasting > 0});
     }
+    return made;
+}
+
+void placement::take_room(
+    pool_room& pool, std::size_t candidate, const resources& taken) {
+    resources& room = pool.candidates[candidate].room;
+    pool.by_room.erase({room.cpu_milli, candidate});
+    room -= taken;
+    pool.by_room.insert({room.cpu_milli, candidate});
 }
 
 void placement::collect_steps() {
-    for (const job_id id : agreed_.active_jobs()) {
+    for (const job_id id : agreed_.startable_jobs()) {
         collect_steps(*agreed_.find_job(id));
     }
     std::sort(steps_.begin(), steps_.end(),
@@ -175,8 +178,7 @@
         const std::uint64_t remaining =
             remaining_chain_ms(*job.spec, *occurrence);
         const timeliness outlook =
-            outlook_of(begin_time_ms(job, occurrence->number), due, remaining,
-                agreed_.time_ms());
+            outlook_of(job, *occurrence, *queue, agreed_.time_ms());
         for (std::uint32_t k = 0; k < occurrence->steps.size(); ++k) {
             const wire::StepTasksT& group = *occurrence->steps[k];
             const wire::JobStepT& step = *job.spec->steps[k];
@@ -195,6 +197,10 @@
 
 placement::step_spread placement::spread_of(const open_step& open) const {
     step_spread spread;
+    const wire::JobStepT& step = *open.spec;
+    if (step.anti_affinity == 0 && !step.rack_local && !step.long_running) {
+        return spread;
+    }
     for (const auto& task : open.occurrence->steps[open.step]->tasks) {
         for (const auto& run : task->runs) {
             ++spread.at_endpoint[run->endpoint];
@@ -228,8 +234,6 @@
             [](const auto& task) { return is_waiting(*task); })) {
         return;
     }
-    const auto pools_before = pools_;
-    const auto usage_before = team_usage_;
     const std::size_t placed_before = placed_.size();
     std::uint32_t run = 0;
     for (const auto& task : tasks) {
@@ -238,15 +242,23 @@
     step_spread spread;
     for (std::uint32_t k = 0; k < tasks.size(); ++k) {
         if (!place_task(open, k, spread)) {
-            pools_ = pools_before;
-            team_usage_ = usage_before;
-            placed_.resize(placed_before);
+            take_back(open, placed_before);
             return;
         }
         placed_.back().run.run = run;
     }
 }
 
+void placement::take_back(const open_step& open, std::size_t placed_before) {
+    for (std::size_t k = placed_before; k < taken_.size(); ++k) {
+        take_room(*taken_[k].pool, taken_[k].candidate,
+            resources{} - room_of(*open.spec));
+        team_usage_[open.job->team] -= usage_of(*open.spec);
+    }
+    taken_.resize(placed_before);
+    placed_.resize(placed_before);
+}
+
 bool placement::place_task(
     const open_step& open, std::uint32_t index, step_spread& spread) {
     if (!within_limit(*open.job, *open.spec)) {
@@ -254,17 +266,20 @@
     }
     const task_name name{
         job_id(open.job->id), open.occurrence->number, open.step, index};
-    candidate* place = choose(open, name, spread);
-    if (place == nullptr) {
+    pool_room& pool = room_of_pool(open.queue->pool);
+    const auto chosen = choose(open, name, spread, pool);
+    if (!chosen) {
         return false;
     }
-    place->room -= room_of(*open.spec);
-    place->holds_lasting = place->holds_lasting || open.spec->long_running;
+    take_room(pool, *chosen, room_of(*open.spec));
+    candidate& place = pool.candidates[*chosen];
+    place.holds_lasting = place.holds_lasting || open.spec->long_running;
     team_usage_[open.job->team] += usage_of(*open.spec);
-    ++spread.at_endpoint[place->view->life.endpoint];
-    spread.racks.insert(place->view->rack);
+    ++spread.at_endpoint[place.view->life.endpoint];
+    spread.racks.insert(place.view->rack);
     const auto& task = *open.occurrence->steps[open.step]->tasks[index];
-    placed_.push_back({{name, task.last_run + 1}, place->view->life});
+    placed_.push_back({{name, task.last_run + 1}, place.view->life});
+    taken_.push_back({&pool, *chosen});
     return true;
 }
 
@@ -300,41 +315,53 @@
                                           : std::optional(found->second);
 }
 
-placement::candidate* placement::choose(
-    const open_step& open, const task_name& name, const step_spread& spread) {
-    const auto pool = pools_.find(open.queue->pool);
-    if (pool == pools_.end()) {
-        return nullptr;
-    }
-    candidate* best = nullptr;
-    auto cost_of = [&](const candidate& place) {
-        const wire::JobStepT& step = *open.spec;
-        const endpoint_view& view = *place.view;
-        const bool far = !step.preferred_rack.empty() &&
-            !has_label(view, step.preferred_rack);
-        const bool other_rack = step.rack_local && !spread.racks.empty() &&
-            !spread.racks.contains(view.rack);
-        const bool cold = view.warm_from > now_;
-        const bool suspect = !view.troubled_jobs.empty();
-        const auto beside = spread.at_endpoint.find(view.life.endpoint);
-        const std::uint32_t of_step =
-            step.long_running && beside != spread.at_endpoint.end()
-            ? beside->second
-            : 0;
+placement::place_cost placement::cost_of(const open_step& open,
+    const task_name& name, const step_spread& spread,
+    const candidate& place) const {
+    const wire::JobStepT& step = *open.spec;
+    const endpoint_view& view = *place.view;
+    place_cost cost;
+    cost.avoided = last_trouble(name, view.life.endpoint).has_value();
+    cost.other_rack = step.rack_local && !spread.racks.empty() &&
+        !spread.racks.contains(view.rack);
+    cost.far =
+        !step.preferred_rack.empty() && !has_label(view, step.preferred_rack);
+    cost.suspect = !view.troubled_jobs.empty();
+    cost.cold = view.warm_from > now_;
+    if (step.long_running) {
         // Tasks that last share few VMs, so that the others can change their
         // pool; but a crash may take only so many of one step with it.
-        const bool crowded = of_step >= most_lasting_together;
-        const bool apart = step.long_running && !place.holds_lasting;
-        // Of equal places the one with most room: what a crash takes with it
-        // stays small.
-        const bool avoided = last_trouble(name, view.life.endpoint).has_value();
-        return std::make_tuple(avoided, other_rack, far, suspect, cold, crowded,
-            apart, of_step, -place.room.cpu_milli, view.life.endpoint);
-    };
-    for (candidate& place : pool->second) {
-        if (may_use(open, name, spread, place) &&
-            (best == nullptr || cost_of(place) < cost_of(*best))) {
-            best = &place;
+        const auto beside = spread.at_endpoint.find(view.life.endpoint);
+        cost.beside = beside == spread.at_endpoint.end() ? 0 : beside->second;
+        cost.crowded = cost.beside >= most_lasting_together;
+        cost.apart = !place.holds_lasting;
+    }
+    return cost;
+}
+
+// Of equal places the one with most room: what a crash takes with it stays
+// small.
+std::optional<std::size_t> placement::choose(const open_step& open,
+    const task_name& name, const step_spread& spread,
+    const pool_room& pool) const {
+    const resources needed = room_of(*open.spec);
+    std::optional<std::size_t> best;
+    place_cost least;
+    for (const room_rank& rank : pool.by_room) {
+        if (rank.free_cpu_milli < needed.cpu_milli) {
+            break;
+        }
+        const candidate& place = pool.candidates[rank.candidate];
+        if (!may_use(open, name, spread, place)) {
+            continue;
+        }
+        const place_cost cost = cost_of(open, name, spread, place);
+        if (!best || cost < least) {
+            best = rank.candidate;
+            least = cost;
+        }
+        if (least.is_nothing()) {
+            break;
         }
     }
     return best;
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -3,6 +3,10 @@
 // Pure: it reads the agreed state and the reports, and returns starts. One
 // round follows another only once the starts of the first are agreed, so the
 // state already counts all that was placed before.
+//
+// A round costs what waits and the endpoints of the pools that it waits for;
+// a start looks at the roomiest endpoints first and ends its search at one
+// that nothing speaks against.
 #ifndef DRAGONFLYMOUNT_JOBS_PLACEMENT_HPP
 #define DRAGONFLYMOUNT_JOBS_PLACEMENT_HPP
 
@@ -54,6 +58,42 @@
         // Whether a task that lasts is there.
         bool holds_lasting = false;
     };
+    // Where a candidate stands in the order of room: most processor time
+    // first, then by name.
+    struct room_rank {
+        std::int64_t free_cpu_milli = 0;
+        std::size_t candidate = 0;
+
+        friend bool operator<(const room_rank& left, const room_rank& right) {
+            return std::tie(right.free_cpu_milli, left.candidate) <
+                std::tie(left.free_cpu_milli, right.candidate);
+        }
+    };
+    // The endpoints of one pool that take tasks.
+    // Invariant: by_room holds each candidate once, at its present room.
+    struct pool_room {
+        std::vector<candidate> candidates;
+        std::set<room_rank> by_room;
+    };
+    // What speaks against an endpoint for a task, the gravest first.
+    struct place_cost {
+        bool avoided = false;
+        bool other_rack = false;
+        bool far = false;
+        bool suspect = false;
+        bool cold = false;
+        bool crowded = false;
+        bool apart = false;
+        std::uint32_t beside = 0;
+
+        friend auto operator<=>(const place_cost&, const place_cost&) = default;
+        bool is_nothing() const { return *this == place_cost{}; }
+    };
+    // A run that the round placed, so that it can be taken back.
+    struct taken_place {
+        pool_room* pool = nullptr;
+        std::size_t candidate = 0;
+    };
     struct open_step {
         const wire::JobT* job = nullptr;
         const wire::JobOccurrenceT* occurrence = nullptr;
@@ -73,16 +113,22 @@
         std::set<rack_id> racks;
     };
 
-    void collect_candidates();
-    bool holds_lasting(const endpoint_load* load) const;
+    void sort_endpoints();
+    pool_room& room_of_pool(const std::string& pool);
+    static void take_room(
+        pool_room& pool, std::size_t candidate, const resources& taken);
     void collect_steps();
     void collect_steps(const wire::JobT& job);
     void place_step(const open_step& open, std::size_t most);
     void place_gang(const open_step& open);
     bool place_task(
         const open_step& open, std::uint32_t index, step_spread& spread);
-    candidate* choose(const open_step& open, const task_name& name,
-        const step_spread& spread);
+    void take_back(const open_step& open, std::size_t placed_before);
+    std::optional<std::size_t> choose(const open_step& open,
+        const task_name& name, const step_spread& spread,
+        const pool_room& pool) const;
+    place_cost cost_of(const open_step& open, const task_name& name,
+        const step_spread& spread, const candidate& place) const;
     bool may_use(const open_step& open, const task_name& name,
         const step_spread& spread, const candidate& place) const;
     bool within_limit(const wire::JobT& job, const wire::JobStepT& step);
@@ -96,10 +142,15 @@
     const avoided_endpoints& avoided_;
     const std::set<vm_id>& reserved_;
     instant now_;
-    std::map<std::string, std::vector<candidate>> pools_;
+    // Endpoints that take tasks, by pool; a pool's room is worked out when its
+    // first step is placed.
+    std::map<std::string, std::vector<const endpoint_view*>> endpoints_of_;
+    std::map<std::string, pool_room> pools_;
     std::vector<open_step> steps_;
     std::map<std::string, resources> team_usage_;
     std::vector<placed_run> placed_;
+    // Invariant: as long as placed_, one place for each run.
+    std::vector<taken_place> taken_;
 };
 
 /// \brief When a job should be complete, on the log's wall clock.
@@ -107,6 +158,11 @@
 std::uint64_t due_time_ms(const wire::JobT& job, std::uint32_t occurrence,
     const wire::JobQueueT& queue);
 
+/// \brief What starting an occurrence's next step at \p now_ms can reach.
+timeliness outlook_of(const wire::JobT& job,
+    const wire::JobOccurrenceT& occurrence, const wire::JobQueueT& queue,
+    std::uint64_t now_ms);
+
 /// \returns the longest chain of declared run times through the steps.
 std::uint64_t longest_chain_ms(const wire::JobSpecT& spec);
 
--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -24,6 +24,20 @@
     return index;
 }
 
+bool is_startable(
+    const wire::JobOccurrenceT& occurrence, const wire::JobSpecT& spec) {
+    for (std::size_t k = 0; k < occurrence.steps.size(); ++k) {
+        const wire::StepTasksT& group = *occurrence.steps[k];
+        if (group.done < group.tasks.size() &&
+            is_ready(occurrence, *spec.steps[k]) &&
+            std::any_of(group.tasks.begin(), group.tasks.end(),
+                [](const auto& task) { return is_waiting(*task); })) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool has_runs(const wire::StepTasksT& group) {
     return std::any_of(group.tasks.begin(), group.tasks.end(),
         [](const auto& task) { return !task->runs.empty(); });
@@ -45,6 +59,15 @@
 
 } // namespace
 
+bool is_ready(
+    const wire::JobOccurrenceT& occurrence, const wire::JobStepT& step) {
+    return std::all_of(step.depends_on.begin(), step.depends_on.end(),
+        [&](std::uint32_t earlier) {
+            const auto& group = *occurrence.steps[earlier];
+            return group.done == group.tasks.size();
+        });
+}
+
 bool is_complete(const wire::MaintenanceWaveT& wave) {
     return std::all_of(
         wave.vms.begin(), wave.vms.end(), [&](const std::string& vm) {
@@ -139,6 +162,11 @@
     return found == acks_.end() ? 0 : found->second.number;
 }
 
+std::uint32_t state::pending_in(const std::string& queue) const {
+    const auto found = pending_.find(queue);
+    return found == pending_.end() ? 0 : found->second;
+}
+
 resources state::usage_of_team(const std::string& team) const {
     const auto found = team_usage_.find(team);
     return found == team_usage_.end() ? resources{} : found->second;
@@ -182,6 +210,7 @@
             found->second->phase == wire::job_phase::active &&
             due->number == found->second->next_occurrence) {
             begin_occurrence(*found->second, due->number);
+            index_startable(*found->second);
         }
     }
     for (const auto& order : batch.started) {
@@ -220,10 +249,10 @@
     auto& held =
         *jobs_.emplace(id.value(), std::make_unique<wire::JobT>(std::move(job)))
              .first->second;
-    active_.insert(id);
     if (held.spec->repeats == 0) {
         begin_occurrence(held, 0);
     }
+    index_active(held);
 }
 
 void state::begin_occurrence(wire::JobT& job, std::uint32_t number) {
@@ -260,9 +289,13 @@
     record->endpoint = order.endpoint;
     record->life = order.life;
     place.task->last_run = order.run;
-    place.job->begun = true;
+    if (!place.job->begun) {
+        place.job->begun = true;
+        --pending_[place.job->queue];
+    }
     add_run(run, *record, *place.job, *place.step);
     place.task->runs.push_back(std::move(record));
+    index_startable(*place.job);
 }
 
 void state::end(const wire::RunEndT& ended) {
@@ -299,9 +332,11 @@
         forget_tasks(*place.job);
         return;
     }
-    std::erase_if(place.job->occurrences, [](const auto& occurrence) {
+    wire::JobT& job = *place.job;
+    std::erase_if(job.occurrences, [](const auto& occurrence) {
         return is_done(*occurrence) && !has_runs(*occurrence);
     });
+    index_startable(job);
 }
 
 void state::judge_end(const task_place& place, const wire::RunEndT& ended) {
@@ -370,9 +405,9 @@
 }
 
 void state::finish_job(wire::JobT& job, wire::job_phase phase) {
+    forget_active(job);
     job.phase = phase;
     job.ended_ms = time_ms_;
-    active_.erase(job_id(job.id));
     ended_.emplace_back(time_ms_, job_id(job.id));
     forget_tasks(job);
 }
@@ -418,11 +453,47 @@
 
 // ---- Derived indexes -------------------------------------------------------
 
+void state::index_active(const wire::JobT& job) {
+    active_.insert(job_id(job.id));
+    if (!job.begun) {
+        ++pending_[job.queue];
+    }
+    index_startable(job);
+}
+
+void state::forget_active(const wire::JobT& job) {
+    const job_id id(job.id);
+    if (active_.erase(id) > 0 && !job.begun) {
+        --pending_[job.queue];
+    }
+    startable_.erase(id);
+    repeating_.erase(id);
+}
+
+void state::index_startable(const wire::JobT& job) {
+    const job_id id(job.id);
+    const bool startable = std::any_of(job.occurrences.begin(),
+        job.occurrences.end(), [&](const auto& occurrence) {
+            return is_startable(*occurrence, *job.spec);
+        });
+    if (startable) {
+        startable_.insert(id);
+    } else {
+        startable_.erase(id);
+    }
+    if (job.next_occurrence < job.spec->repeats) {
+        repeating_.insert(id);
+    } else {
+        repeating_.erase(id);
+    }
+}
+
 void state::add_run(const run_ref& run, const wire::TaskRunT& record,
     const wire::JobT& job, const wire::JobStepT& step) {
     endpoint_load& load = loads_[{record.endpoint, record.life}];
     load.used += room_of(step);
     load.runs.push_back(run);
+    load.lasting += step.long_running ? 1 : 0;
     team_usage_[job.team] += usage_of(step);
 }
 
@@ -435,6 +506,7 @@
     }
     found->second.used -= room_of(step);
     std::erase(found->second.runs, run);
+    found->second.lasting -= step.long_running ? 1 : 0;
     if (found->second.runs.empty()) {
         loads_.erase(found);
     }
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -32,8 +32,21 @@
 struct endpoint_load {
     resources used;
     std::vector<run_ref> runs;
+    // How many of the runs are of tasks that last.
+    std::uint32_t lasting = 0;
+
+    /// \returns the number of runs that end by themselves.
+    std::size_t ending() const { return runs.size() - lasting; }
 };
 
+/// \brief Whether all steps that a step depends on are done.
+bool is_ready(
+    const wire::JobOccurrenceT& occurrence, const wire::JobStepT& step);
+/// \brief Whether a task waits to be started.
+inline bool is_waiting(const wire::JobTaskT& task) {
+    return !task.done && task.runs.empty();
+}
+
 /// \brief Whether every VM of the wave has been maintained or has left.
 bool is_complete(const wire::MaintenanceWaveT& wave);
 
@@ -72,6 +85,13 @@
     const wire::JobT* find_job(job_id id) const;
     /// \returns jobs that are neither complete, failed nor cancelled.
     const std::set<job_id>& active_jobs() const { return active_; }
+    /// \returns active jobs of which a task may be started now; no others can
+    /// be placed.
+    const std::set<job_id>& startable_jobs() const { return startable_; }
+    /// \returns active jobs of which an occurrence is still to come.
+    const std::set<job_id>& repeating_jobs() const { return repeating_; }
+    /// \returns the number of a queue's active jobs that haven't begun.
+    std::uint32_t pending_in(const std::string& queue) const;
     std::size_t job_count() const { return jobs_.size(); }
     /// \returns where a task stands, or nulls.
     task_place find_task(const task_name& name) const;
@@ -114,6 +134,9 @@
     void remove_run(const run_ref& run, const wire::TaskRunT& record,
         const wire::JobT& job, const wire::JobStepT& step);
     void derive();
+    void index_startable(const wire::JobT& job);
+    void index_active(const wire::JobT& job);
+    void forget_active(const wire::JobT& job);
 
     struct acknowledgement {
         std::uint64_t number = 0;
@@ -130,6 +153,12 @@
     // Derived from the above; rebuilt when an image is loaded.
     // Invariant: exactly the jobs whose phase is active.
     std::set<job_id> active_;
+    // Invariant: exactly the active jobs with a waiting task of a ready step.
+    std::set<job_id> startable_;
+    // Invariant: exactly the active jobs with further occurrences.
+    std::set<job_id> repeating_;
+    // Active jobs that haven't begun, by their queue.
+    std::map<std::string, std::uint32_t> pending_;
     // Invariant: exactly the runs in jobs_, by where they are.
     std::map<endpoint_life, endpoint_load> loads_;
     std::map<std::string, resources> team_usage_;
--- a/dragonflymount/src/Jobs/StateImage.cpp
+++ b/dragonflymount/src/Jobs/StateImage.cpp
@@ -14,12 +14,15 @@
 
 void state::derive() {
     active_.clear();
+    startable_.clear();
+    repeating_.clear();
+    pending_.clear();
     loads_.clear();
     team_usage_.clear();
     ended_.clear();
     for (const auto& [id, job] : jobs_) {
         if (job->phase == wire::job_phase::active) {
-            active_.insert(job_id(id));
+            index_active(*job);
         } else {
             ended_.emplace_back(job->ended_ms, job_id(id));
         }
--- a/tests/jobs/engine_test.cpp
+++ b/tests/jobs/engine_test.cpp
@@ -25,6 +25,16 @@
             engine_.batch_done(true, now_);
         }
     }
+    /// Agrees on all but the batch that starts a run; that one is waiting_.
+    void settle_but_one() {
+        while ((waiting_ = engine_.take_batch(now_, jobs_.time_ms))) {
+            if (!waiting_->started.empty()) {
+                return;
+            }
+            jobs_.apply(std::move(*waiting_));
+            engine_.batch_done(true, now_);
+        }
+    }
     void pass(std::int64_t ms) {
         now_ += std::chrono::milliseconds(ms);
         engine_.tick(now_);
@@ -74,6 +84,7 @@
     agreed_jobs jobs_;
     instant now_ = at_ms(100'000);
     engine engine_;
+    std::optional<wire::JobBatchT> waiting_;
     std::list<std::optional<wire::JobReplyT>> replies_;
     std::list<std::optional<endpoint_orders>> orders_;
 };
@@ -189,6 +200,41 @@
     EXPECT_NE(jobs_.agreed.find_run({task(7), 2}), nullptr);
 }
 
+// A tick between a start's proposal and its agreement changes nothing: the
+// held report still carries the start.
+TEST_F(job_engine, answers_with_a_start_that_took_time_to_agree) {
+    auto& told = report(make_report("e1", 1));
+    ask(call(wire::job_verb::submit, 7));
+    settle_but_one();
+    ASSERT_FALSE(told);
+    engine_.tick(now_);
+    jobs_.apply(std::move(*waiting_));
+    engine_.batch_done(true, now_);
+    ASSERT_TRUE(told);
+    EXPECT_EQ(told->starts.size(), 1U);
+}
+
+// The endpoint comes back while the end of its lease is being agreed on: the
+// run is about to be started elsewhere, so it must not start here.
+TEST_F(job_engine, never_sends_a_start_that_is_being_given_up) {
+    pass(20'000);
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    now_ += std::chrono::seconds(30);
+    engine_.tick(now_);
+    auto batch = engine_.take_batch(now_, jobs_.time_ms);
+    ASSERT_TRUE(batch);
+    ASSERT_EQ(batch->ended.size(), 1U);
+    std::optional<endpoint_orders> told;
+    engine_.report(
+        make_report("e1", 2), [&](const auto& orders) { told = orders; }, now_);
+    ASSERT_TRUE(told);
+    EXPECT_TRUE(told->starts.empty());
+    jobs_.apply(std::move(*batch));
+    engine_.batch_done(true, now_);
+    EXPECT_EQ(jobs_.agreed.find_run({task(7), 1}), nullptr);
+}
+
 TEST_F(job_engine, a_new_leader_waits_for_the_longest_lease) {
     jobs_.submit(job_builder(7).step(1).build());
     jobs_.start(task(7), 1, {"unheard", 1});
