Divide the VMs among pools by class of work, sized by what is due when

Cause: the pool that lacked most got all of standby, and a pool's need was its whole backlog at once, also of jobs that could earn nothing any more.

Now a pure division (Allocation) gives each pool what it must keep, then room for work that can be in time, then for late work; where one of them can't be met, all pools get the same part of what they lack. The room for work in time is the fewest VMs that do it by its due times, most urgent first, less the time that a VM takes to arrive. Late work is spread over 8 s. An empty pool is sized by the usual VM. What a pool wanted in the last 0.6 to 1.2 s stays with it. Orders keep to the service's rate. The division is logged (E608).

--- a/dragonflymount/jobs.hpp
+++ b/dragonflymount/jobs.hpp
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLYMOUNT_JOBS_HPP
 #define DRAGONFLYMOUNT_JOBS_HPP
 
+#include "dragonflymount/src/Jobs/Allocation.hpp"
 #include "dragonflymount/src/Jobs/Endpoints.hpp"
 #include "dragonflymount/src/Jobs/Engine.hpp"
 #include "dragonflymount/src/Jobs/Placement.hpp"
--- a/dragonflymount/src/Core/Event.hpp
+++ b/dragonflymount/src/Core/Event.hpp
@@ -64,6 +64,7 @@
     report_refused = 410,
     vm_ordered = 606,
     vm_service_failed = 607,
+    pools_divided = 608,
     connection_failed = 701,
     frame_refused = 702,
 };
@@ -124,6 +125,7 @@
     event_name{event::report_refused, "report_refused"},
     event_name{event::vm_ordered, "vm_ordered"},
     event_name{event::vm_service_failed, "vm_service_failed"},
+    event_name{event::pools_divided, "pools_divided"},
     event_name{event::connection_failed, "connection_failed"},
     event_name{event::frame_refused, "frame_refused"},
 };
--- /dev/null
+++ b/dragonflymount/src/Jobs/Allocation.cpp
@@ -0,0 +1,81 @@
+// Division of VMs among pools, one class of work after the other.
+#include "dragonflymount/src/Jobs/Allocation.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace dragonflymount::jobs {
+namespace {
+
+std::size_t sum_of(const std::vector<std::size_t>& amounts) {
+    return std::accumulate(amounts.begin(), amounts.end(), std::size_t{0});
+}
+
+// \returns what is left over.
+std::size_t give_all(std::vector<std::size_t>& given,
+    const std::vector<std::size_t>& lacking, std::size_t vms) {
+    for (std::size_t k = 0; k < given.size(); ++k) {
+        given[k] += lacking[k];
+    }
+    return vms - sum_of(lacking);
+}
+
+// Largest remainders: whole VMs as near to the exact parts as can be.
+void give_parts(std::vector<std::size_t>& given,
+    const std::vector<std::size_t>& lacking, std::size_t vms) {
+    const std::size_t total = sum_of(lacking);
+    std::vector<std::size_t> order(given.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::size_t left = vms;
+    for (const std::size_t k : order) {
+        const std::size_t part = lacking[k] * vms / total;
+        given[k] += part;
+        left -= part;
+    }
+    std::stable_sort(
+        order.begin(), order.end(), [&](std::size_t one, std::size_t other) {
+            return lacking[one] * vms % total > lacking[other] * vms % total;
+        });
+    for (std::size_t k = 0; k < left; ++k) {
+        ++given[order[k]];
+    }
+}
+
+} // namespace
+
+double vms_in_time(std::vector<timed_work> work) {
+    std::sort(work.begin(), work.end(),
+        [](const timed_work& one, const timed_work& other) {
+            return one.within_ms < other.within_ms;
+        });
+    double most = 0;
+    double sum = 0;
+    for (const timed_work& part : work) {
+        sum += part.vm_ms;
+        const std::uint64_t within = std::max<std::uint64_t>(1, part.within_ms);
+        most = std::max(most, sum / static_cast<double>(within));
+    }
+    return most;
+}
+
+std::vector<std::size_t> divide_vms(
+    const std::vector<pool_demand>& demands, std::size_t vms) {
+    std::vector<std::size_t> given(demands.size(), 0);
+    const auto classes = {
+        &pool_demand::least, &pool_demand::timely, &pool_demand::all};
+    for (const auto wanted : classes) {
+        std::vector<std::size_t> lacking;
+        for (std::size_t k = 0; k < demands.size(); ++k) {
+            const std::size_t most = demands[k].*wanted;
+            lacking.push_back(most > given[k] ? most - given[k] : 0);
+        }
+        if (sum_of(lacking) > vms) {
+            give_parts(given, lacking, vms);
+            return given;
+        }
+        vms = give_all(given, lacking, vms);
+    }
+    return given;
+}
+
+} // namespace dragonflymount::jobs
--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -9,8 +9,8 @@
 // Longer than two batches take on a slow disk.
 constexpr duration settle_time = std::chrono::milliseconds(300);
 
-// When the list shows the outcome of a move.
-constexpr duration move_time = std::chrono::seconds(2);
+// After the end of a move, until the list shows its outcome.
+constexpr duration list_delay = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -24,7 +24,7 @@
     targets_.clear();
     chosen_.clear();
     leaving_.clear();
-    surplus_since_.clear();
+    peaks_.clear();
     reserved_since_.clear();
     endpoint_of_.clear();
     refused_moves_.clear();
@@ -175,7 +175,8 @@
     }
     if (!maintains) {
         leaving_.erase(order.vm);
-        next_list_ = std::min(next_list_, now + move_time);
+        next_list_ =
+            std::min(next_list_, now + options_.move_time + list_delay);
     }
 }
 
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -7,6 +7,7 @@
 #ifndef DRAGONFLYMOUNT_JOBS_VM_MANAGER_HPP
 #define DRAGONFLYMOUNT_JOBS_VM_MANAGER_HPP
 
+#include "dragonflymount/src/Jobs/Allocation.hpp"
 #include "dragonflymount/src/Jobs/Engine.hpp"
 
 namespace dragonflymount::jobs {
@@ -71,15 +72,39 @@
     duration retry_interval = std::chrono::milliseconds(400);
     /// How long a maintained VM stays away; from the platform's settings.
     duration maintenance_time = std::chrono::seconds(2);
+    /// From an accepted order to move until the VM is back in its new pool.
+    duration move_time = std::chrono::milliseconds(1500);
+    /// How often an endpoint reports that nobody told otherwise.
+    duration report_interval = std::chrono::milliseconds(1500);
     /// Time in which a VM's ending tasks usually end.
     duration drain_time = std::chrono::seconds(3);
     /// Part of a wave's time in which it should be done, in percent.
     std::int64_t wave_time_percent = 70;
     /// A pool must have had more than it needs for this long before a VM goes
     /// on standby: about the time in which a VM costs as much as two moves.
-    duration surplus_time = std::chrono::seconds(1);
-    /// Room beyond the present need, in percent of it.
-    std::int64_t headroom_percent = 15;
+    duration surplus_time = std::chrono::milliseconds(600);
+    /// Room beyond the present need, in percent of it: tasks don't fill VMs
+    /// without gaps.
+    std::int64_t headroom_percent = 25;
+    /// Part of the time that a job can wait before it would be late, in
+    /// percent, which its pool's size counts on; estimates are rough. The time
+    /// that a further VM takes to arrive comes out of it.
+    std::int64_t usable_slack_percent = 50;
+    /// Time in which late work is to be done: its room is spread over it.
+    duration late_horizon = std::chrono::seconds(8);
+    /// Orders given in one second at most; the service refuses further ones.
+    double orders_per_second = 64;
+};
+
+/// \brief How many VMs a pool should hold, and why.
+struct pool_summary {
+    std::string pool;
+    std::size_t held = 0;
+    std::size_t arriving = 0;
+    std::size_t wanted = 0;
+    pool_demand demand;
+
+    friend bool operator==(const pool_summary&, const pool_summary&) = default;
 };
 
 class vm_manager {
@@ -99,6 +124,9 @@
     std::vector<vm_order> decide(instant now);
     void order_done(const vm_order& order, vm_verdict verdict, instant now);
 
+    /// \returns what the last \c decide made of each pool but standby.
+    const std::vector<pool_summary>& pools() const { return summaries_; }
+
 private:
     struct order_state {
         bool in_flight = false;
@@ -111,15 +139,29 @@
         // The life that the order ends.
         endpoint_life life;
     };
+    // Work that waits or runs, in VMs of the usual size.
+    struct vm_need {
+        double lasting = 0;
+        // Room for all work that can be in time, as if it ran at once.
+        double at_once = 0;
+        // The most that one job fills at once.
+        double widest = 0;
+        std::vector<timed_work> timely;
+        double late = 0;
+
+        void add(const vm_need& other, double share);
+        double timely_vms() const;
+    };
     struct pool_state {
         std::vector<const endpoint_view*> members;
-        resources capacity;
         // Room for all that its queues have to do.
-        resources need;
+        vm_need need;
         // VMs that lasting tasks need, each on one of its own.
         std::uint32_t least = 0;
         std::size_t arriving = 0;
         std::size_t wanted = 0;
+        // The most that it wanted lately; what is beyond goes on standby.
+        std::size_t kept = 0;
     };
 
     void decide_waves(std::vector<vm_order>& orders, instant now);
@@ -158,20 +200,37 @@
     /// can be under way.
     bool is_settled(const vm_id& vm, instant now) const;
 
-    /// Room that each team needs in each pool.
-    using need_map = std::map<std::string, std::map<std::string, resources>>;
+    /// What a team's jobs need in all, and in each pool.
+    struct team_need {
+        resources usage;
+        std::map<std::string, vm_need> by_pool;
+    };
+    using need_map = std::map<std::string, team_need>;
 
     void decide_moves(std::vector<vm_order>& orders, instant now);
     bool knows_pools(instant now) const;
     void forget_ended_moves(instant now);
     void measure_pools(instant now);
+    void measure_usual_capacity();
     void measure_job(const wire::JobT& job, need_map& needs);
+    void measure_occurrence(const wire::JobT& job,
+        const wire::JobOccurrenceT& occurrence, const wire::JobQueueT& queue,
+        vm_need& need) const;
+    double vms_for(
+        const wire::JobStepT& step, const wire::StepTasksT& group) const;
     void add_needs(const need_map& needs);
-    std::size_t wanted_vms(const pool_state& pool) const;
+    pool_demand demand_of(const pool_state& pool) const;
+    void divide(instant now);
+    std::size_t recent_wanted(
+        const std::string& name, std::size_t wanted, instant now);
+    std::size_t free_standby_vms() const;
+    bool is_free(const vm_record& record) const;
     static std::size_t missing(const pool_state& pool);
-    void grow(const std::string& name, std::vector<vm_order>& orders);
+    bool spend_order(instant now);
+    void grow(
+        const std::string& name, std::vector<vm_order>& orders, instant now);
     std::vector<const endpoint_view*> spare_vms(const pool_state& pool) const;
-    void shrink(const std::string& name, pool_state& pool,
+    void shrink(const pool_state& pool,
         const std::vector<std::string>& short_pools,
         std::vector<vm_order>& orders, instant now);
     void order_move(const vm_id& vm, const std::string& pool,
@@ -197,7 +256,20 @@
     std::map<vm_id, instant> reserved_since_;
     std::map<vm_id, std::string> endpoint_of_;
     std::map<std::string, pool_state> pools_;
-    std::map<std::string, instant> surplus_since_;
+    std::vector<pool_summary> summaries_;
+    // Mean of the VMs that report.
+    resources usual_capacity_;
+    // Orders that may be given at once; refilled with time.
+    double order_budget_ = 0;
+    instant budget_filled_{};
+    // The most VMs that a pool wanted in the present span of surplus_time and
+    // in the one before.
+    struct recent_peak {
+        instant began{};
+        std::size_t present = 0;
+        std::size_t before = 0;
+    };
+    std::map<std::string, recent_peak> peaks_;
     // Moves that the service refused: pools of other kinds of VMs.
     std::set<std::pair<vm_id, pool_id>> refused_moves_;
 };
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -7,6 +7,7 @@
 #include "dragonflymount/src/Jobs/VmManager.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonflymount::jobs {
 namespace {
@@ -14,9 +15,11 @@
 // Below this many VMs a pool could not stand the loss of one.
 constexpr std::size_t least_pool_size = 3;
 
-// A new leader has heard every endpoint by then: a report interval, and one
-// call that failed at another replica.
-constexpr duration learning_time = std::chrono::milliseconds(2500);
+// An endpoint's call to a replica that doesn't answer takes this long to fail.
+constexpr duration call_timeout = std::chrono::seconds(1);
+
+// Orders that may go out together after a quiet time.
+constexpr double order_burst_seconds = 0.5;
 
 // A limit of 0 means none.
 double share_within(std::int64_t need, std::uint64_t limit) {
@@ -25,19 +28,28 @@
         : static_cast<double>(limit) / static_cast<double>(need);
 }
 
-std::int64_t scaled(std::int64_t amount, double share) {
-    return static_cast<std::int64_t>(static_cast<double>(amount) * share);
+double part_of(std::int64_t amount, std::int64_t capacity) {
+    return capacity == 0
+        ? 0.0
+        : static_cast<double>(amount) / static_cast<double>(capacity);
 }
 
-resources room_left_in(
-    const wire::JobStepT& step, const wire::StepTasksT& group) {
-    resources left;
-    for (const auto& task : group.tasks) {
-        if (!task->done) {
-            left += room_of(step);
-        }
+std::int64_t open_tasks(const wire::StepTasksT& group) {
+    return static_cast<std::int64_t>(group.tasks.size()) - group.done;
+}
+
+// What the widest step of an occurrence counts against its team's limit.
+resources widest_usage(
+    const wire::JobT& job, const wire::JobOccurrenceT& occurrence) {
+    resources widest;
+    for (std::size_t k = 0; k < occurrence.steps.size(); ++k) {
+        const resources each = usage_of(*job.spec->steps[k]);
+        const std::int64_t count = open_tasks(*occurrence.steps[k]);
+        widest.cpu_milli = std::max(widest.cpu_milli, each.cpu_milli * count);
+        widest.memory_mb = std::max(widest.memory_mb, each.memory_mb * count);
+        widest.gpus = std::max(widest.gpus, each.gpus * count);
     }
-    return left;
+    return widest;
 }
 
 } // namespace
@@ -51,60 +63,123 @@
     return nullptr;
 }
 
-// Steps of one occurrence mostly run one after the other, so its widest step
-// is what it needs at once.
+// The VMs that a step's open tasks fill, by what they need most of.
+double vm_manager::vms_for(
+    const wire::JobStepT& step, const wire::StepTasksT& group) const {
+    const resources each = room_of(step);
+    const double part =
+        std::max({part_of(each.cpu_milli, usual_capacity_.cpu_milli),
+            part_of(each.memory_mb, usual_capacity_.memory_mb),
+            part_of(each.gpus, usual_capacity_.gpus)});
+    return part * static_cast<double>(open_tasks(group));
+}
+
+void vm_manager::vm_need::add(const vm_need& other, double share) {
+    lasting += other.lasting * share;
+    at_once += other.at_once * share;
+    widest = std::max(widest, other.widest * share);
+    late += other.late * share;
+    for (const timed_work& part : other.timely) {
+        timely.push_back({part.within_ms, part.vm_ms * share});
+    }
+}
+
+double vm_manager::vm_need::timely_vms() const {
+    return lasting + std::min(at_once, std::max(widest, vms_in_time(timely)));
+}
+
 void vm_manager::measure_job(const wire::JobT& job, need_map& needs) {
     const wire::JobQueueT* queue = jobs_.agreed().find_queue(job.queue);
     if (queue == nullptr) {
         return;
     }
     pool_state& pool = pools_[queue->pool];
-    resources& need = needs[job.team][queue->pool];
+    team_need& team = needs[job.team];
+    vm_need& need = team.by_pool[queue->pool];
     for (const auto& occurrence : job.occurrences) {
-        resources widest;
         for (std::size_t k = 0; k < occurrence->steps.size(); ++k) {
             const wire::JobStepT& step = *job.spec->steps[k];
             if (step.long_running && step.anti_affinity > 0) {
                 pool.least = std::max(pool.least,
                     (step.count + step.anti_affinity - 1) / step.anti_affinity);
             }
-            const resources left = room_left_in(step, *occurrence->steps[k]);
-            widest.cpu_milli = std::max(widest.cpu_milli, left.cpu_milli);
-            widest.memory_mb = std::max(widest.memory_mb, left.memory_mb);
-            widest.gpus = std::max(widest.gpus, left.gpus);
         }
-        need += widest;
+        measure_occurrence(job, *occurrence, *queue, need);
+        team.usage += widest_usage(job, *occurrence);
     }
 }
 
+// Steps of one occurrence mostly run one after the other, so its widest step
+// is what it needs at once.
+void vm_manager::measure_occurrence(const wire::JobT& job,
+    const wire::JobOccurrenceT& occurrence, const wire::JobQueueT& queue,
+    vm_need& need) const {
+    double widest = 0;
+    double vm_ms = 0;
+    for (std::size_t k = 0; k < occurrence.steps.size(); ++k) {
+        const wire::JobStepT& step = *job.spec->steps[k];
+        const double vms = vms_for(step, *occurrence.steps[k]);
+        if (step.long_running) {
+            need.lasting += vms;
+            continue;
+        }
+        widest = std::max(widest, vms);
+        vm_ms += vms * step.estimate_ms;
+    }
+    const std::uint64_t now_ms = jobs_.agreed().time_ms();
+    if (outlook_of(job, occurrence, queue, now_ms) != timeliness::on_time) {
+        const auto horizon_ms =
+            static_cast<double>(to_wire_ms(options_.late_horizon));
+        need.late += std::min(widest, vm_ms / horizon_ms);
+        return;
+    }
+    const std::uint64_t due = due_time_ms(job, occurrence.number, queue);
+    const std::uint64_t chain = remaining_chain_ms(*job.spec, occurrence);
+    const std::uint64_t usable = (due - now_ms - chain) *
+        static_cast<std::uint64_t>(options_.usable_slack_percent) / 100;
+    const std::uint64_t arrival = to_wire_ms(options_.move_time);
+    need.timely.push_back(
+        {chain + (usable > arrival ? usable - arrival : 0), vm_ms});
+    need.at_once += widest;
+    need.widest = std::max(need.widest, widest);
+}
+
 // A team beyond its limit can't use more room, whatever it asks for.
 void vm_manager::add_needs(const need_map& needs) {
-    for (const auto& [team_name, by_pool] : needs) {
-        resources total;
-        for (const auto& [name, need] : by_pool) {
-            total += need;
-        }
-        const wire::JobTeamT* team = jobs_.agreed().find_team(team_name);
+    for (const auto& [name, need] : needs) {
+        const wire::JobTeamT* team = jobs_.agreed().find_team(name);
         const double share = team == nullptr
             ? 1.0
-            : std::min(share_within(total.cpu_milli, team->cpu_limit),
-                  share_within(total.memory_mb, team->memory_limit));
-        for (const auto& [name, need] : by_pool) {
-            pools_[name].need += {scaled(need.cpu_milli, share),
-                scaled(need.memory_mb, share), need.gpus};
+            : std::min({share_within(need.usage.cpu_milli, team->cpu_limit),
+                  share_within(need.usage.memory_mb, team->memory_limit),
+                  share_within(need.usage.gpus, team->gpu_limit)});
+        for (const auto& [pool, vms] : need.by_pool) {
+            pools_[pool].need.add(vms, share);
         }
     }
 }
 
+void vm_manager::measure_usual_capacity() {
+    resources total;
+    std::int64_t count = 0;
+    for (const auto& [endpoint, view] : jobs_.endpoints().views()) {
+        total += view.capacity;
+        ++count;
+    }
+    if (count > 0) {
+        usual_capacity_ = {total.cpu_milli / count, total.memory_mb / count,
+            total.gpus / count};
+    }
+}
+
 void vm_manager::measure_pools(instant now) {
     pools_.clear();
+    measure_usual_capacity();
     for (const auto& [endpoint, view] : jobs_.endpoints().views()) {
         // One that is about to be maintained is no room for its pool, either.
         if (jobs_.endpoints().can_take_tasks(view, now) &&
             !targets_.contains(view.vm) && !chosen_.contains(view.vm)) {
-            pool_state& pool = pools_[view.pool.str()];
-            pool.members.push_back(&view);
-            pool.capacity += view.capacity;
+            pools_[view.pool.str()].members.push_back(&view);
         }
     }
     for (const auto& [vm, pool] : targets_) {
@@ -115,29 +190,84 @@
         measure_job(*jobs_.agreed().find_job(id), needs);
     }
     add_needs(needs);
+    divide(now);
+}
+
+pool_demand vm_manager::demand_of(const pool_state& pool) const {
+    const double padding =
+        1.0 + static_cast<double>(options_.headroom_percent) / 100.0;
+    const auto whole_vms = [padding](double vms) {
+        return static_cast<std::size_t>(std::ceil(vms * padding));
+    };
+    pool_demand demand;
+    demand.least = std::max<std::size_t>(least_pool_size, pool.least);
+    const double timely = pool.need.timely_vms();
+    demand.timely = std::max(demand.least, whole_vms(timely));
+    demand.all = std::max(demand.timely, whole_vms(timely + pool.need.late));
+    return demand;
+}
+
+// The standby pool gets what no other pool can use.
+void vm_manager::divide(instant now) {
+    const std::string* standby = standby_pool();
+    std::vector<pool_state*> sharing;
+    summaries_.clear();
+    std::vector<pool_demand> demands;
+    std::size_t vms = free_standby_vms();
     for (auto& [name, pool] : pools_) {
-        pool.wanted = wanted_vms(pool);
+        if (standby != nullptr && name == *standby) {
+            continue;
+        }
+        vms += pool.members.size() + pool.arriving;
+        sharing.push_back(&pool);
+        demands.push_back(demand_of(pool));
+        summaries_.push_back(
+            {name, pool.members.size(), pool.arriving, 0, demands.back()});
+    }
+    const std::vector<std::size_t> shares = divide_vms(demands, vms);
+    for (std::size_t k = 0; k < sharing.size(); ++k) {
+        sharing[k]->wanted = shares[k];
+        summaries_[k].wanted = shares[k];
+        sharing[k]->kept = recent_wanted(summaries_[k].pool, shares[k], now);
     }
 }
 
-std::size_t vm_manager::wanted_vms(const pool_state& pool) const {
-    const std::size_t least =
-        std::max<std::size_t>(least_pool_size, pool.least);
-    if (pool.members.empty()) {
-        return least;
+// Hysteresis: what a pool wants moves up and down with single jobs.
+std::size_t vm_manager::recent_wanted(
+    const std::string& name, std::size_t wanted, instant now) {
+    recent_peak& peak = peaks_[name];
+    if (now - peak.began >= options_.surplus_time) {
+        peak.before = peak.present;
+        peak.present = 0;
+        peak.began = now;
     }
-    const auto count = static_cast<std::int64_t>(pool.members.size());
-    const auto vms_for = [&](std::int64_t need, std::int64_t capacity) {
-        const std::int64_t each = std::max<std::int64_t>(1, capacity / count);
-        const std::int64_t padded =
-            need + need * options_.headroom_percent / 100;
-        return static_cast<std::size_t>((padded + each - 1) / each);
-    };
-    const std::size_t by_cpu =
-        vms_for(pool.need.cpu_milli, pool.capacity.cpu_milli);
-    const std::size_t by_memory =
-        vms_for(pool.need.memory_mb, pool.capacity.memory_mb);
-    return std::max({least, by_cpu, by_memory});
+    peak.present = std::max(peak.present, wanted);
+    return std::max(peak.present, peak.before);
+}
+
+bool vm_manager::is_free(const vm_record& record) const {
+    return is_on_standby(record.vm) && !chosen_.contains(record.vm) &&
+        find_vm(record.vm) == nullptr;
+}
+
+std::size_t vm_manager::free_standby_vms() const {
+    return static_cast<std::size_t>(std::count_if(list_.begin(), list_.end(),
+        [this](const auto& entry) { return is_free(entry.second); }));
+}
+
+// The service refuses orders beyond its rate, and a refused one may wait for
+// a retry behind ones that matter less.
+bool vm_manager::spend_order(instant now) {
+    const auto passed =
+        std::chrono::duration<double>(now - budget_filled_).count();
+    budget_filled_ = now;
+    order_budget_ = std::min(options_.orders_per_second * order_burst_seconds,
+        order_budget_ + passed * options_.orders_per_second);
+    if (order_budget_ < 1) {
+        return false;
+    }
+    order_budget_ -= 1;
+    return true;
 }
 
 // A move is over once the VM reports from its new pool.
@@ -166,6 +296,9 @@
         return false;
     }
     const std::string* standby = standby_pool();
+    // By then a new leader has heard every endpoint, also one whose first call
+    // went to a replica that is gone.
+    const duration learning_time = options_.report_interval + call_timeout;
     return now - led_since_ >= learning_time ||
         std::all_of(list_.begin(), list_.end(), [&](const auto& entry) {
             const vm_record& record = entry.second;
@@ -198,11 +331,11 @@
         leaving_.insert(vm);
     }
     for (const std::string& name : short_pools) {
-        grow(name, orders);
+        grow(name, orders, now);
     }
     for (auto& [name, pool] : pools_) {
         if (standby == nullptr || name != *standby) {
-            shrink(name, pool, short_pools, orders, now);
+            shrink(pool, short_pools, orders, now);
         }
     }
 }
@@ -224,24 +357,21 @@
 }
 
 // VMs on standby run nothing, so they go at once.
-void vm_manager::grow(const std::string& name, std::vector<vm_order>& orders) {
-    const std::string* standby = standby_pool();
-    if (standby == nullptr) {
-        return;
-    }
+void vm_manager::grow(
+    const std::string& name, std::vector<vm_order>& orders, instant now) {
     pool_state& pool = pools_[name];
     for (const auto& [vm, record] : list_) {
         if (missing(pool) == 0) {
             return;
         }
-        const bool free = record.pool.str() == *standby &&
-            record.condition == vm_condition::up && !targets_.contains(vm) &&
-            !chosen_.contains(vm) && find_vm(vm) == nullptr &&
-            !refused_moves_.contains({vm, pool_id(name)});
-        if (free) {
-            order_move(vm, name, {}, orders);
-            ++pool.arriving;
+        if (!is_free(record) || refused_moves_.contains({vm, pool_id(name)})) {
+            continue;
+        }
+        if (!spend_order(now)) {
+            return;
         }
+        order_move(vm, name, {}, orders);
+        ++pool.arriving;
     }
 }
 
@@ -268,33 +398,33 @@
     return spare;
 }
 
-void vm_manager::shrink(const std::string& name, pool_state& pool,
+void vm_manager::shrink(const pool_state& pool,
     const std::vector<std::string>& short_pools, std::vector<vm_order>& orders,
     instant now) {
-    const std::vector<const endpoint_view*> spare = spare_vms(pool);
-    if (spare.empty()) {
-        surplus_since_.erase(name);
-        return;
-    }
-    const instant since = surplus_since_.try_emplace(name, now).first->second;
     const std::string* standby = standby_pool();
-    const bool may_rest =
-        standby != nullptr && now - since >= options_.surplus_time;
-    for (const endpoint_view* view : spare) {
+    const std::size_t held = pool.members.size();
+    std::size_t may_rest = standby != nullptr && held > pool.kept &&
+            now - led_since_ >= options_.surplus_time
+        ? held - pool.kept
+        : 0;
+    for (const endpoint_view* view : spare_vms(pool)) {
         const auto wanting = std::find_if(short_pools.begin(),
             short_pools.end(), [&](const std::string& other) {
                 return missing(pools_[other]) > 0 &&
                     !refused_moves_.contains({view->vm, pool_id(other)});
             });
         const bool is_wanted = wanting != short_pools.end();
-        if (!is_wanted && !may_rest) {
+        if (!is_wanted && may_rest == 0) {
             continue;
         }
         leaving_.insert(view->vm);
         if (is_wanted) {
             ++pools_[*wanting].arriving;
+        } else {
+            --may_rest;
         }
-        if (ending_tasks(*view) == 0 && is_settled(view->vm, now)) {
+        if (ending_tasks(*view) == 0 && is_settled(view->vm, now) &&
+            spend_order(now)) {
             order_move(
                 view->vm, is_wanted ? *wanting : *standby, view->life, orders);
         }
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -100,18 +100,12 @@
 
 std::size_t vm_manager::lasting_tasks(const endpoint_view& view) const {
     const endpoint_load* load = jobs_.agreed().load_of(view.life);
-    return load == nullptr
-        ? 0
-        : static_cast<std::size_t>(std::count_if(
-              load->runs.begin(), load->runs.end(), [this](const run_ref& run) {
-                  const task_place place = jobs_.agreed().find_task(run.task);
-                  return place && place.step->long_running;
-              }));
+    return load == nullptr ? 0 : load->lasting;
 }
 
 std::size_t vm_manager::ending_tasks(const endpoint_view& view) const {
     const endpoint_load* load = jobs_.agreed().load_of(view.life);
-    return load == nullptr ? 0 : load->runs.size() - lasting_tasks(view);
+    return load == nullptr ? 0 : load->ending();
 }
 
 bool vm_manager::is_at_work_elsewhere(
--- /dev/null
+++ b/tests/jobs/allocation_test.cpp
@@ -0,0 +1,80 @@
+// Division of a fleet's VMs among its pools.
+#include "dragonflymount/jobs.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <numeric>
+
+namespace dragonflymount::jobs::test {
+namespace {
+
+TEST(divide_vms, meets_every_demand_that_it_can) {
+    EXPECT_EQ(divide_vms({{3, 40, 60}, {3, 3, 3}}, 100),
+        (std::vector<std::size_t>{60, 3}));
+}
+
+TEST(divide_vms, gives_nothing_beyond_the_demand) {
+    EXPECT_EQ(divide_vms({{3, 5, 8}}, 100), (std::vector<std::size_t>{8}));
+}
+
+// Load: the backlog of one burst when the next one begins.
+TEST(divide_vms, puts_work_in_time_before_a_backlog) {
+    EXPECT_EQ(divide_vms({{3, 10, 100}, {3, 70, 70}}, 100),
+        (std::vector<std::size_t>{30, 70}));
+}
+
+// Load: two bursts at once, together more than the fleet.
+TEST(divide_vms, leaves_no_pool_empty) {
+    EXPECT_EQ(divide_vms({{2, 92, 92}, {2, 47, 47}, {2, 2, 2}}, 51),
+        (std::vector<std::size_t>{32, 17, 2}));
+}
+
+TEST(divide_vms, shares_what_is_too_little_for_the_least) {
+    EXPECT_EQ(divide_vms({{3, 9, 9}, {3, 3, 3}, {3, 3, 3}}, 5),
+        (std::vector<std::size_t>{2, 2, 1}));
+}
+
+TEST(vms_in_time, are_none_without_work) {
+    EXPECT_EQ(vms_in_time({}), 0.0);
+}
+
+TEST(vms_in_time, follow_the_most_urgent_work) {
+    EXPECT_DOUBLE_EQ(vms_in_time({{1000, 5000}, {10'000, 5000}}), 5.0);
+    EXPECT_DOUBLE_EQ(vms_in_time({{10'000, 95'000}, {1000, 5000}}), 10.0);
+}
+
+// Load: a burst of 5 s that asks for 100 VMs, its jobs due 5 s after they
+// come. Served in order of urgency, 50 VMs are enough.
+TEST(vms_in_time, spread_a_burst_over_the_time_that_its_jobs_have) {
+    std::vector<timed_work> burst;
+    for (std::uint64_t ms = 0; ms < 5000; ms += 100) {
+        burst.push_back({5000 + ms, 100.0 * 100.0});
+    }
+    EXPECT_NEAR(vms_in_time(burst), 50.0, 2.0);
+}
+
+RC_GTEST_PROP(divide_vms, never_gives_more_than_there_is, ()) {
+    const auto sizes = *rc::gen::container<std::vector<std::size_t>>(
+        rc::gen::inRange<std::size_t>(0, 400));
+    std::vector<pool_demand> demands;
+    std::size_t wanted = 0;
+    for (std::size_t k = 0; k + 2 < sizes.size(); k += 3) {
+        pool_demand made{sizes[k], 0, 0};
+        made.timely = made.least + sizes[k + 1];
+        made.all = made.timely + sizes[k + 2];
+        wanted += made.all;
+        demands.push_back(made);
+    }
+    const auto vms = *rc::gen::inRange<std::size_t>(0, 1200);
+    const auto given = divide_vms(demands, vms);
+    const auto total =
+        std::accumulate(given.begin(), given.end(), std::size_t{0});
+    RC_ASSERT(total == std::min(vms, wanted));
+    for (std::size_t k = 0; k < demands.size(); ++k) {
+        RC_ASSERT(given[k] <= demands[k].all);
+    }
+}
+
+} // namespace
+} // namespace dragonflymount::jobs::test
