Derive settings that rest on a bound; check pairs only if the file states both

A setting may now be derived from those that the file states: lease, longest lease, election timeout, heartbeat, threads. A pair is checked only if the file states both, and the error names both lines. Times may have a fraction (1.5s), as bounds do.

--- a/dragonflymount/src/Rules/Times.cpp
+++ b/dragonflymount/src/Rules/Times.cpp
@@ -4,6 +4,7 @@
 #include "dragonflymount/src/Rules/Parser.hpp"
 
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace dragonflymount::rules {
@@ -42,11 +43,12 @@
 }
 
 std::optional<duration> parse_duration(std::string_view text) {
-    const std::size_t digits = text.find_first_not_of("0123456789");
-    if (digits == 0 || digits == std::string_view::npos) {
+    const std::size_t digits = text.find_first_not_of("0123456789.");
+    if (digits == 0 || digits == std::string_view::npos ||
+        text.front() == '.' || text[digits - 1] == '.') {
         return std::nullopt;
     }
-    const auto count = parse_number<std::uint32_t>(text.substr(0, digits));
+    const auto count = parse_number<double>(text.substr(0, digits));
     if (!count) {
         return std::nullopt;
     }
@@ -54,10 +56,12 @@
         if (text.substr(digits) != name) {
             continue;
         }
-        if (*count > longest_duration / unit) {
+        const auto longest = static_cast<double>(longest_duration / unit);
+        if (*count > longest) {
             return std::nullopt;
         }
-        return unit * *count;
+        return duration(
+            std::llround(*count * static_cast<double>(unit.count())));
     }
     return std::nullopt;
 }
--- a/dragonflymount/src/Settings/Settings.cpp
+++ b/dragonflymount/src/Settings/Settings.cpp
@@ -86,6 +86,9 @@
         return {};
     case kind::count:
         return parse_number<std::uint32_t>(value) ? "" : "a whole number";
+    case kind::number:
+        return parse_number<double>(value).value_or(0) > 0 ? ""
+                                                           : "a number above 0";
     case kind::time:
         return rules::parse_duration(value)
             ? ""
@@ -175,23 +178,27 @@
                         known.section, "]"));
                 continue;
             }
-            result.settings.texts_[key] = *known.fallback;
+            result.settings.texts_[key] = known.fallback(result.settings);
         }
     }
 
-    /// A fallback has no line; the error then stands at the other setting.
     void verify(const requirement& wanted) {
-        if (wanted.holds(result.settings)) {
+        const values& read = result.settings;
+        const bool has_pair = wanted.other.empty() ||
+            (read.states(wanted.section, wanted.name) &&
+                read.states(wanted.section, wanted.other));
+        if (!has_pair || wanted.holds(read)) {
             return;
         }
-        std::size_t line = line_of(wanted.section, wanted.name);
-        if (line == 0) {
-            line = line_of(wanted.section, wanted.other);
-        }
-        error(line,
+        std::string what =
             absl::StrCat("'", wanted.name, "' expects ", wanted.expected,
-                ", found '", result.settings.text(wanted.section, wanted.name),
-                "'"));
+                ", found '", read.text(wanted.section, wanted.name), "'");
+        if (!wanted.other.empty()) {
+            absl::StrAppend(&what, " beside '",
+                read.text(wanted.section, wanted.other), "' in line ",
+                line_of(wanted.section, wanted.other));
+        }
+        error(line_of(wanted.section, wanted.name), std::move(what));
     }
 };
 
@@ -207,14 +214,20 @@
 schema_builder& schema_builder::require(
     std::string section, std::string name, kind type) {
     schema_.settings_.push_back(
-        {std::move(section), std::move(name), type, std::nullopt});
+        {std::move(section), std::move(name), type, nullptr});
     return *this;
 }
 
 schema_builder& schema_builder::allow(
     std::string section, std::string name, kind type, std::string fallback) {
+    return derive(std::move(section), std::move(name), type,
+        [fallback = std::move(fallback)](const values&) { return fallback; });
+}
+
+schema_builder& schema_builder::derive(
+    std::string section, std::string name, kind type, fallback_rule rule) {
     schema_.settings_.push_back(
-        {std::move(section), std::move(name), type, std::move(fallback)});
+        {std::move(section), std::move(name), type, std::move(rule)});
     return *this;
 }
 
@@ -225,11 +238,8 @@
 
 schema_builder& schema_builder::at_least(
     const std::string& section, const std::string& name, duration least) {
-    using std::chrono::duration_cast;
-    using std::chrono::milliseconds;
     return verify({section, name, {},
-        absl::StrCat(
-            "at least ", duration_cast<milliseconds>(least).count(), "ms"),
+        absl::StrCat("at least ", time_text(least)),
         [=](const values& read) { return read.time(section, name) >= least; }});
 }
 
@@ -262,6 +272,11 @@
     return parse_number<std::uint32_t>(text(section, name)).value_or(0);
 }
 
+double values::number(
+    const std::string& section, const std::string& name) const {
+    return parse_number<double>(text(section, name)).value_or(0);
+}
+
 duration values::time(
     const std::string& section, const std::string& name) const {
     return rules::parse_duration(text(section, name)).value_or(duration(0));
@@ -272,10 +287,14 @@
     return words_of(text(section, name), ", ");
 }
 
-std::size_t values::line(
-    const std::string& section, const std::string& name) const {
-    const auto found = lines_.find({section, name});
-    return found == lines_.end() ? 0 : found->second;
+bool values::states(const std::string& section, const std::string& name) const {
+    return lines_.contains({section, name});
+}
+
+std::string time_text(duration span) {
+    const auto whole =
+        std::chrono::duration_cast<std::chrono::milliseconds>(span);
+    return absl::StrCat(whole.count(), "ms");
 }
 
 read_result read_text(
--- a/dragonflymount/src/Settings/Settings.hpp
+++ b/dragonflymount/src/Settings/Settings.hpp
@@ -21,6 +21,8 @@
     name,
     /// A whole number.
     count,
+    /// A number above 0.
+    number,
     /// 250ms, 20s, 10m, 2h.
     time,
     /// IP number and port; port 0 lets the system choose.
@@ -35,18 +37,23 @@
     file,
 };
 
+class values;
+
+/// \brief Computes the value of a setting that the file leaves out, from what
+/// it states and from the settings declared earlier.
+using fallback_rule = std::function<std::string(const values&)>;
+
 struct setting {
     std::string section;
     std::string name;
     kind type = kind::name;
-    /// Nothing means that the setting must be given.
-    std::optional<std::string> fallback;
+    /// Empty means that the setting must be given.
+    fallback_rule fallback;
 };
 
-class values;
-
 /// \brief What must hold of a setting beside its kind, often together with
-/// another one.
+/// another one. A pair is checked only if the file states both: what it leaves
+/// out is derived from what it states.
 struct requirement {
     std::string section;
     std::string name;
@@ -86,6 +93,10 @@
     schema_builder& require(std::string section, std::string name, kind type);
     schema_builder& allow(
         std::string section, std::string name, kind type, std::string fallback);
+    /// \brief A setting whose fallback depends on others; see \c values::states
+    /// and \c time_text.
+    schema_builder& derive(
+        std::string section, std::string name, kind type, fallback_rule rule);
     /// \brief Checked once every setting is of its kind.
     schema_builder& verify(requirement wanted);
     /// \brief Requires a time of at least \p least.
@@ -100,6 +111,9 @@
     schema schema_;
 };
 
+/// \returns \p span as a setting's text.
+std::string time_text(duration span);
+
 struct setting_error {
     std::string file;
     std::size_t line = 0;
@@ -114,11 +128,12 @@
     std::string text(const std::string& section, const std::string& name) const;
     std::uint32_t count(
         const std::string& section, const std::string& name) const;
+    double number(const std::string& section, const std::string& name) const;
     duration time(const std::string& section, const std::string& name) const;
     std::vector<std::string> list(
         const std::string& section, const std::string& name) const;
-    /// \returns the line of a setting, for errors of pairs of them.
-    std::size_t line(const std::string& section, const std::string& name) const;
+    /// \brief Whether the file states the setting.
+    bool states(const std::string& section, const std::string& name) const;
 
 private:
     friend struct reader;
--- a/programs/control/main.cpp
+++ b/programs/control/main.cpp
@@ -15,6 +15,8 @@
 using namespace dragonflymount;
 
 constexpr duration least_heartbeat = std::chrono::milliseconds(10);
+constexpr duration usual_election_timeout = std::chrono::milliseconds(1000);
+constexpr std::int64_t heartbeats_in_election_timeout = 6;
 
 /// Reads "name@zone@IP:port", the form of one initial member.
 std::optional<agreement::member> parse_member(const std::string& text) {
@@ -38,6 +40,17 @@
     return !names.empty();
 }
 
+std::string election_timeout_of(const settings::values& read) {
+    return settings::time_text(read.states("replica", "heartbeat")
+            ? read.time("replica", "heartbeat") * heartbeats_in_election_timeout
+            : usual_election_timeout);
+}
+
+std::string heartbeat_of(const settings::values& read) {
+    return settings::time_text(read.time("replica", "election-timeout") /
+        heartbeats_in_election_timeout);
+}
+
 settings::schema control_schema() {
     using settings::kind;
     return settings::schema_builder()
@@ -46,8 +59,8 @@
         .require("replica", "members", kind::list)
         .require("replica", "data", kind::folder)
         .allow("replica", "snapshot-records", kind::count, "4096")
-        .allow("replica", "election-timeout", kind::time, "1000ms")
-        .allow("replica", "heartbeat", kind::time, "150ms")
+        .derive("replica", "election-timeout", kind::time, &election_timeout_of)
+        .derive("replica", "heartbeat", kind::time, &heartbeat_of)
         .at_least("replica", "heartbeat", least_heartbeat)
         .verify({"replica", "heartbeat", "election-timeout",
             "at most half of 'election-timeout'",
--- a/programs/entry/main.cpp
+++ b/programs/entry/main.cpp
@@ -12,6 +12,22 @@
 constexpr duration least_task_lease = std::chrono::seconds(6);
 constexpr duration least_drain_limit = std::chrono::seconds(1);
 
+// Threads beside those that hold waiting requests.
+constexpr std::uint32_t spare_threads = 16;
+constexpr std::uint32_t usual_threads = 96;
+
+std::string threads_of(const settings::values& read) {
+    return std::to_string(read.states("entry", "waiting")
+            ? read.count("entry", "waiting") + spare_threads
+            : usual_threads);
+}
+
+std::string waiting_of(const settings::values& read) {
+    const std::uint32_t threads = read.count("entry", "threads");
+    return std::to_string(
+        threads > 2 * spare_threads ? threads - spare_threads : threads / 2);
+}
+
 settings::schema entry_schema() {
     using settings::kind;
     return settings::schema_builder()
@@ -20,8 +36,8 @@
         .require("entry", "listen", kind::address)
         .require("entry", "http", kind::address)
         .require("entry", "replicas", kind::addresses)
-        .allow("entry", "threads", kind::count, "96")
-        .allow("entry", "waiting", kind::count, "80")
+        .derive("entry", "threads", kind::count, &threads_of)
+        .derive("entry", "waiting", kind::count, &waiting_of)
         .allow("entry", "task-lease", kind::time, "15s")
         .allow("entry", "drain-limit", kind::time, "2m")
         .at_least("entry", "waiting", std::uint32_t{1})
--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -23,6 +23,38 @@
     return made;
 }
 
+// Times that the file may leave out. Each is derived from its partner where
+// the file states that one, so that any bound of a platform gives a valid set.
+constexpr duration usual_election_timeout = std::chrono::milliseconds(700);
+constexpr std::int64_t heartbeats_in_election_timeout = 6;
+// The longest lease that endpoints grant without a bound of the platform.
+constexpr duration usual_longest_lease = std::chrono::seconds(10);
+// A lease below the bound leaves the endpoint time to end its tasks.
+constexpr std::int64_t lease_percent = 90;
+
+std::string election_timeout_of(const settings::values& read) {
+    return settings::time_text(read.states("scheduler", "heartbeat")
+            ? read.time("scheduler", "heartbeat") *
+                heartbeats_in_election_timeout
+            : usual_election_timeout);
+}
+
+std::string heartbeat_of(const settings::values& read) {
+    return settings::time_text(read.time("scheduler", "election-timeout") /
+        heartbeats_in_election_timeout);
+}
+
+std::string longest_lease_of(const settings::values& read) {
+    return settings::time_text(read.states("scheduler", "task-lease")
+            ? read.time("scheduler", "task-lease") * 100 / lease_percent
+            : usual_longest_lease);
+}
+
+std::string task_lease_of(const settings::values& read) {
+    return settings::time_text(
+        read.time("scheduler", "longest-lease") * lease_percent / 100);
+}
+
 bool is_truth_value(const settings::values& read) {
     const std::string text = read.text("scheduler", "new-site");
     return text == "true" || text == "false";
@@ -41,10 +73,11 @@
         .allow("scheduler", "new-site", kind::name, "false")
         .allow("scheduler", "lost-disks", kind::count, "1")
         .allow("scheduler", "snapshot-records", kind::count, "4096")
-        .allow("scheduler", "election-timeout", kind::time, "700ms")
-        .allow("scheduler", "heartbeat", kind::time, "120ms")
-        .allow("scheduler", "task-lease", kind::time, "9s")
-        .allow("scheduler", "longest-lease", kind::time, "10s")
+        .derive(
+            "scheduler", "election-timeout", kind::time, &election_timeout_of)
+        .derive("scheduler", "heartbeat", kind::time, &heartbeat_of)
+        .derive("scheduler", "longest-lease", kind::time, &longest_lease_of)
+        .derive("scheduler", "task-lease", kind::time, &task_lease_of)
         .verify({"scheduler", "new-site", {}, "true or false", &is_truth_value})
         .verify({"scheduler", "heartbeat", "election-timeout",
             "at most half of 'election-timeout'",
--- a/tests/rules/parser_test.cpp
+++ b/tests/rules/parser_test.cpp
@@ -69,6 +69,11 @@
 TEST(parse_duration, reads_units) {
     EXPECT_EQ(parse_duration("250ms"), std::chrono::milliseconds(250));
     EXPECT_EQ(parse_duration("6w"), std::chrono::hours(6 * 7 * 24));
+    EXPECT_EQ(parse_duration("1.5s"), std::chrono::milliseconds(1500));
+    EXPECT_EQ(parse_duration("0.2s"), std::chrono::milliseconds(200));
+    EXPECT_FALSE(parse_duration("1.s"));
+    EXPECT_FALSE(parse_duration(".5s"));
+    EXPECT_FALSE(parse_duration("1.2.3s"));
     EXPECT_FALSE(parse_duration("10"));
     EXPECT_FALSE(parse_duration("ms"));
     EXPECT_FALSE(parse_duration("10 s"));
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -22,6 +22,48 @@
     EXPECT_EQ(read.settings.time("entry", "lease"), std::chrono::seconds(3));
 }
 
+schema pair_of_times() {
+    return schema_builder()
+        .derive("a", "limit", kind::time,
+            [](const values& read) {
+                return read.states("a", "interval")
+                    ? time_text(read.time("a", "interval") * 4)
+                    : std::string("2s");
+            })
+        .derive("a", "interval", kind::time,
+            [](const values& read) {
+                return time_text(read.time("a", "limit") / 4);
+            })
+        .verify({"a", "interval", "limit", "at most 'limit'",
+            [](const values& read) {
+                return read.time("a", "interval") <= read.time("a", "limit");
+            }})
+        .build();
+}
+
+TEST(settings, derives_what_the_file_leaves_out) {
+    using std::chrono::milliseconds;
+    auto read = read_text("[a]\n", "a.ini", pair_of_times());
+    ASSERT_TRUE(read.ok()) << read.message();
+    EXPECT_EQ(read.settings.time("a", "limit"), milliseconds(2000));
+    EXPECT_EQ(read.settings.time("a", "interval"), milliseconds(500));
+    read = read_text("[a]\nlimit = 100ms\n", "a.ini", pair_of_times());
+    ASSERT_TRUE(read.ok()) << read.message();
+    EXPECT_EQ(read.settings.time("a", "interval"), milliseconds(25));
+    read = read_text("[a]\ninterval = 1m\n", "a.ini", pair_of_times());
+    ASSERT_TRUE(read.ok()) << read.message();
+    EXPECT_EQ(read.settings.time("a", "limit"), std::chrono::minutes(4));
+}
+
+TEST(settings, names_both_lines_of_a_pair_that_does_not_fit) {
+    const auto read =
+        read_text("[a]\ninterval = 3s\nlimit = 1s\n", "a.ini", pair_of_times());
+    ASSERT_FALSE(read.ok());
+    EXPECT_EQ(read.errors.front().message(),
+        "a.ini:2: 'interval' expects at most 'limit', found '3s' beside '1s' "
+        "in line 3");
+}
+
 struct bad_setting {
     std::string name;
     std::string text;
