Send nothing twice that is under way; reset what a partition holds up

Heartbeats carry no records while some are under way; records and images are sent again once a later round is answered or nothing is for an election timeout, plus 1 ms for each 2 KB of an image.

Tests: five that failed first (three of replica_step; the two of http_client need the change to compile, the first of them fails without the reset).

--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -117,13 +117,17 @@
         log_index match;
         // The newest round that this peer has answered, by sending time.
         instant acknowledged{};
-        instant sent{};
         // Sending times of recent rounds, to date acknowledgements by. They
         // are kept per peer: a fast peer's rounds must not displace those
         // that a slow one has yet to answer.
         std::map<std::uint64_t, instant> rounds;
-        // A batch is on its way; the next one waits for its answer.
+        // A batch or an image is on its way; the next one waits for its answer.
+        // Messages arrive in the order in which they were sent, so an answer
+        // to this round or to a later one tells that it has arrived or is lost.
         bool in_flight = false;
+        std::uint64_t in_flight_round = 0;
+        // Without any answer by then it is sent again.
+        instant overdue{};
     };
 
     void receive(const wire::VoteRequestT& request, instant now);
@@ -148,8 +152,12 @@
     void remember_round(progress& state, instant now);
     void step_down_if_removed(instant now);
     void broadcast(instant now, bool heartbeat);
-    void send_append(const member& peer, progress& state, instant now);
+    void send_records(const member& peer, progress& state, instant now);
+    void send_heartbeat(const member& peer, progress& state, instant now);
     void send_snapshot(const member& peer, progress& state, instant now);
+    /// \returns an append without records that continues after \p previous.
+    wire::AppendRequestT append_after(log_index previous) const;
+    void note_sent(progress& state, duration patience, instant now) const;
     void append(log_record record);
     void advance_commit();
     void reply_append(const std::string& leader, std::uint64_t round,
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::size_t remembered_rounds = 256;
 
+// Slowest rate at which an image is expected to be sent, read and synced.
+constexpr std::int64_t image_bytes_per_millisecond = 2000;
+
 } // namespace
 
 void replica::reply_append(const std::string& leader, std::uint64_t round,
@@ -107,7 +110,9 @@
     if (sent != state.rounds.end()) {
         state.acknowledged = std::max(state.acknowledged, sent->second);
     }
-    state.in_flight = false;
+    if (reply.round >= state.in_flight_round) {
+        state.in_flight = false;
+    }
     const log_index match(reply.match_index);
     if (reply.accepted) {
         state.match = std::max(state.match, match);
@@ -150,10 +155,11 @@
         if (inserted) {
             state.next = log_.last_index().next();
         }
-        const bool has_news =
-            !state.in_flight && state.next <= log_.last_index();
-        if (heartbeat || has_news) {
-            send_append(peer, state, now);
+        const bool waits = state.in_flight && now < state.overdue;
+        if (!waits && state.next <= log_.last_index()) {
+            send_records(peer, state, now);
+        } else if (heartbeat) {
+            send_heartbeat(peer, state, now);
         }
     }
 }
@@ -166,20 +172,31 @@
     }
 }
 
-void replica::send_append(const member& peer, progress& state, instant now) {
-    remember_round(state, now);
-    if (state.next < log_.first_index()) {
-        send_snapshot(peer, state, now);
-        return;
-    }
+void replica::note_sent(progress& state, duration patience, instant now) const {
+    state.in_flight = true;
+    state.in_flight_round = round_;
+    state.overdue = now + patience;
+}
+
+wire::AppendRequestT replica::append_after(log_index previous) const {
     wire::AppendRequestT request;
     request.term = hard_.term.value();
     request.leader = options_.self.str();
-    const log_index previous(state.next.value() - 1);
     request.previous_index = previous.value();
     request.previous_term = log_.term_at(previous).value_or(log_term()).value();
     request.commit = commit_.value();
     request.round = round_;
+    return request;
+}
+
+void replica::send_records(const member& peer, progress& state, instant now) {
+    remember_round(state, now);
+    if (state.next < log_.first_index()) {
+        send_snapshot(peer, state, now);
+        return;
+    }
+    wire::AppendRequestT request =
+        append_after(log_index(state.next.value() - 1));
     std::size_t size = 0;
     for (log_record& record : log_.slice(state.next, options_.batch_records)) {
         size += record.payload.size();
@@ -193,24 +210,30 @@
         entry->payload = std::move(record.payload);
         request.entries.push_back(std::move(entry));
     }
-    state.in_flight = !request.entries.empty();
-    state.sent = now;
+    note_sent(state, options_.election_timeout, now);
     send(peer.id, std::move(request));
 }
 
+// Keeps a follower from standing for election while records or an image are
+// on their way to it, without repeating them.
+void replica::send_heartbeat(const member& peer, progress& state, instant now) {
+    remember_round(state, now);
+    const log_index previous =
+        std::max(log_.base().last_index, log_index(state.next.value() - 1));
+    send(peer.id, append_after(previous));
+}
+
 void replica::send_snapshot(const member& peer, progress& state, instant now) {
-    // A snapshot is large; repeat it only once an answer is overdue.
-    if (state.in_flight && now - state.sent < options_.election_timeout) {
-        return;
-    }
     wire::InstallSnapshotT request;
     request.term = hard_.term.value();
     request.leader = options_.self.str();
     request.round = round_;
     request.image =
         std::make_unique<wire::SnapshotImageT>(agreement::to_wire(log_.base()));
-    state.in_flight = true;
-    state.sent = now;
+    const auto bytes = static_cast<std::int64_t>(log_.base().state.size());
+    const duration transfer =
+        std::chrono::milliseconds(bytes / image_bytes_per_millisecond);
+    note_sent(state, options_.election_timeout + transfer, now);
     send(peer.id, std::move(request));
 }
 
--- a/dragonflymount/src/Runtime/Http.hpp
+++ b/dragonflymount/src/Runtime/Http.hpp
@@ -104,9 +104,14 @@
 
     /// \brief Sends one request.
     /// \param address "IP:port".
-    /// \param on_reply called once, with errc::timeout after \p limit.
+    /// \param on_reply called once, with errc::timeout after \p limit. The
+    /// connection of a failed request is reset, so that what a partition holds
+    /// up of it doesn't arrive when the partition ends.
     void send(const std::string& address, const http_request& request,
         duration limit, handler on_reply);
+    /// \brief Fails every request that has no reply yet with
+    /// errc::unavailable, and resets its connection.
+    void abort();
     void stop();
 
 private:
--- a/dragonflymount/src/Runtime/HttpClient.cpp
+++ b/dragonflymount/src/Runtime/HttpClient.cpp
@@ -74,6 +74,8 @@
         close();
     }
 
+    void abort() { fail(make_error_code(errc::unavailable), "await reply"); }
+
 private:
     void write() {
         if (client_ == nullptr) {
@@ -114,6 +116,7 @@
         if (client_ == nullptr) {
             return;
         }
+        answered_ = true;
         auto message = parser_.release();
         http_response reply;
         reply.status = message.result_int();
@@ -143,9 +146,13 @@
     void close() {
         asio::error_code ignored;
         timer_.cancel();
-        if (socket_.is_open()) {
-            socket_.close(ignored);
+        if (!socket_.is_open()) {
+            return;
         }
+        if (!answered_) {
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        socket_.close(ignored);
     }
 
     // Null once the exchange is over.
@@ -158,6 +165,7 @@
     std::array<char, internal::read_bytes> chunk_{};
     std::string buffer_;
     http_client::handler on_reply_;
+    bool answered_ = false;
 };
 
 http_client::http_client(asio::io_context& context) : context_(context) {}
@@ -174,6 +182,14 @@
     exchange->start(limit);
 }
 
+void http_client::abort() {
+    // Handlers may send further requests.
+    const auto exchanges = exchanges_;
+    for (const auto& exchange : exchanges) {
+        exchange->abort();
+    }
+}
+
 void http_client::stop() {
     const auto exchanges = std::move(exchanges_);
     exchanges_.clear();
--- a/tests/agreement/replica_step_test.cpp
+++ b/tests/agreement/replica_step_test.cpp
@@ -259,5 +259,106 @@
     EXPECT_FALSE(node.ready(store, start + seconds(10)));
 }
 
+bytes payload_of(std::size_t size) {
+    return bytes(size, 7);
+}
+
+std::size_t entries_to(
+    const std::vector<outbound>& sent, const std::string& peer) {
+    std::size_t entries = 0;
+    for (const outbound& message : sent) {
+        const auto* append = message.content.body.AsAppendRequest();
+        if (append != nullptr && message.to == replica_id(peer)) {
+            entries += append->entries.size();
+        }
+    }
+    return entries;
+}
+
+// Load: a batch takes longer than a heartbeat to be synced by a follower.
+TEST(replica_step, heartbeats_do_not_repeat_records_that_are_under_way) {
+    single_replica group(voters(3));
+    group.elect();
+    ASSERT_TRUE(group.node().is_settled());
+    ASSERT_TRUE(group.node().propose(payload_of(100), group.now()));
+    EXPECT_EQ(entries_to(group.ready(), "c1"), 1U);
+    std::size_t heartbeats = 0;
+    for (int k = 0; k < 4; ++k) {
+        group.pass(replica_options{}.heartbeat_interval);
+        group.node().tick(group.now());
+        const auto sent = group.ready();
+        EXPECT_EQ(entries_to(sent, "c1"), 0U);
+        heartbeats += sent.size();
+    }
+    EXPECT_GE(heartbeats, 8U);
+}
+
+TEST(replica_step, repeats_records_once_a_later_round_is_answered) {
+    single_replica group(voters(3));
+    group.elect();
+    ASSERT_TRUE(group.node().propose(payload_of(100), group.now()));
+    // Lost on their way, while the heartbeat after them arrives.
+    group.ready();
+    group.pass(replica_options{}.heartbeat_interval);
+    group.node().tick(group.now());
+    for (const outbound& heartbeat : group.ready()) {
+        group.answer(heartbeat);
+    }
+    EXPECT_EQ(entries_to(group.ready(), "c1"), 1U);
+}
+
+TEST(replica_step, repeats_records_that_nobody_answers) {
+    single_replica group(voters(5));
+    group.elect();
+    ASSERT_TRUE(group.node().propose(payload_of(100), group.now()));
+    group.ready();
+    std::size_t repeated = 0;
+    for (int k = 0; k < 8; ++k) {
+        group.pass(replica_options{}.heartbeat_interval);
+        group.node().tick(group.now());
+        for (const outbound& sent : group.ready()) {
+            if (sent.to == replica_id("c1")) {
+                repeated += entries_to({sent}, "c1");
+            } else {
+                group.answer(sent);
+            }
+        }
+    }
+    EXPECT_GE(repeated, 1U);
+}
+
+// Load: a replica that missed the records before a large image joins again.
+TEST(replica_step, sends_one_image_while_it_is_under_way) {
+    constexpr std::size_t image_bytes = 8U << 20U;
+    single_replica group(voters(3));
+    group.elect();
+    ASSERT_TRUE(group.node().propose(payload_of(100), group.now()));
+    for (const outbound& sent : group.ready()) {
+        if (sent.to == replica_id("c2")) {
+            group.answer(sent);
+        }
+    }
+    group.ready();
+    ASSERT_TRUE(group.node().save_snapshot(
+        group.store(), group.node().commit_index(), payload_of(image_bytes)));
+    std::size_t images = 0;
+    std::size_t heartbeats = 0;
+    for (int k = 0; k < 20; ++k) {
+        group.pass(replica_options{}.heartbeat_interval);
+        group.node().tick(group.now());
+        for (const outbound& sent : group.ready()) {
+            if (sent.to == replica_id("c2")) {
+                group.answer(sent);
+            } else if (sent.content.body.AsInstallSnapshot() != nullptr) {
+                ++images;
+            } else {
+                ++heartbeats;
+            }
+        }
+    }
+    EXPECT_EQ(images, 1U);
+    EXPECT_GE(heartbeats, 10U);
+}
+
 } // namespace
 } // namespace dragonflymount::agreement
--- a/tests/runtime/http_test.cpp
+++ b/tests/runtime/http_test.cpp
@@ -114,6 +114,65 @@
     EXPECT_TRUE(ask({"GET", "/", {}, ""}));
 }
 
+// A server that accepts and never answers; tells how the connection ended.
+class silent_peer {
+public:
+    explicit silent_peer(asio::io_context& context)
+        : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}),
+          socket_(context) {
+        acceptor_.async_accept(socket_, [this](std::error_code) { read(); });
+    }
+    std::string address() const {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    std::error_code ended() const { return ended_; }
+
+private:
+    void read() {
+        socket_.async_read_some(
+            asio::buffer(chunk_), [this](std::error_code code, std::size_t) {
+                if (code) {
+                    ended_ = code;
+                } else {
+                    read();
+                }
+            });
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::socket socket_;
+    std::array<char, 512> chunk_{};
+    std::error_code ended_;
+};
+
+TEST(http_client, resets_the_connection_of_a_request_that_timed_out) {
+    asio::io_context context;
+    silent_peer peer(context);
+    http_client client(context);
+    bool failed = false;
+    client.send(peer.address(), {"GET", "/", {}, ""},
+        std::chrono::milliseconds(50), [&](const auto&) { failed = true; });
+    context.run_for(std::chrono::milliseconds(300));
+    EXPECT_TRUE(failed);
+    EXPECT_EQ(peer.ended(), asio::error::connection_reset);
+}
+
+TEST(http_client, resets_connections_and_fails_requests_when_aborted) {
+    asio::io_context context;
+    silent_peer peer(context);
+    http_client client(context);
+    std::optional<failure> error;
+    client.send(peer.address(), {"GET", "/", {}, ""}, std::chrono::seconds(10),
+        [&](const auto& reply) { error = reply.error(); });
+    context.run_for(std::chrono::milliseconds(50));
+    ASSERT_FALSE(error);
+    client.abort();
+    ASSERT_TRUE(error);
+    EXPECT_EQ(error->code, make_error_code(errc::unavailable));
+    context.run_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(peer.ended(), asio::error::connection_reset);
+}
+
 TEST_F(http_exchange_test, closes_connections_while_draining) {
     server_.drain();
     const auto reply = ask({"GET", "/", {}, ""});
