Let a replica that joins answer a leader that it doesn't know

Answers now go back on the connection on which the sender was heard, while no link to it is open, and links take what comes on them.

--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -45,6 +45,20 @@
     return reply;
 }
 
+/// \returns the replica that sent a message, empty if it doesn't say.
+inline replica_id sender_of(const wire::message& content) {
+    if (const auto* append = content.body.AsAppendRequest()) {
+        return replica_id(append->leader);
+    }
+    if (const auto* install = content.body.AsInstallSnapshot()) {
+        return replica_id(install->leader);
+    }
+    if (const auto* vote = content.body.AsVoteRequest()) {
+        return replica_id(vote->candidate);
+    }
+    return replica_id();
+}
+
 template <replicated_state State>
 class replica_host {
 public:
@@ -57,7 +71,10 @@
     result<done> start();
     void stop();
 
-    void receive(const wire::message& content);
+    /// \param from answers go back on it while no link to the sender is open:
+    /// a replica that joins doesn't know all members yet.
+    void receive(
+        const runtime::connection::pointer& from, const wire::message& content);
     /// \brief Proposes a command; \p on_reply is called once it is applied,
     /// or at once if this replica doesn't lead.
     void propose(bytes command, reply_handler on_reply);
@@ -71,7 +88,8 @@
         watch_leadership();
     }
 
-    /// \brief Sends a message to one replica, if a link to it is open.
+    /// \brief Sends a message to one replica, if a link to it or a connection
+    /// of its own is open.
     void send(const replica_id& to, const wire::message& content);
     /// \brief Sends a message to all replicas that are known.
     void send_to_all(const wire::message& content);
@@ -131,6 +149,8 @@
     // Where the newest snapshot ends.
     log_index snapshot_;
     std::map<replica_id, peer_link> links_;
+    // The connections on which replicas have last sent something.
+    std::map<replica_id, std::weak_ptr<runtime::connection>> heard_on_;
     std::map<log_index, waiting_reply> waiting_;
     leadership_handler on_leadership_;
     bool was_leader_ = false;
@@ -211,13 +231,20 @@
     }
     auto opened = std::make_unique<runtime::link>(
         context_, peer.address, settings_.connections);
-    opened->start([](const auto&) {}, [](const auto&, auto&&) {},
+    opened->start([](const auto&) {},
+        [this](
+            const auto& from, const auto& content) { receive(from, content); },
         [](const auto&, const auto&) {});
     links_[peer.id] = {peer.address, std::move(opened)};
 }
 
 template <replicated_state State>
-void replica_host<State>::receive(const wire::message& content) {
+void replica_host<State>::receive(
+    const runtime::connection::pointer& from, const wire::message& content) {
+    const replica_id sender = sender_of(content);
+    if (!sender.empty()) {
+        heard_on_[sender] = from;
+    }
     replica_->receive(content, runtime::system_clock::now());
     schedule_flush();
 }
@@ -226,8 +253,16 @@
 void replica_host<State>::send(
     const replica_id& to, const wire::message& content) {
     const auto found = links_.find(to);
-    if (found != links_.end()) {
-        found->second.link->send(content);
+    if (found != links_.end() && found->second.link->send(content)) {
+        return;
+    }
+    const auto heard = heard_on_.find(to);
+    if (heard == heard_on_.end()) {
+        return;
+    }
+    const auto answering = heard->second.lock();
+    if (answering && answering->is_open()) {
+        answering->send(content);
     }
 }
 
--- a/programs/control/service/control_service.cpp
+++ b/programs/control/service/control_service.cpp
@@ -45,7 +45,7 @@
             from, content.correlation, *content.body.AsChangeReplica());
         break;
     default:
-        replica_.receive(content);
+        replica_.receive(from, content);
     }
 }
 
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -156,7 +156,7 @@
         members_.receive(*content.body.AsJoinReplica());
         break;
     default:
-        replica_.receive(content);
+        replica_.receive(from, content);
     }
 }
 
