Begin a wave with the VMs that take long to empty

VMs with lasting tasks stood behind all others, and each of their tasks has to be at work elsewhere before the next of its step may end.

Each round of a wave now begins with its part of those VMs. The test failed first.

--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -171,6 +171,18 @@
         std::vector<vm_order>& orders, instant now);
     void choose_next(
         const wire::MaintenanceWaveT& wave, std::size_t down, instant now);
+    /// VMs of a wave that aren't maintained yet.
+    struct wave_rest {
+        std::size_t left = 0;
+        // On standby: nothing runs there.
+        std::vector<vm_id> resting;
+        // Those with lasting tasks, and the others; least loaded first.
+        std::vector<const endpoint_view*> holding;
+        std::vector<const endpoint_view*> plain;
+    };
+    wave_rest rest_of(const wire::MaintenanceWaveT& wave, instant now);
+    bool take_down(std::uint64_t wave, const endpoint_view& view, bool urgent,
+        instant now);
     bool is_on_standby(const vm_id& vm) const;
     void order_maintenance(std::uint64_t wave, const vm_id& vm,
         const endpoint_life& life, instant now);
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -199,30 +199,48 @@
     }
 }
 
-// As many at once as the time that is left needs, and no more: each takes
-// room from its pool.
-void vm_manager::choose_next(
-    const wire::MaintenanceWaveT& wave, std::size_t down, instant now) {
-    std::vector<const endpoint_view*> waiting;
-    std::vector<vm_id> resting;
-    std::size_t left = 0;
-    for (const std::string& vm : wave.vms) {
-        const wire::MaintenanceStepT* step = find_step(wave, vm);
+vm_manager::wave_rest vm_manager::rest_of(
+    const wire::MaintenanceWaveT& wave, instant now) {
+    wave_rest rest;
+    for (const std::string& name : wave.vms) {
+        const wire::MaintenanceStepT* step = find_step(wave, name);
         if (step != nullptr &&
             step->phase != wire::maintenance_phase::waiting) {
             continue;
         }
-        ++left;
-        const endpoint_view* view = find_vm(vm_id(vm));
-        const order_state& order = maintaining_[vm_id(vm)];
-        if (view != nullptr && now >= order.next_attempt &&
-            now - view->heard < jobs_.endpoints().options().silence_limit) {
-            waiting.push_back(view);
-        } else if (view == nullptr && is_on_standby(vm_id(vm)) &&
-            now >= order.next_attempt) {
-            resting.push_back(vm_id(vm));
+        ++rest.left;
+        const vm_id vm(name);
+        const endpoint_view* view = find_vm(vm);
+        if (now < maintaining_[vm].next_attempt) {
+            continue;
+        }
+        if (view == nullptr) {
+            if (is_on_standby(vm)) {
+                rest.resting.push_back(vm);
+            }
+        } else if (now - view->heard <
+            jobs_.endpoints().options().silence_limit) {
+            (lasting_tasks(*view) > 0 ? rest.holding : rest.plain)
+                .push_back(view);
         }
     }
+    const auto by_load = [this](const endpoint_view* one,
+                             const endpoint_view* other) {
+        return std::make_tuple(ending_tasks(*one), lasting_tasks(*one),
+                   one->vm) < std::make_tuple(ending_tasks(*other),
+                                  lasting_tasks(*other), other->vm);
+    };
+    std::sort(rest.holding.begin(), rest.holding.end(), by_load);
+    std::sort(rest.plain.begin(), rest.plain.end(), by_load);
+    return rest;
+}
+
+// As many at once as the time that is left needs, and no more: each takes
+// room from its pool. VMs with lasting tasks come first, since each such task
+// has to be at work elsewhere before the next of its step ends.
+void vm_manager::choose_next(
+    const wire::MaintenanceWaveT& wave, std::size_t down, instant now) {
+    const wave_rest rest = rest_of(wave, now);
     const std::uint64_t passed = jobs_.agreed().time_ms() - wave.started_ms;
     const auto goal = wave.duration_ms *
         static_cast<std::uint64_t>(options_.wave_time_percent) / 100;
@@ -232,15 +250,9 @@
     const std::size_t rounds =
         std::max<std::size_t>(1, static_cast<std::size_t>(time_left / each));
     const std::size_t most = std::max<std::size_t>(1, wave.most_down);
-    const std::size_t at_once = std::min(most, (left + rounds - 1) / rounds);
-    std::sort(waiting.begin(), waiting.end(),
-        [this](const endpoint_view* left_view, const endpoint_view* right) {
-            return std::make_tuple(ending_tasks(*left_view),
-                       lasting_tasks(*left_view),
-                       left_view->vm) < std::make_tuple(ending_tasks(*right),
-                                            lasting_tasks(*right), right->vm);
-        });
-    for (const vm_id& vm : resting) {
+    const std::size_t at_once =
+        std::min(most, (rest.left + rounds - 1) / rounds);
+    for (const vm_id& vm : rest.resting) {
         if (down >= most) {
             return;
         }
@@ -249,25 +261,36 @@
         order_maintenance(wave.number, vm, {}, now);
     }
     const bool urgent = passed + each >= wave.duration_ms;
-    for (const endpoint_view* view : waiting) {
+    const std::size_t holding_at_once = std::min(
+        rest.holding.size(), (rest.holding.size() + rounds - 1) / rounds);
+    std::vector<const endpoint_view*> order(rest.holding.begin(),
+        rest.holding.begin() + static_cast<std::ptrdiff_t>(holding_at_once));
+    order.insert(order.end(), rest.plain.begin(), rest.plain.end());
+    order.insert(order.end(),
+        rest.holding.begin() + static_cast<std::ptrdiff_t>(holding_at_once),
+        rest.holding.end());
+    for (const endpoint_view* view : order) {
         if (down >= at_once) {
             return;
         }
-        if (!may_end_tasks(*view, now)) {
-            if (is_settled(view->vm, now)) {
-                evacuate(*view, now);
-            }
-            chosen_.insert(view->vm);
-            continue;
-        }
-        ++down;
-        chosen_.insert(view->vm);
-        if ((ending_tasks(*view) > 0 && !urgent) ||
-            !is_settled(view->vm, now)) {
-            continue;
+        down += take_down(wave.number, *view, urgent, now) ? 1 : 0;
+    }
+}
+
+// \returns whether the VM counts as down from now on.
+bool vm_manager::take_down(
+    std::uint64_t wave, const endpoint_view& view, bool urgent, instant now) {
+    chosen_.insert(view.vm);
+    if (!may_end_tasks(view, now)) {
+        if (is_settled(view.vm, now)) {
+            evacuate(view, now);
         }
-        order_maintenance(wave.number, view->vm, view->life, now);
+        return false;
+    }
+    if ((ending_tasks(view) == 0 || urgent) && is_settled(view.vm, now)) {
+        order_maintenance(wave, view.vm, view.life, now);
     }
+    return true;
 }
 
 bool vm_manager::is_on_standby(const vm_id& vm) const {
--- a/tests/jobs/vm_manager_test.cpp
+++ b/tests/jobs/vm_manager_test.cpp
@@ -164,6 +164,27 @@
     EXPECT_EQ(stops, 1);
 }
 
+// Load: a wave over VMs of which one holds lasting tasks that can only move
+// one after the other. It is emptied from the start, not after all others.
+TEST_F(vm_orders, begins_a_wave_with_vms_that_take_long_to_empty) {
+    std::vector<std::string> endpoints{"e0"};
+    report("e0");
+    jobs_.submit(job_builder(7).step(2).lasting(1).anti_affinity(0).build());
+    engine_.tick(now_);
+    settle();
+    ASSERT_EQ(jobs_.agreed.load_of({"e0", 1})->runs.size(), 2U);
+    std::vector<std::string> vms{"vm-e0"};
+    for (int k = 1; k < 9; ++k) {
+        endpoints.push_back("e" + std::to_string(k));
+        vms.push_back("vm-" + endpoints.back());
+        report(endpoints.back());
+    }
+    start_wave(vms, 2);
+    pass(1000, endpoints);
+    EXPECT_TRUE(engine_.is_stop_requested({task(7, 0, 0), 1}) ||
+        engine_.is_stop_requested({task(7, 0, 1), 1}));
+}
+
 TEST_F(vm_orders, ends_no_task_while_one_beside_it_has_not_begun) {
     report("e1");
     jobs_.submit(job_builder(7).step(3).lasting(1).anti_affinity(0).build());
