--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -86,8 +86,14 @@
         bool apart = false;
         std::uint32_t beside = 0;
 
-        friend auto operator<=>(const place_cost&, const place_cost&) = default;
-        bool is_nothing() const { return *this == place_cost{}; }
+        auto fields() const {
+            return std::tie(avoided, other_rack, far, suspect, cold, crowded,
+                apart, beside);
+        }
+        friend bool operator<(const place_cost& one, const place_cost& other) {
+            return one.fields() < other.fields();
+        }
+        bool is_nothing() const { return !(place_cost{} < *this); }
     };
     // A run that the round placed, so that it can be taken back.
     struct taken_place {
