--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -89,7 +89,7 @@
     /// Part of the time that a job can wait before it would be late, in
     /// percent, which its pool's size counts on; estimates are rough. The time
     /// that a further VM takes to arrive comes out of it.
-    std::int64_t usable_slack_percent = 50;
+    std::int64_t usable_slack_percent = 20;
     /// Time in which late work is to be done: its room is spread over it.
     duration late_horizon = std::chrono::seconds(8);
     /// Orders given in one second at most; the service refuses further ones.
