--- a/dragonflymount/src/Agreement/Segments.cpp
+++ b/dragonflymount/src/Agreement/Segments.cpp
@@ -67,6 +67,15 @@
     return numbers;
 }
 
+bool is_store_file(std::string_view name) {
+    if (name.ends_with(unfinished_suffix)) {
+        name.remove_suffix(unfinished_suffix.size());
+    }
+    const std::string whole(name);
+    return whole == identity_file || whole == hard_file ||
+        number_in(whole, segment_prefix) || number_in(whole, snapshot_prefix);
+}
+
 failure damage(const std::string& file, std::string detail) {
     return {make_error_code(errc::damaged_log), "read log", file,
         std::move(detail)};
--- a/dragonflymount/src/Agreement/Segments.hpp
+++ b/dragonflymount/src/Agreement/Segments.hpp
@@ -53,6 +53,9 @@
 /// Ends the name of a file that isn't whole yet.
 inline constexpr std::string_view unfinished_suffix = ".new";
 
+/// \brief Whether a store gives this name to a file of its own, whole or not.
+bool is_store_file(std::string_view name);
+
 failure damage(const std::string& file, std::string detail);
 
 } // namespace dragonflymount::agreement
--- a/dragonflymount/src/Hosting/DataFolder.cpp
+++ b/dragonflymount/src/Hosting/DataFolder.cpp
@@ -77,6 +77,16 @@
     if (holds(agreement::identity_file) || holds(agreement::segment_prefix)) {
         return names->empty();
     }
+    // A folder that holds anything else was named by mistake.
+    const auto foreign =
+        std::find_if(names->begin(), names->end(), [](const std::string& name) {
+            return !agreement::is_store_file(name) &&
+                !name.starts_with(settings::folder_probe_prefix);
+        });
+    if (foreign != names->end()) {
+        return failure{make_error_code(errc::conflict), "open data folder",
+            files_.path(), "holds a file of another program: " + *foreign};
+    }
     for (const std::string& name : *names) {
         const result<done> status = files_.remove(name);
         if (!status) {
--- a/dragonflymount/src/Runtime/Folder.hpp
+++ b/dragonflymount/src/Runtime/Folder.hpp
@@ -10,6 +10,7 @@
 class folder {
 public:
     explicit folder(std::string path) : path_(std::move(path)) {}
+    const std::string& path() const { return path_; }
 
     result<std::vector<std::string>> list();
     result<bytes> read(const std::string& name);
--- a/dragonflymount/src/Settings/Settings.cpp
+++ b/dragonflymount/src/Settings/Settings.cpp
@@ -66,7 +66,8 @@
     if (!std::filesystem::is_directory(path, code)) {
         return false;
     }
-    std::string probe = path + "/.writable-XXXXXX";
+    std::string probe =
+        absl::StrCat(path, "/", std::string(folder_probe_prefix), "XXXXXX");
     const int opened = ::mkstemp(probe.data());
     if (opened < 0) {
         return false;
--- a/dragonflymount/src/Settings/Settings.hpp
+++ b/dragonflymount/src/Settings/Settings.hpp
@@ -16,6 +16,10 @@
 
 namespace dragonflymount::settings {
 
+/// Begins the names of files that the check of a folder makes and removes; a
+/// power loss may leave one.
+inline constexpr std::string_view folder_probe_prefix = ".writable-";
+
 enum class kind : std::uint8_t {
     /// Any text without spaces.
     name,
