--- a/dragonflymount/hosting.hpp
+++ b/dragonflymount/hosting.hpp
@@ -4,5 +4,6 @@
 
 #include "dragonflymount/src/Hosting/DataFolder.hpp"
 #include "dragonflymount/src/Hosting/ReplicaHost.hpp"
+#include "dragonflymount/src/Hosting/Sender.hpp"
 
 #endif
--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -6,6 +6,7 @@
 #include "dragonflymount/agreement.hpp"
 #include "dragonflymount/runtime.hpp"
 #include "dragonflymount/src/Hosting/DataFolder.hpp"
+#include "dragonflymount/src/Hosting/Sender.hpp"
 
 #include <algorithm>
 
@@ -45,20 +46,6 @@
     return reply;
 }
 
-/// \returns the replica that sent a message, empty if it doesn't say.
-inline replica_id sender_of(const wire::message& content) {
-    if (const auto* append = content.body.AsAppendRequest()) {
-        return replica_id(append->leader);
-    }
-    if (const auto* install = content.body.AsInstallSnapshot()) {
-        return replica_id(install->leader);
-    }
-    if (const auto* vote = content.body.AsVoteRequest()) {
-        return replica_id(vote->candidate);
-    }
-    return replica_id();
-}
-
 template <replicated_state State>
 class replica_host {
 public:
--- a/dragonflymount/src/Jobs/StateImage.cpp
+++ b/dragonflymount/src/Jobs/StateImage.cpp
@@ -1,4 +1,4 @@
-// Images of the agreed state, and what is derived from one when it is loaded.
+// Images of the agreed state.
 #include "dragonflymount/src/Jobs/State.hpp"
 
 #include <algorithm>
@@ -12,36 +12,6 @@
 
 } // namespace
 
-void state::derive() {
-    active_.clear();
-    startable_.clear();
-    repeating_.clear();
-    pending_.clear();
-    loads_.clear();
-    team_usage_.clear();
-    ended_.clear();
-    for (const auto& [id, job] : jobs_) {
-        if (job->phase == wire::job_phase::active) {
-            index_active(*job);
-        } else {
-            ended_.emplace_back(job->ended_ms, job_id(id));
-        }
-        for (const auto& occurrence : job->occurrences) {
-            for (std::uint32_t s = 0; s < occurrence->steps.size(); ++s) {
-                const auto& tasks = occurrence->steps[s]->tasks;
-                for (std::uint32_t k = 0; k < tasks.size(); ++k) {
-                    for (const auto& record : tasks[k]->runs) {
-                        add_run({{job_id(id), occurrence->number, s, k},
-                                    record->number},
-                            *record, *job, *job->spec->steps[s]);
-                    }
-                }
-            }
-        }
-    }
-    std::sort(ended_.begin(), ended_.end());
-}
-
 bytes state::save() const {
     wire::SchedulerImageT image;
     image.time_ms = time_ms_;
--- /dev/null
+++ b/dragonflymount/src/Jobs/StateIndexes.cpp
@@ -0,0 +1,115 @@
+// What is derived from the agreed jobs: kept with each change, and made anew
+// when an image is loaded.
+#include "dragonflymount/src/Jobs/State.hpp"
+
+#include <algorithm>
+
+namespace dragonflymount::jobs {
+namespace {
+
+bool is_startable(
+    const wire::JobOccurrenceT& occurrence, const wire::JobSpecT& spec) {
+    for (std::size_t k = 0; k < occurrence.steps.size(); ++k) {
+        const wire::StepTasksT& group = *occurrence.steps[k];
+        if (group.done < group.tasks.size() &&
+            is_ready(occurrence, *spec.steps[k]) &&
+            std::any_of(group.tasks.begin(), group.tasks.end(),
+                [](const auto& task) { return is_waiting(*task); })) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+void state::derive() {
+    active_.clear();
+    startable_.clear();
+    repeating_.clear();
+    pending_.clear();
+    loads_.clear();
+    team_usage_.clear();
+    ended_.clear();
+    for (const auto& [id, job] : jobs_) {
+        if (job->phase == wire::job_phase::active) {
+            index_active(*job);
+        } else {
+            ended_.emplace_back(job->ended_ms, job_id(id));
+        }
+        for (const auto& occurrence : job->occurrences) {
+            for (std::uint32_t s = 0; s < occurrence->steps.size(); ++s) {
+                const auto& tasks = occurrence->steps[s]->tasks;
+                for (std::uint32_t k = 0; k < tasks.size(); ++k) {
+                    for (const auto& record : tasks[k]->runs) {
+                        add_run({{job_id(id), occurrence->number, s, k},
+                                    record->number},
+                            *record, *job, *job->spec->steps[s]);
+                    }
+                }
+            }
+        }
+    }
+    std::sort(ended_.begin(), ended_.end());
+}
+
+void state::index_active(const wire::JobT& job) {
+    active_.insert(job_id(job.id));
+    if (!job.begun) {
+        ++pending_[job.queue];
+    }
+    index_startable(job);
+}
+
+void state::forget_active(const wire::JobT& job) {
+    const job_id id(job.id);
+    if (active_.erase(id) > 0 && !job.begun) {
+        --pending_[job.queue];
+    }
+    startable_.erase(id);
+    repeating_.erase(id);
+}
+
+void state::index_startable(const wire::JobT& job) {
+    const job_id id(job.id);
+    const bool startable = std::any_of(job.occurrences.begin(),
+        job.occurrences.end(), [&](const auto& occurrence) {
+            return is_startable(*occurrence, *job.spec);
+        });
+    if (startable) {
+        startable_.insert(id);
+    } else {
+        startable_.erase(id);
+    }
+    if (job.next_occurrence < job.spec->repeats) {
+        repeating_.insert(id);
+    } else {
+        repeating_.erase(id);
+    }
+}
+
+void state::add_run(const run_ref& run, const wire::TaskRunT& record,
+    const wire::JobT& job, const wire::JobStepT& step) {
+    endpoint_load& load = loads_[{record.endpoint, record.life}];
+    load.used += room_of(step);
+    load.runs.push_back(run);
+    load.lasting += step.long_running ? 1 : 0;
+    team_usage_[job.team] += usage_of(step);
+}
+
+void state::remove_run(const run_ref& run, const wire::TaskRunT& record,
+    const wire::JobT& job, const wire::JobStepT& step) {
+    team_usage_[job.team] -= usage_of(step);
+    const auto found = loads_.find({record.endpoint, record.life});
+    if (found == loads_.end()) {
+        return;
+    }
+    found->second.used -= room_of(step);
+    std::erase(found->second.runs, run);
+    found->second.lasting -= step.long_running ? 1 : 0;
+    if (found->second.runs.empty()) {
+        loads_.erase(found);
+    }
+}
+
+} // namespace dragonflymount::jobs
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -80,8 +80,8 @@
     duration drain_time = std::chrono::seconds(3);
     /// Part of a wave's time in which it should be done, in percent.
     std::int64_t wave_time_percent = 70;
-    /// A pool must have had more than it needs for this long before a VM goes
-    /// on standby: about the time in which a VM costs as much as two moves.
+    /// A pool keeps the most VMs that it wanted in this time and, at most, in
+    /// the same time before; what is beyond goes on standby.
     duration surplus_time = std::chrono::milliseconds(600);
     /// Room beyond the present need, in percent of it: tasks don't fill VMs
     /// without gaps.
