Tell why a lead ended and which turns of a replica are slow

leader_lost now carries its reason (silent_quorum, higher_term, removed, disk_failed) and the longest turn; turn_slow (212) tells where a turn that took a heartbeat interval or more went. Test: replica_step.tells_why_its_lead_ended.

No logic is changed.

--- a/dragonflymount/src/Agreement/Election.cpp
+++ b/dragonflymount/src/Agreement/Election.cpp
@@ -13,8 +13,17 @@
     hard_dirty_ = true;
 }
 
+// The first reason stands: what follows from it isn't another one.
+void replica::end_lead(lead_end reason) {
+    if (is_leader()) {
+        lead_end_ = reason;
+        role_ = role::follower;
+    }
+}
+
 void replica::become_follower(
     log_term term, const replica_id& leader, instant now) {
+    end_lead(lead_end::higher_term);
     set_term(term);
     role_ = role::follower;
     leader_ = leader;
--- a/dragonflymount/src/Agreement/Membership.cpp
+++ b/dragonflymount/src/Agreement/Membership.cpp
@@ -68,6 +68,7 @@
 void replica::step_down_if_removed(instant now) {
     const bool committed = log_.members_index() <= commit_;
     if (is_leader() && committed && !can_vote()) {
+        end_lead(lead_end::removed);
         become_follower(hard_.term, replica_id(), now);
     }
 }
--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -19,6 +19,22 @@
     return "unknown";
 }
 
+std::string_view name_of(lead_end value) {
+    switch (value) {
+    case lead_end::none:
+        return "none";
+    case lead_end::silent_quorum:
+        return "silent_quorum";
+    case lead_end::higher_term:
+        return "higher_term";
+    case lead_end::removed:
+        return "removed";
+    case lead_end::disk_failed:
+        return "disk_failed";
+    }
+    return "unknown";
+}
+
 replica::replica(
     replica_options options, recovered_state recovered, instant now)
     : options_(std::move(options)), identity_(recovered.identity),
@@ -51,6 +67,7 @@
 
 void replica::fail() {
     failed_ = true;
+    end_lead(lead_end::disk_failed);
     role_ = role::follower;
     leader_ = replica_id();
     outbox_.clear();
@@ -63,6 +80,7 @@
     }
     if (now - std::max(quorum_instant(), leader_since_) >
         options_.election_timeout) {
+        end_lead(lead_end::silent_quorum);
         become_follower(hard_.term, replica_id(), now);
     }
 }
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -21,6 +21,20 @@
 
 std::string_view name_of(role value);
 
+/// \brief Why a replica ceased to lead.
+enum class lead_end : std::uint8_t {
+    none,
+    /// No majority had answered for an election timeout.
+    silent_quorum,
+    /// Another replica told a higher term.
+    higher_term,
+    /// It is no longer a voter.
+    removed,
+    disk_failed,
+};
+
+std::string_view name_of(lead_end value);
+
 struct replica_options {
     replica_id self;
     /// A follower that hears nothing for this long, and up to twice as long,
@@ -90,6 +104,8 @@
     /// \returns the latest instant at which a majority is known to have
     /// followed this leader; the epoch's start if it doesn't lead.
     instant quorum_instant() const;
+    /// \returns why this replica's last lead ended, \c none if it never led.
+    lead_end last_lead_end() const { return lead_end_; }
 
     role current_role() const { return role_; }
     log_term term() const { return hard_.term; }
@@ -144,6 +160,7 @@
     bool is_majority(std::size_t count) const;
 
     void become_follower(log_term term, const replica_id& leader, instant now);
+    void end_lead(lead_end reason);
     void start_election(bool pre_vote, instant now);
     void become_leader(instant now);
     void reset_election_timer(instant now);
@@ -194,6 +211,7 @@
     instant heard_leader_{};
     instant next_heartbeat_{};
     instant leader_since_{};
+    lead_end lead_end_ = lead_end::none;
     log_index first_own_index_;
     std::uint64_t random_state_;
 };
--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -106,6 +106,14 @@
         std::unique_ptr<runtime::link> link;
     };
 
+    // Where a turn's time went, for the log.
+    struct turn_times {
+        instant begun;
+        instant written;
+        instant applied;
+        std::size_t records = 0;
+    };
+
     // A leader may rest on its quorum for this part of an election timeout,
     // in percent; the rest covers the drift between two machines' clocks.
     static constexpr std::int64_t quorum_trust_percent = 90;
@@ -124,6 +132,7 @@
     result<agreement::member> subject_of(
         const wire::ChangeReplicaT& request) const;
     void watch_leadership();
+    void note_turn(const turn_times& turn);
 
     asio::io_context& context_;
     replica_settings settings_;
@@ -144,6 +153,7 @@
     // One flush takes all that arrived in the same turn of the event loop.
     bool flush_pending_ = false;
     instant next_reopen_{};
+    duration longest_turn_{};
 };
 
 inline constexpr duration replica_tick_interval = std::chrono::milliseconds(20);
@@ -379,6 +389,8 @@
 
 template <replicated_state State>
 void replica_host<State>::flush() {
+    turn_times turn;
+    turn.begun = runtime::system_clock::now();
     auto actions = replica_->ready(data_.store(), runtime::system_clock::now());
     if (!actions) {
         data_.note(actions.error());
@@ -395,13 +407,17 @@
     if (replica_->is_failed()) {
         return;
     }
+    turn.written = runtime::system_clock::now();
+    turn.records = actions->committed.size();
     for (const agreement::log_record& record : actions->committed) {
         apply(record);
     }
+    turn.applied = runtime::system_clock::now();
     watch_leadership();
     if (applied_.value() - snapshot_.value() >= settings_.snapshot_records) {
         save_snapshot();
     }
+    note_turn(turn);
 }
 
 template <replicated_state State>
@@ -452,6 +468,22 @@
     waiting.handler(reply);
 }
 
+// Nothing is heard and nobody is answered during a turn.
+template <replicated_state State>
+void replica_host<State>::note_turn(const turn_times& turn) {
+    const instant now = runtime::system_clock::now();
+    const duration taken = now - turn.begun;
+    longest_turn_ = std::max(longest_turn_, taken);
+    if (taken < settings_.options.heartbeat_interval) {
+        return;
+    }
+    LOG(WARNING) << event::turn_slow << "replica=" << replica_->self()
+                 << " records=" << turn.records << " through=" << applied_
+                 << " write_us=" << (turn.written - turn.begun).count()
+                 << " apply_us=" << (turn.applied - turn.written).count()
+                 << " rest_us=" << (now - turn.applied).count();
+}
+
 template <replicated_state State>
 void replica_host<State>::watch_leadership() {
     const bool leads = replica_->is_settled();
@@ -464,7 +496,9 @@
                   << " term=" << replica_->term();
     } else {
         LOG(WARNING) << event::leader_lost << "replica=" << replica_->self()
-                     << " term=" << replica_->term();
+                     << " term=" << replica_->term() << " reason="
+                     << agreement::name_of(replica_->last_lead_end())
+                     << " longest_turn_us=" << longest_turn_.count();
         fail_waiting();
     }
     if (on_leadership_) {
--- a/tests/agreement/replica_step_test.cpp
+++ b/tests/agreement/replica_step_test.cpp
@@ -180,6 +180,31 @@
     }
     EXPECT_EQ(group.node().commit_index(), group.node().last_index());
     EXPECT_FALSE(group.node().is_leader());
+    EXPECT_EQ(group.node().last_lead_end(), lead_end::removed);
+}
+
+TEST(replica_step, tells_why_its_lead_ended) {
+    single_replica silent(voters(3));
+    silent.elect();
+    EXPECT_EQ(silent.node().last_lead_end(), lead_end::none);
+    silent.pass(seconds(2));
+    silent.node().tick(silent.now());
+    EXPECT_EQ(silent.node().last_lead_end(), lead_end::silent_quorum);
+
+    single_replica overtaken(voters(3));
+    overtaken.elect();
+    wire::AppendRequestT append;
+    append.term = overtaken.node().term().next().value();
+    append.leader = "c2";
+    overtaken.node().receive(wire::make_message(append), overtaken.now());
+    EXPECT_EQ(overtaken.node().last_lead_end(), lead_end::higher_term);
+
+    single_replica broken(voters(3));
+    broken.elect();
+    broken.store().set_broken(true);
+    ASSERT_TRUE(broken.node().propose(to_bytes("a"), broken.now()));
+    broken.ready();
+    EXPECT_EQ(broken.node().last_lead_end(), lead_end::disk_failed);
 }
 
 TEST(replica_step, frozen_leader_changes_no_member) {
