Apply committed records in slices, so that a long log costs no lead

Cause: replica_host applied all that was committed in one turn of its event loop. While it is applied no heartbeat leaves and no answer is read, so the new leader's quorum is older than an election timeout when the turn ends, and it steps down; the next leader has the same log to apply. Class of fault: a process that takes its own stall for the silence of others.

Ruled out: removed members, higher terms, disks.

replica_host now applies for 5 ms a turn and lets the event loop go on; a replica counts as leading once its state holds the first record of its term. The state with its backlog, the times of a turn, and the completion of a member's order are files of their own.

Test: replica_host.applies_a_long_log_without_losing_the_lead.

--- a/dragonflymount/hosting.hpp
+++ b/dragonflymount/hosting.hpp
@@ -2,8 +2,11 @@
 #ifndef DRAGONFLYMOUNT_HOSTING_HPP
 #define DRAGONFLYMOUNT_HOSTING_HPP
 
+#include "dragonflymount/src/Hosting/AppliedState.hpp"
 #include "dragonflymount/src/Hosting/DataFolder.hpp"
+#include "dragonflymount/src/Hosting/MemberSubject.hpp"
 #include "dragonflymount/src/Hosting/ReplicaHost.hpp"
 #include "dragonflymount/src/Hosting/Sender.hpp"
+#include "dragonflymount/src/Hosting/TurnLog.hpp"
 
 #endif
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -101,6 +101,9 @@
     /// \brief Whether this leader has committed a record of its own term, so
     /// that its state holds all that was ever accepted.
     bool is_settled() const;
+    /// \returns the index of the first record of this leader's term; a state
+    /// that holds it holds all that was accepted before.
+    log_index first_own_index() const { return first_own_index_; }
     /// \returns the latest instant at which a majority is known to have
     /// followed this leader; the epoch's start if it doesn't lead.
     instant quorum_instant() const;
--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -5,8 +5,11 @@
 
 #include "dragonflymount/agreement.hpp"
 #include "dragonflymount/runtime.hpp"
+#include "dragonflymount/src/Hosting/AppliedState.hpp"
 #include "dragonflymount/src/Hosting/DataFolder.hpp"
+#include "dragonflymount/src/Hosting/MemberSubject.hpp"
 #include "dragonflymount/src/Hosting/Sender.hpp"
+#include "dragonflymount/src/Hosting/TurnLog.hpp"
 
 #include <algorithm>
 
@@ -28,15 +31,6 @@
     bool new_site = false;
 };
 
-/// \brief What the committed commands of a log add up to.
-template <class State>
-concept replicated_state = requires(State& state, const State& constant,
-    log_index index, const bytes& payload) {
-    { state.apply(index, payload) } -> std::same_as<wire::ProposeReplyT>;
-    { state.load(payload) } -> std::same_as<result<done>>;
-    { constant.save() } -> std::same_as<bytes>;
-};
-
 /// \returns the reply to a proposal that wasn't committed here.
 inline wire::ProposeReplyT refusal(
     wire::proposal_result result, const std::string& leader) {
@@ -81,12 +75,17 @@
     /// \brief Sends a message to all replicas that are known.
     void send_to_all(const wire::message& content);
 
-    bool is_settled_leader() const { return replica_->is_settled(); }
+    /// \brief Whether this replica leads and its state holds all that was
+    /// agreed before.
+    bool is_settled_leader() const {
+        return replica_->is_settled() &&
+            applied_.index() >= replica_->first_own_index();
+    }
     /// \brief Whether no other replica can have been elected yet, so that
     /// what this leader holds is what was agreed last.
     bool is_current_leader() const;
     const agreement::replica& replica() const { return *replica_; }
-    const State& agreed() const { return state_; }
+    const State& agreed() const { return applied_.state(); }
     const data_folder& data() const { return data_; }
     /// \returns the address of the leader, empty if none is known.
     std::string leader_address() const;
@@ -106,13 +105,9 @@
         std::unique_ptr<runtime::link> link;
     };
 
-    // Where a turn's time went, for the log.
-    struct turn_times {
-        instant begun;
-        instant written;
-        instant applied;
-        std::size_t records = 0;
-    };
+    // A turn spends no longer than this on committed records, far less than a
+    // heartbeat interval.
+    static constexpr duration longest_slice = std::chrono::milliseconds(5);
 
     // A leader may rest on its quorum for this part of an election timeout,
     // in percent; the rest covers the drift between two machines' clocks.
@@ -123,25 +118,22 @@
     void try_reopen();
     void schedule_flush();
     void flush();
-    void apply(const agreement::log_record& record);
+    std::size_t apply_slice();
+    void note_applied(
+        const agreement::log_record& record, wire::ProposeReplyT reply);
     void fail_waiting();
     void connect_members();
     void connect(const agreement::member& peer);
     void save_snapshot();
     void install(const agreement::snapshot& image);
-    result<agreement::member> subject_of(
-        const wire::ChangeReplicaT& request) const;
     void watch_leadership();
-    void note_turn(const turn_times& turn);
 
     asio::io_context& context_;
     replica_settings settings_;
     runtime::repeating_timer timer_;
     std::unique_ptr<agreement::replica> replica_;
     data_folder data_;
-    State state_;
-    // Invariant: state_ holds the commands up to this record.
-    log_index applied_;
+    applied_state<State> applied_;
     // Where the newest snapshot ends.
     log_index snapshot_;
     std::map<replica_id, peer_link> links_;
@@ -153,7 +145,7 @@
     // One flush takes all that arrived in the same turn of the event loop.
     bool flush_pending_ = false;
     instant next_reopen_{};
-    duration longest_turn_{};
+    turn_log turn_;
 };
 
 inline constexpr duration replica_tick_interval = std::chrono::milliseconds(20);
@@ -183,9 +175,8 @@
 
 template <replicated_state State>
 void replica_host<State>::begin(agreement::recovered_state recovered) {
-    state_ = State();
-    applied_ = recovered.base.last_index;
-    snapshot_ = applied_;
+    snapshot_ = recovered.base.last_index;
+    applied_.reset(snapshot_);
     replica_ = std::make_unique<agreement::replica>(
         settings_.options, std::move(recovered), runtime::system_clock::now());
     connect_members();
@@ -202,7 +193,7 @@
 bool replica_host<State>::is_current_leader() const {
     const duration trusted =
         settings_.options.election_timeout * quorum_trust_percent / 100;
-    return replica_->is_settled() &&
+    return is_settled_leader() &&
         runtime::system_clock::now() - replica_->quorum_instant() < trusted;
 }
 
@@ -282,46 +273,10 @@
     schedule_flush();
 }
 
-template <replicated_state State>
-result<agreement::member> replica_host<State>::subject_of(
-    const wire::ChangeReplicaT& request) const {
-    agreement::member subject;
-    subject.id = replica_id(request.member ? request.member->replica : "");
-    if (subject.id.empty()) {
-        return failure{make_error_code(errc::malformed_message),
-            "change members", {}, "no replica is named"};
-    }
-    const auto& members = replica_->members();
-    const auto known = std::find_if(members.begin(), members.end(),
-        [&](const agreement::member& peer) { return peer.id == subject.id; });
-    if (known != members.end()) {
-        subject = *known;
-    }
-    if (!request.member->address.empty()) {
-        subject.address = request.member->address;
-    }
-    if (!request.member->zone.empty()) {
-        subject.zone = availability_zone_id(request.member->zone);
-    }
-    const auto stranger = replica_->strangers().find(subject.id);
-    if (request.member->identity != 0) {
-        subject.identity =
-            agreement::replica_identity(request.member->identity);
-    } else if (stranger != replica_->strangers().end()) {
-        subject.identity = stranger->second;
-    }
-    if (request.change == wire::replica_change::admit &&
-        (subject.identity.value() == 0 || subject.address.empty())) {
-        return failure{make_error_code(errc::conflict), "change members",
-            subject.id.str(), "its identity or address isn't known"};
-    }
-    return subject;
-}
-
 template <replicated_state State>
 void replica_host<State>::change(
     const wire::ChangeReplicaT& request, reply_handler on_reply) {
-    const auto subject = subject_of(request);
+    const auto subject = subject_of(request, *replica_);
     result<log_index> index = subject
         ? replica_->change(
               request.change, *subject, runtime::system_clock::now())
@@ -389,8 +344,7 @@
 
 template <replicated_state State>
 void replica_host<State>::flush() {
-    turn_times turn;
-    turn.begun = runtime::system_clock::now();
+    turn_.begin();
     auto actions = replica_->ready(data_.store(), runtime::system_clock::now());
     if (!actions) {
         data_.note(actions.error());
@@ -407,28 +361,26 @@
     if (replica_->is_failed()) {
         return;
     }
-    turn.written = runtime::system_clock::now();
-    turn.records = actions->committed.size();
-    for (const agreement::log_record& record : actions->committed) {
-        apply(record);
-    }
-    turn.applied = runtime::system_clock::now();
+    applied_.add(std::move(actions->committed));
+    turn_.note_written();
+    turn_.note_applied(apply_slice());
     watch_leadership();
-    if (applied_.value() - snapshot_.value() >= settings_.snapshot_records) {
+    if (!applied_.is_behind() &&
+        applied_.index().value() - snapshot_.value() >=
+            settings_.snapshot_records) {
         save_snapshot();
     }
-    note_turn(turn);
+    turn_.end(applied_.index(), settings_.options.heartbeat_interval);
 }
 
 template <replicated_state State>
 void replica_host<State>::install(const agreement::snapshot& image) {
-    const auto status = state_.load(image.state);
+    const auto status = applied_.load(image);
     if (!status) {
         replica_->fail();
         data_.note(status.error());
         return;
     }
-    applied_ = image.last_index;
     snapshot_ = image.last_index;
     connect_members();
     LOG(INFO) << event::snapshot_installed << "index=" << image.last_index;
@@ -436,9 +388,9 @@
 
 template <replicated_state State>
 void replica_host<State>::save_snapshot() {
-    const log_index index = applied_;
+    const log_index index = applied_.index();
     const auto status =
-        replica_->save_snapshot(data_.store(), index, state_.save());
+        replica_->save_snapshot(data_.store(), index, agreed().save());
     if (status) {
         snapshot_ = index;
         LOG(INFO) << event::snapshot_saved << "index=" << index;
@@ -448,14 +400,23 @@
 }
 
 template <replicated_state State>
-void replica_host<State>::apply(const agreement::log_record& record) {
-    wire::ProposeReplyT reply;
-    if (record.kind == agreement::record_kind::command) {
-        reply = state_.apply(record.index, record.payload);
-    } else {
+std::size_t replica_host<State>::apply_slice() {
+    const std::size_t count =
+        applied_.apply(longest_slice, [this](const auto& record, auto&& reply) {
+            note_applied(record, std::move(reply));
+        });
+    if (applied_.is_behind()) {
+        schedule_flush();
+    }
+    return count;
+}
+
+template <replicated_state State>
+void replica_host<State>::note_applied(
+    const agreement::log_record& record, wire::ProposeReplyT reply) {
+    if (record.kind == agreement::record_kind::members) {
         connect_members();
     }
-    applied_ = record.index;
     const auto found = waiting_.find(record.index);
     if (found == waiting_.end()) {
         return;
@@ -468,25 +429,9 @@
     waiting.handler(reply);
 }
 
-// Nothing is heard and nobody is answered during a turn.
-template <replicated_state State>
-void replica_host<State>::note_turn(const turn_times& turn) {
-    const instant now = runtime::system_clock::now();
-    const duration taken = now - turn.begun;
-    longest_turn_ = std::max(longest_turn_, taken);
-    if (taken < settings_.options.heartbeat_interval) {
-        return;
-    }
-    LOG(WARNING) << event::turn_slow << "replica=" << replica_->self()
-                 << " records=" << turn.records << " through=" << applied_
-                 << " write_us=" << (turn.written - turn.begun).count()
-                 << " apply_us=" << (turn.applied - turn.written).count()
-                 << " rest_us=" << (now - turn.applied).count();
-}
-
 template <replicated_state State>
 void replica_host<State>::watch_leadership() {
-    const bool leads = replica_->is_settled();
+    const bool leads = is_settled_leader();
     if (leads == was_leader_) {
         return;
     }
@@ -498,7 +443,7 @@
         LOG(WARNING) << event::leader_lost << "replica=" << replica_->self()
                      << " term=" << replica_->term() << " reason="
                      << agreement::name_of(replica_->last_lead_end())
-                     << " longest_turn_us=" << longest_turn_.count();
+                     << " longest_turn_us=" << turn_.longest().count();
         fail_waiting();
     }
     if (on_leadership_) {
--- a/tests/hosting/replica_host_test.cpp
+++ b/tests/hosting/replica_host_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <filesystem>
 
 namespace dragonflymount::hosting {
@@ -13,10 +15,17 @@
 
 /// Counts the commands that it was given.
 struct counting_state {
+    // How long every state takes for a command.
+    static inline duration time_of_command{};
+
     std::uint64_t commands = 0;
 
     wire::ProposeReplyT apply(log_index, const bytes&) {
         ++commands;
+        const instant end = runtime::system_clock::now() + time_of_command;
+        while (time_of_command > duration::zero() &&
+            runtime::system_clock::now() < end) {
+        }
         wire::ProposeReplyT reply;
         reply.result = wire::proposal_result::accepted;
         return reply;
@@ -60,7 +69,10 @@
         settings.snapshot_records = 4096;
         settings.new_site = new_site;
         host_ = std::make_unique<host_type>(context_, settings);
-        ASSERT_TRUE(host_->start());
+        host_->on_leadership(
+            [this](bool leads) { leads_lost_ += leads ? 0 : 1; });
+        const auto started = host_->start();
+        ASSERT_TRUE(started) << started.error().message();
         ASSERT_TRUE(listener_.start(
             address_,
             [this](const auto& from, wire::message&& content) {
@@ -71,8 +83,19 @@
     void stop() {
         host_->stop();
         listener_.stop();
+        host_.reset();
+    }
+    /// The lock on a folder lasts as long as the process, so the next start
+    /// gets a copy.
+    void move_data() {
+        const std::filesystem::path copy(folder_.string() + "-again");
+        std::filesystem::remove_all(copy);
+        std::filesystem::copy(folder_, copy);
+        std::filesystem::remove_all(folder_);
+        folder_ = copy;
     }
     host_type& host() { return *host_; }
+    std::size_t leads_lost() const { return leads_lost_; }
 
 private:
     std::string name_;
@@ -81,6 +104,7 @@
     runtime::listener listener_;
     asio::io_context& context_;
     std::unique_ptr<host_type> host_;
+    std::size_t leads_lost_ = 0;
 };
 
 std::string free_address(asio::io_context& context) {
@@ -143,5 +167,55 @@
     }
 }
 
+// All replicas restart with a log that takes several election timeouts to be
+// applied: nobody may take the time that this needs for a silent leader.
+TEST(replica_host, applies_a_long_log_without_losing_the_lead) {
+    constexpr std::size_t command_count = 1500;
+    asio::io_context context;
+    std::array<node, 3> nodes{node(context, "c1", free_address(context)),
+        node(context, "c2", free_address(context)),
+        node(context, "c3", free_address(context))};
+    agreement::member_list members;
+    for (const node& each : nodes) {
+        members.push_back(each.member());
+    }
+    const auto leader = [&]() -> node* {
+        const auto found = std::find_if(nodes.begin(), nodes.end(),
+            [](node& each) { return each.host().is_settled_leader(); });
+        return found == nodes.end() ? nullptr : &*found;
+    };
+    for (node& each : nodes) {
+        each.start(members, true);
+    }
+    ASSERT_TRUE(run_until(context, [&] { return leader() != nullptr; }));
+    std::size_t committed = 0;
+    for (std::size_t k = 0; k < command_count; ++k) {
+        leader()->host().propose(
+            to_bytes("command"), [&](const auto&) { ++committed; });
+    }
+    ASSERT_TRUE(run_until(context, [&] { return committed == command_count; }));
+    for (node& each : nodes) {
+        each.stop();
+        each.move_data();
+    }
+    counting_state::time_of_command = std::chrono::microseconds(500);
+    for (node& each : nodes) {
+        each.start(members, true);
+    }
+    EXPECT_TRUE(run_until(context, [&] {
+        return std::all_of(nodes.begin(), nodes.end(), [&](node& each) {
+            return each.host().agreed().commands >= command_count;
+        });
+    }));
+    EXPECT_TRUE(run_until(context, [&] { return leader() != nullptr; }));
+    std::size_t lost = 0;
+    for (node& each : nodes) {
+        lost += each.leads_lost();
+        each.stop();
+    }
+    counting_state::time_of_command = duration::zero();
+    EXPECT_EQ(lost, 0U);
+}
+
 } // namespace
 } // namespace dragonflymount::hosting
