Pack images in parts, so that a large state costs no lead

While it lasts no heartbeat leaves and no answer is read; the leader then takes its own stall for a silent quorum.

state_image packs the jobs a few at a time, without copying them first; records are not applied meanwhile but wait, as they do while a long log is applied. An image isn't begun while a change of members is newer than the state, because it could not be saved.

Test: replica_host.packs_a_large_image_without_losing_the_lead. The tests' data folders carry the process id: two runs at once removed each other's files.

--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -118,6 +118,8 @@
     const replica_id& self() const { return options_.self; }
     replica_identity identity() const { return identity_; }
     const member_list& members() const { return log_.members(); }
+    /// \returns the index of the newest change of members in the log.
+    log_index members_index() const { return log_.members_index(); }
     std::size_t log_size() const { return log_.size(); }
     bool is_failed() const { return failed_; }
     /// \returns identities under which unadmitted replicas have answered.
--- a/dragonflymount/src/Hosting/AppliedState.hpp
+++ b/dragonflymount/src/Hosting/AppliedState.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <iterator>
+#include <optional>
 
 namespace dragonflymount::hosting {
 
@@ -19,16 +20,40 @@
     { constant.save() } -> std::same_as<bytes>;
 };
 
+/// \brief The image of a state that packs it in one piece.
+template <replicated_state State>
+class whole_image {
+public:
+    explicit whole_image(const State& packed) : packed_(&packed) {}
+    bool advance(std::size_t) { return true; }
+    bytes finish() { return packed_->save(); }
+
+private:
+    const State* packed_;
+};
+
+/// \returns what packs an image of \p packed, part by part where it can.
+template <replicated_state State>
+auto begin_image(const State& packed) {
+    if constexpr (requires { packed.begin_image(); }) {
+        return packed.begin_image();
+    } else {
+        return whole_image<State>(packed);
+    }
+}
+
 /// \brief A state, and the committed records that it doesn't hold yet.
 ///
-/// A restart or a new lead may find thousands of committed records at once.
-/// Applied in one turn of the event loop, they would keep heartbeats and votes
-/// waiting for longer than an election timeout.
+/// A restart or a new lead may find thousands of committed records at once, and
+/// an image may hold thousands of jobs. Dealt with in one turn of the event
+/// loop, they would keep heartbeats and votes waiting for longer than an
+/// election timeout.
 template <replicated_state State>
 class applied_state {
 public:
     /// \brief Begins with the state after \p base.
     void reset(log_index base) {
+        image_.reset();
         state_ = State();
         index_ = base;
         waiting_.clear();
@@ -36,6 +61,7 @@
 
     /// \brief Replaces the state by that of \p image.
     result<done> load(const agreement::snapshot& image) {
+        image_.reset();
         const result<done> status = state_.load(image.state);
         if (status) {
             index_ = image.last_index;
@@ -72,13 +98,37 @@
         return count;
     }
 
+    /// \brief Begins an image; no record is applied until it is packed.
+    void begin_packing() { image_.emplace(begin_image(state_)); }
+    bool is_packing() const { return image_.has_value(); }
+    /// \brief Packs for about \p longest.
+    /// \returns the image once all is packed.
+    std::optional<bytes> pack(duration longest) {
+        const instant end = runtime::system_clock::now() + longest;
+        while (!image_->advance(jobs_at_a_time)) {
+            if (runtime::system_clock::now() >= end) {
+                return std::nullopt;
+            }
+        }
+        bytes packed = image_->finish();
+        image_.reset();
+        return packed;
+    }
+
     bool is_behind() const { return !waiting_.empty(); }
     /// \returns the newest record that the state holds.
     log_index index() const { return index_; }
     const State& state() const { return state_; }
 
 private:
+    using image_type = decltype(begin_image(std::declval<const State&>()));
+
+    // Between two looks at the clock.
+    static constexpr std::size_t jobs_at_a_time = 16;
+
     State state_;
+    // Invariant: while it is there, state_ doesn't change.
+    std::optional<image_type> image_;
     // Invariant: state_ holds the commands up to this record.
     log_index index_;
     // Invariant: the committed records after index_, in order.
--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -105,8 +105,8 @@
         std::unique_ptr<runtime::link> link;
     };
 
-    // A turn spends no longer than this on committed records, far less than a
-    // heartbeat interval.
+    // A turn spends no longer than this on committed records, and no longer on
+    // an image; far less than a heartbeat interval.
     static constexpr duration longest_slice = std::chrono::milliseconds(5);
 
     // A leader may rest on its quorum for this part of an election timeout,
@@ -124,7 +124,8 @@
     void fail_waiting();
     void connect_members();
     void connect(const agreement::member& peer);
-    void save_snapshot();
+    void save_due_snapshot();
+    void save_snapshot(const bytes& image);
     void install(const agreement::snapshot& image);
     void watch_leadership();
 
@@ -365,11 +366,7 @@
     turn_.note_written();
     turn_.note_applied(apply_slice());
     watch_leadership();
-    if (!applied_.is_behind() &&
-        applied_.index().value() - snapshot_.value() >=
-            settings_.snapshot_records) {
-        save_snapshot();
-    }
+    save_due_snapshot();
     turn_.end(applied_.index(), settings_.options.heartbeat_interval);
 }
 
@@ -387,10 +384,27 @@
 }
 
 template <replicated_state State>
-void replica_host<State>::save_snapshot() {
+void replica_host<State>::save_due_snapshot() {
+    const std::uint64_t since = applied_.index().value() - snapshot_.value();
+    // An image can't be saved while a newer change of members is under way.
+    if (!applied_.is_packing() && !applied_.is_behind() &&
+        since >= settings_.snapshot_records &&
+        replica_->members_index() <= applied_.index()) {
+        applied_.begin_packing();
+    }
+    if (!applied_.is_packing()) {
+        return;
+    }
+    if (const auto image = applied_.pack(longest_slice)) {
+        save_snapshot(*image);
+    }
+    schedule_flush();
+}
+
+template <replicated_state State>
+void replica_host<State>::save_snapshot(const bytes& image) {
     const log_index index = applied_.index();
-    const auto status =
-        replica_->save_snapshot(data_.store(), index, agreed().save());
+    const auto status = replica_->save_snapshot(data_.store(), index, image);
     if (status) {
         snapshot_ = index;
         LOG(INFO) << event::snapshot_saved << "index=" << index;
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -61,6 +61,8 @@
     explicit operator bool() const { return task != nullptr; }
 };
 
+class state_image;
+
 class state {
 public:
     /// How long a job that has ended can be asked for.
@@ -70,6 +72,9 @@
     /// nothing.
     wire::ProposeReplyT apply(log_index index, const bytes& command);
     bytes save() const;
+    /// \returns what packs an image part by part; the state mustn't change
+    /// before it is finished.
+    state_image begin_image() const;
     result<done> load(const bytes& image);
 
     /// \returns the catalogue in force; version 0 is the empty one of a site
@@ -115,6 +120,8 @@
     std::uint64_t time_ms() const { return time_ms_; }
 
 private:
+    friend class state_image;
+
     void apply(wire::JobBatchT& batch);
     void submit(wire::JobT job);
     void cancel(const wire::JobCancelT& order);
--- a/dragonflymount/src/Jobs/StateImage.cpp
+++ b/dragonflymount/src/Jobs/StateImage.cpp
@@ -1,7 +1,5 @@
 // Images of the agreed state.
-#include "dragonflymount/src/Jobs/State.hpp"
-
-#include <algorithm>
+#include "dragonflymount/src/Jobs/StateImage.hpp"
 
 namespace dragonflymount::jobs {
 namespace {
@@ -12,28 +10,56 @@
 
 } // namespace
 
-bytes state::save() const {
-    wire::SchedulerImageT image;
-    image.time_ms = time_ms_;
-    image.catalogue = std::make_unique<wire::CatalogueT>(*catalogue_);
-    for (const auto& [id, job] : jobs_) {
-        image.jobs.push_back(std::make_unique<wire::JobT>(*job));
+state_image::state_image(const state& agreed)
+    : agreed_(&agreed), next_(agreed.jobs_.begin()) {
+    jobs_.reserve(agreed.jobs_.size());
+}
+
+bool state_image::advance(std::size_t most) {
+    for (; most > 0 && next_ != agreed_->jobs_.end(); --most, ++next_) {
+        jobs_.push_back(wire::CreateJob(builder_, next_->second.get()));
     }
-    for (const auto& [life, ack] : acks_) {
-        auto record = std::make_unique<wire::EndpointAckT>();
-        record->endpoint = life.endpoint;
-        record->life = life.number;
-        record->number = ack.number;
-        record->touched_ms = ack.touched_ms;
-        image.acks.push_back(std::move(record));
+    return next_ == agreed_->jobs_.end();
+}
+
+std::vector<flatbuffers::Offset<wire::EndpointAck>> state_image::pack_acks() {
+    std::vector<flatbuffers::Offset<wire::EndpointAck>> packed;
+    packed.reserve(agreed_->acks_.size());
+    for (const auto& [life, ack] : agreed_->acks_) {
+        packed.push_back(wire::CreateEndpointAckDirect(builder_,
+            life.endpoint.c_str(), life.number, ack.number, ack.touched_ms));
     }
-    for (const auto& [number, wave] : waves_) {
-        image.waves.push_back(std::make_unique<wire::MaintenanceWaveT>(wave));
+    return packed;
+}
+
+std::vector<flatbuffers::Offset<wire::MaintenanceWave>>
+state_image::pack_waves() {
+    std::vector<flatbuffers::Offset<wire::MaintenanceWave>> packed;
+    for (const auto& [number, wave] : agreed_->waves_) {
+        packed.push_back(wire::CreateMaintenanceWave(builder_, &wave));
     }
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(wire::SchedulerImage::Pack(builder, &image));
-    return {builder.GetBufferPointer(),
-        builder.GetBufferPointer() + builder.GetSize()};
+    return packed;
+}
+
+bytes state_image::finish() {
+    const auto catalogue =
+        wire::CreateCatalogue(builder_, agreed_->catalogue_.get());
+    const auto acks = pack_acks();
+    const auto waves = pack_waves();
+    builder_.Finish(wire::CreateSchedulerImageDirect(
+        builder_, agreed_->time_ms_, catalogue, &jobs_, &acks, &waves));
+    return {builder_.GetBufferPointer(),
+        builder_.GetBufferPointer() + builder_.GetSize()};
+}
+
+state_image state::begin_image() const {
+    return state_image(*this);
+}
+
+bytes state::save() const {
+    state_image image(*this);
+    image.advance(jobs_.size());
+    return image.finish();
 }
 
 result<done> state::load(const bytes& data) {
--- a/tests/hosting/replica_host_test.cpp
+++ b/tests/hosting/replica_host_test.cpp
@@ -2,6 +2,7 @@
 #include "dragonflymount/hosting.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -15,17 +16,15 @@
 
 /// Counts the commands that it was given.
 struct counting_state {
-    // How long every state takes for a command.
-    static inline duration time_of_command{};
+    // How long every state takes to apply a command, and to pack it.
+    static inline duration time_to_apply{};
+    static inline duration time_to_pack{};
 
     std::uint64_t commands = 0;
 
     wire::ProposeReplyT apply(log_index, const bytes&) {
         ++commands;
-        const instant end = runtime::system_clock::now() + time_of_command;
-        while (time_of_command > duration::zero() &&
-            runtime::system_clock::now() < end) {
-        }
+        pass(time_to_apply);
         wire::ProposeReplyT reply;
         reply.result = wire::proposal_result::accepted;
         return reply;
@@ -34,7 +33,32 @@
         commands = image.size();
         return done{};
     }
-    bytes save() const { return bytes(commands, 1); }
+    bytes save() const {
+        pass(time_to_pack * static_cast<std::int64_t>(commands));
+        return bytes(commands, 1);
+    }
+
+    /// An image in many parts, each of which takes as long as a command.
+    class image {
+    public:
+        explicit image(const counting_state& packed) : packed_(&packed) {}
+        bool advance(std::size_t) {
+            pass(time_to_pack);
+            return ++parts_ >= packed_->commands;
+        }
+        bytes finish() { return bytes(packed_->commands, 1); }
+
+    private:
+        const counting_state* packed_;
+        std::uint64_t parts_ = 0;
+    };
+    image begin_image() const { return image(*this); }
+
+    static void pass(duration span) {
+        const instant end = runtime::system_clock::now() + span;
+        while (runtime::system_clock::now() < end) {
+        }
+    }
 };
 
 using host_type = replica_host<counting_state>;
@@ -45,7 +69,7 @@
     node(asio::io_context& context, std::string name, std::string address)
         : name_(std::move(name)), address_(std::move(address)),
           folder_(std::filesystem::path(testing::TempDir()) /
-              ("dfm-host-" + name_)),
+              ("dfm-host-" + std::to_string(::getpid()) + "-" + name_)),
           listener_(context, {}), context_(context) {
         std::filesystem::remove_all(folder_);
         std::filesystem::create_directories(folder_);
@@ -66,7 +90,7 @@
         settings.options.seed = std::hash<std::string>{}(name_);
         settings.members = known;
         settings.data = folder_.string();
-        settings.snapshot_records = 4096;
+        settings.snapshot_records = snapshot_records_;
         settings.new_site = new_site;
         host_ = std::make_unique<host_type>(context_, settings);
         host_->on_leadership(
@@ -94,6 +118,9 @@
         std::filesystem::remove_all(folder_);
         folder_ = copy;
     }
+    void take_images_every(std::uint32_t records) {
+        snapshot_records_ = records;
+    }
     host_type& host() { return *host_; }
     std::size_t leads_lost() const { return leads_lost_; }
 
@@ -104,6 +131,7 @@
     runtime::listener listener_;
     asio::io_context& context_;
     std::unique_ptr<host_type> host_;
+    std::uint32_t snapshot_records_ = 4096;
     std::size_t leads_lost_ = 0;
 };
 
@@ -167,54 +195,111 @@
     }
 }
 
-// All replicas restart with a log that takes several election timeouts to be
-// applied: nobody may take the time that this needs for a silent leader.
-TEST(replica_host, applies_a_long_log_without_losing_the_lead) {
-    constexpr std::size_t command_count = 1500;
-    asio::io_context context;
-    std::array<node, 3> nodes{node(context, "c1", free_address(context)),
-        node(context, "c2", free_address(context)),
-        node(context, "c3", free_address(context))};
-    agreement::member_list members;
-    for (const node& each : nodes) {
-        members.push_back(each.member());
-    }
-    const auto leader = [&]() -> node* {
-        const auto found = std::find_if(nodes.begin(), nodes.end(),
-            [](node& each) { return each.host().is_settled_leader(); });
-        return found == nodes.end() ? nullptr : &*found;
-    };
-    for (node& each : nodes) {
-        each.start(members, true);
+/// Three replicas that lead and follow each other on one thread.
+class node_trio {
+public:
+    node_trio() {
+        for (const node& each : nodes_) {
+            members_.push_back(each.member());
+        }
     }
-    ASSERT_TRUE(run_until(context, [&] { return leader() != nullptr; }));
-    std::size_t committed = 0;
-    for (std::size_t k = 0; k < command_count; ++k) {
-        leader()->host().propose(
-            to_bytes("command"), [&](const auto&) { ++committed; });
+    ~node_trio() {
+        for (node& each : nodes_) {
+            each.stop();
+        }
+        counting_state::time_to_apply = duration::zero();
+        counting_state::time_to_pack = duration::zero();
     }
-    ASSERT_TRUE(run_until(context, [&] { return committed == command_count; }));
-    for (node& each : nodes) {
-        each.stop();
-        each.move_data();
+    node_trio(const node_trio&) = delete;
+    node_trio& operator=(const node_trio&) = delete;
+
+    void start() {
+        for (node& each : nodes_) {
+            each.start(members_, true);
+        }
     }
-    counting_state::time_of_command = std::chrono::microseconds(500);
-    for (node& each : nodes) {
-        each.start(members, true);
+    void restart() {
+        for (node& each : nodes_) {
+            each.stop();
+            each.move_data();
+        }
+        start();
     }
-    EXPECT_TRUE(run_until(context, [&] {
-        return std::all_of(nodes.begin(), nodes.end(), [&](node& each) {
-            return each.host().agreed().commands >= command_count;
+    void take_images_every(std::uint32_t records) {
+        for (node& each : nodes_) {
+            each.take_images_every(records);
+        }
+    }
+    bool has_leader() {
+        return run_until(context_, [&] { return leader() != nullptr; });
+    }
+    /// \returns whether all were committed and applied by each replica.
+    bool commit(std::size_t count) {
+        for (std::size_t k = 0; k < count; ++k) {
+            leader()->host().propose(to_bytes("command"), [](const auto&) {});
+        }
+        return all_hold(count);
+    }
+    bool all_hold(std::size_t count) {
+        return run_until(context_, [&] {
+            return std::all_of(nodes_.begin(), nodes_.end(), [&](node& each) {
+                return each.host().agreed().commands >= count;
+            });
         });
-    }));
-    EXPECT_TRUE(run_until(context, [&] { return leader() != nullptr; }));
-    std::size_t lost = 0;
-    for (node& each : nodes) {
-        lost += each.leads_lost();
-        each.stop();
-    }
-    counting_state::time_of_command = duration::zero();
-    EXPECT_EQ(lost, 0U);
+    }
+    void run(duration span) { context_.run_for(span); }
+    std::size_t leads_lost() const {
+        std::size_t lost = 0;
+        for (const node& each : nodes_) {
+            lost += each.leads_lost();
+        }
+        return lost;
+    }
+
+private:
+    node* leader() {
+        const auto found = std::find_if(nodes_.begin(), nodes_.end(),
+            [](node& each) { return each.host().is_settled_leader(); });
+        return found == nodes_.end() ? nullptr : &*found;
+    }
+
+    asio::io_context context_;
+    std::array<node, 3> nodes_{node(context_, "c1", free_address(context_)),
+        node(context_, "c2", free_address(context_)),
+        node(context_, "c3", free_address(context_))};
+    agreement::member_list members_;
+};
+
+// All replicas restart with a log that takes several election timeouts to be
+// applied: nobody may take the time that this needs for a silent leader.
+TEST(replica_host, applies_a_long_log_without_losing_the_lead) {
+    constexpr std::size_t command_count = 1500;
+    node_trio trio;
+    trio.start();
+    ASSERT_TRUE(trio.has_leader());
+    ASSERT_TRUE(trio.commit(command_count));
+    counting_state::time_to_apply = std::chrono::microseconds(500);
+    trio.restart();
+    EXPECT_TRUE(trio.all_hold(command_count));
+    EXPECT_TRUE(trio.has_leader());
+    EXPECT_EQ(trio.leads_lost(), 0U);
+}
+
+// All replicas take an image at the same record; packing it takes several
+// election timeouts.
+TEST(replica_host, packs_a_large_image_without_losing_the_lead) {
+    constexpr std::size_t command_count = 1500;
+    node_trio trio;
+    trio.take_images_every(command_count);
+    trio.start();
+    ASSERT_TRUE(trio.has_leader());
+    counting_state::time_to_pack = std::chrono::microseconds(500);
+    ASSERT_TRUE(trio.commit(command_count));
+    trio.run(seconds(3));
+    EXPECT_TRUE(trio.has_leader());
+    EXPECT_EQ(trio.leads_lost(), 0U);
+    // What was agreed while images were packed is applied after all.
+    EXPECT_TRUE(trio.commit(command_count + 10));
 }
 
 } // namespace
