Answer proposals to a leader that lost its lead before it had caught up

What callers saw: a proposal or a change of members that reached a leader while it still applied what was agreed before its term got no answer if that lead ended: the caller waited for its own timeout.

Cause: waiting replies were failed only when a lead ended that had been announced. Since records are applied in slices, the announcement waits for the state, and the time between the first committed record of a term and the announcement is as long as the log. dfm-control takes proposals in that time; the scheduler proposes only after the announcement and wasn't affected.

Whenever the replica doesn't lead, replies that still wait are failed.

Test: replica_host.answers_a_proposal_to_a_leader_that_never_caught_up.

--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -446,6 +446,9 @@
 template <replicated_state State>
 void replica_host<State>::watch_leadership() {
     const bool leads = is_settled_leader();
+    if (!replica_->is_leader()) {
+        fail_waiting();
+    }
     if (leads == was_leader_) {
         return;
     }
--- a/tests/hosting/replica_host_test.cpp
+++ b/tests/hosting/replica_host_test.cpp
@@ -109,6 +109,8 @@
         listener_.stop();
         host_.reset();
     }
+    /// Ends its connections; the replica itself stays.
+    void deafen() { listener_.stop(); }
     /// The lock on a folder lasts as long as the process, so the next start
     /// gets a copy.
     void move_data() {
@@ -302,5 +304,63 @@
     EXPECT_TRUE(trio.commit(command_count + 10));
 }
 
+// A leader that still applies what was agreed before may lose its quorum; who
+// has proposed something to it meanwhile must be told.
+TEST(replica_host, answers_a_proposal_to_a_leader_that_never_caught_up) {
+    constexpr std::size_t command_count = 2000;
+    asio::io_context context;
+    std::array<node, 3> nodes{node(context, "c1", free_address(context)),
+        node(context, "c2", free_address(context)),
+        node(context, "c3", free_address(context))};
+    agreement::member_list members;
+    for (const node& each : nodes) {
+        members.push_back(each.member());
+    }
+    const auto leader = [&]() -> node* {
+        const auto found = std::find_if(nodes.begin(), nodes.end(),
+            [](node& each) { return each.host().replica().is_settled(); });
+        return found == nodes.end() ? nullptr : &*found;
+    };
+    for (node& each : nodes) {
+        each.start(members, true);
+    }
+    ASSERT_TRUE(run_until(context, [&] { return leader() != nullptr; }));
+    std::size_t committed = 0;
+    for (std::size_t k = 0; k < command_count; ++k) {
+        leader()->host().propose(
+            to_bytes("command"), [&](const auto&) { ++committed; });
+    }
+    ASSERT_TRUE(run_until(context, [&] { return committed == command_count; }));
+    for (node& each : nodes) {
+        each.stop();
+        each.move_data();
+    }
+    context.poll();
+    context.restart();
+    counting_state::time_of_command = milliseconds(1);
+    for (node& each : nodes) {
+        each.start(members, true);
+    }
+    ASSERT_TRUE(run_until(context, [&] { return leader() != nullptr; }));
+    node* behind = leader();
+    ASSERT_FALSE(behind->host().is_settled_leader());
+    for (node& each : nodes) {
+        if (&each != behind) {
+            each.host().stop();
+            each.deafen();
+        }
+    }
+    bool answered = false;
+    behind->host().propose(
+        to_bytes("late"), [&](const auto&) { answered = true; });
+    EXPECT_TRUE(run_until(
+        context, [&] { return !behind->host().replica().is_leader(); }));
+    EXPECT_TRUE(run_until(context, [&] { return answered; }));
+    counting_state::time_of_command = duration::zero();
+    for (node& each : nodes) {
+        each.stop();
+    }
+}
+
 } // namespace
 } // namespace dragonflymount::hosting
