Look at all jobs and runs a bounded number of times between two ticks

Cause: a new leader hears every endpoint for the first time. Each first report asked for a placement round and, as an ended life, for a check of all runs. While all room is taken and jobs wait, no round starts anything, so no batch under way holds the next one back.

Reports may now ask for two futile looks between two ticks or agreed batches; the tick, each 40 ms, looks anyway. A report of an endpoint that can't take tasks asks for none.

Test: job_engine.hears_all_endpoints_again_without_a_round_for_each, 200 endpoints: 200 rounds and 200 checks before, at most 2 and 3 after.

--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -49,6 +49,7 @@
     term_ = term;
     endpoints_.reset(now);
     placement_due_ = true;
+    allow_looks();
 }
 
 void engine::resign() {
@@ -269,7 +270,9 @@
     // new one.
     if (!batch.catalogue && placement_due_) {
         placement_due_ = false;
+        ++placement_rounds_;
         collect_starts(batch, now);
+        futile_rounds_ += batch.started.empty() ? 1 : 0;
     }
     const bool empty = !batch.catalogue && batch.submitted.empty() &&
         batch.cancelled.empty() && batch.ended.empty() && batch.due.empty() &&
@@ -314,7 +317,10 @@
                 wire::run_end::lost);
         }
     }
-    if (now >= next_lapse_check_ || ended_lives_ != endpoints_.ended_lives()) {
+    const bool early = ended_lives_ != endpoints_.ended_lives() &&
+        early_lapse_checks_ < options_.most_futile_looks;
+    if (now >= next_lapse_check_ || early) {
+        early_lapse_checks_ += early ? 1 : 0;
         next_lapse_check_ = now + options_.lapse_check_interval;
         ended_lives_ = endpoints_.ended_lives();
         collect_lapsed(batch, now);
@@ -322,6 +328,7 @@
 }
 
 void engine::collect_lapsed(wire::JobBatchT& batch, instant now) {
+    ++lapse_checks_;
     for (const auto& [life, load] : agreed_.loads()) {
         if (!endpoints_.is_over(life, now)) {
             continue;
@@ -376,6 +383,7 @@
     }
     batch_in_flight_ = false;
     placement_due_ = true;
+    allow_looks();
     ++agreed_batches_;
     for (const pending_end& pending : ends_in_flight_) {
         const run_ref& run = pending.end.run;
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -62,6 +62,9 @@
     std::int64_t creep_factor = 3;
     /// How often leases that have ended are looked for.
     duration lapse_check_interval = std::chrono::milliseconds(100);
+    /// Looks at all jobs or all runs that reports may ask for between two
+    /// ticks without anything coming of them.
+    std::uint32_t most_futile_looks = 2;
     /// Starts in one batch.
     std::size_t most_starts = 256;
 };
@@ -112,6 +115,10 @@
     bool is_stop_requested(const run_ref& run) const {
         return stop_requests_.contains(run);
     }
+    /// \returns how often it was looked for what can be started.
+    std::uint64_t placement_rounds() const { return placement_rounds_; }
+    /// \returns how often all runs were looked at for leases that ended.
+    std::uint64_t lapse_checks() const { return lapse_checks_; }
 
 private:
     struct held_report {
@@ -155,6 +162,10 @@
     void find_troubled(const endpoint_view& view, instant now);
     void forget_settled(instant now);
 
+    bool may_look_again() const {
+        return futile_rounds_ < options_.most_futile_looks;
+    }
+    void allow_looks();
     bool has_ending_tasks(const endpoint_view& view) const;
     duration busy_retry() const;
     endpoint_orders orders_for(const endpoint_view& view) const;
@@ -182,6 +193,12 @@
     std::set<run_ref> vanished_;
     // Set when something changed that a placement round may use.
     bool placement_due_ = false;
+    // Placement rounds that found nothing to start, and checks for lapsed runs
+    // that ended lives asked for, since the last tick or agreed batch: after a
+    // few, single reports don't ask for more.
+    std::uint32_t futile_rounds_ = 0;
+    std::uint32_t early_lapse_checks_ = 0;
+    std::uint64_t placement_rounds_ = 0;
 
     // Under way.
     bool batch_in_flight_ = false;
@@ -211,6 +228,7 @@
     // Smoothed.
     duration lag_{};
     instant next_lapse_check_{};
+    std::uint64_t lapse_checks_ = 0;
     // How many lives had ended when lapsed runs were last looked for.
     std::uint64_t ended_lives_ = 0;
     instant next_forgetting_{};
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -36,7 +36,8 @@
         on_orders(outdated);
         return;
     }
-    placement_due_ = placement_due_ || !had_room;
+    const bool gains_room = !had_room && endpoints_.can_take_tasks(*view, now);
+    placement_due_ = placement_due_ || (gains_room && may_look_again());
     collect_ends(report);
     for (const run_ref& run : ran_before) {
         if (!view->running.contains(run) && !view->ended.contains(run)) {
@@ -104,7 +105,7 @@
         with_ends_.erase(endpoint);
     }
     endpoints_.remove(endpoint);
-    placement_due_ = true;
+    placement_due_ = placement_due_ || may_look_again();
 }
 
 // Load pattern: many endpoints are busy at once. Reports that come faster than
@@ -113,6 +114,14 @@
     lag_ = (lag_ * (lag_smoothing - 1) + lag) / lag_smoothing;
 }
 
+// Load pattern: a new leader hears every endpoint for the first time while all
+// room is taken and jobs wait. A look at all jobs for each of those reports
+// would keep the leader from its heartbeats.
+void engine::allow_looks() {
+    futile_rounds_ = 0;
+    early_lapse_checks_ = 0;
+}
+
 duration engine::busy_retry() const {
     return std::min(options_.busy_retry + lag_ * retry_per_lag,
         options_.longest_busy_retry);
@@ -230,6 +239,7 @@
         return;
     }
     placement_due_ = true;
+    allow_looks();
     forget_settled(now);
     reply_touched();
     reply_overdue(now);
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -140,8 +140,7 @@
 void scheduler::tick() {
     const instant now = runtime::system_clock::now();
     if (last_tick_ != instant{}) {
-        engine_.note_lag(
-            std::max(duration::zero(), now - last_tick_ - tick_interval));
+        note_lag(std::max(duration::zero(), now - last_tick_ - tick_interval));
     }
     last_tick_ = now;
     members_.tick(now);
@@ -151,6 +150,19 @@
     }
 }
 
+// A lag without a slow turn of the replica comes from reports, calls or
+// placement, or the whole process stood still.
+void scheduler::note_lag(duration lag) {
+    engine_.note_lag(lag);
+    if (lag >= settings_.replica.options.heartbeat_interval) {
+        LOG(WARNING) << event::timers_late << "late_us=" << lag.count()
+                     << " leads=" << engine_.leads()
+                     << " endpoints=" << engine_.endpoints().views().size()
+                     << " placement_rounds=" << engine_.placement_rounds()
+                     << " lapse_checks=" << engine_.lapse_checks();
+    }
+}
+
 void scheduler::receive(
     const runtime::connection::pointer& from, wire::message&& content) {
     switch (content.body.type) {
--- a/programs/scheduler/scheduler.hpp
+++ b/programs/scheduler/scheduler.hpp
@@ -59,6 +59,7 @@
     void finish(const wire::JobBatchT& batch, log_term term, instant proposed,
         bool agreed);
     void tick();
+    void note_lag(duration lag);
 
     asio::io_context& context_;
     scheduler_settings settings_;
--- a/tests/jobs/engine_test.cpp
+++ b/tests/jobs/engine_test.cpp
@@ -423,5 +423,38 @@
     EXPECT_FALSE(jobs_.agreed.find_task(task(7, 0, 0, 1)));
 }
 
+// Load: a new leader while all room is taken and jobs wait. Each endpoint's
+// first report must not cost a look at all jobs and all runs.
+TEST_F(job_engine, hears_all_endpoints_again_without_a_round_for_each) {
+    constexpr std::size_t endpoint_count = 200;
+    for (std::uint64_t id = 1; id <= endpoint_count; ++id) {
+        const endpoint_life life{"e" + std::to_string(id), 1};
+        jobs_.submit(job_builder(id).step(1, 4000).build());
+        jobs_.start(task(id), 1, life);
+    }
+    jobs_.submit(job_builder(endpoint_count + 1).step(1, 4000).build());
+    settle();
+    const std::uint64_t rounds = engine_.placement_rounds();
+    const std::uint64_t checks = engine_.lapse_checks();
+    for (std::uint64_t id = 1; id <= endpoint_count; ++id) {
+        endpoint_report report = make_report("e" + std::to_string(id), 1);
+        running_task listed;
+        listed.run = {task(id), 1};
+        listed.percent = 10;
+        report.running.push_back(listed);
+        engine_.report(
+            report, [](const auto&) {}, now_);
+        settle();
+    }
+    EXPECT_LE(engine_.placement_rounds() - rounds, 2U);
+    EXPECT_LE(engine_.lapse_checks() - checks, 3U);
+    // Room that becomes free is seen with the next tick all the same.
+    endpoint_report free = make_report("new", 1);
+    engine_.report(
+        free, [](const auto&) {}, now_);
+    pass(40);
+    EXPECT_NE(jobs_.agreed.find_run({task(endpoint_count + 1), 1}), nullptr);
+}
+
 } // namespace
 } // namespace dragonflymount::jobs::test
