Give the number of a removed segment to the next one

What callers would see: a replica that stays silent for good after its second restart, so a quorum with one voter fewer than the site counts on.

Cause: a crash or a full disk between a segment's making and its first sync leaves the newest segment empty. file_store::open removed it but had counted its number already; the next segment left a gap, and the open after that reported log_damaged "segment is missing" for a folder that lacks nothing.

Evidence: file_store.opens_after_a_crash_before_a_segments_first_sync. Before: "read log (log-2): log is damaged: segment is missing"; after: passes. The crashes at every call of the tests until now end with one reopening, so none wrote after it. Class of fault: a recovery that the next recovery refuses.

--- a/dragonflymount/src/Agreement/FileStore.hpp
+++ b/dragonflymount/src/Agreement/FileStore.hpp
@@ -70,7 +70,7 @@
     result<done> read_segments(
         const std::vector<std::string>& names, opened_log& opened);
     result<done> read_segment(
-        const std::string& name, bool newest, opened_log& opened);
+        std::uint64_t sequence, bool newest, opened_log& opened);
     result<done> read_snapshot(
         const std::vector<std::string>& names, opened_log& opened);
     result<done> sync_found();
@@ -85,6 +85,7 @@
     std::vector<segment> segments_;
     // Invariant: the newest segment takes records only while this holds.
     bool is_open_ = false;
+    // Invariant: follows the newest segment's number without a gap.
     std::uint64_t next_sequence_ = 1;
     // Frames that the newest segment lacks.
     bytes unwritten_;
@@ -227,19 +228,23 @@
         if (sequence != sequences.front() && sequence != next_sequence_) {
             return damage(segment_name(next_sequence_), "segment is missing");
         }
-        next_sequence_ = sequence + 1;
-        result<done> status = read_segment(
-            segment_name(sequence), sequence == sequences.back(), opened);
+        result<done> status =
+            read_segment(sequence, sequence == sequences.back(), opened);
         if (!status) {
             return status;
         }
+        // A segment that was removed gives its number to the next one.
+        const bool kept =
+            !segments_.empty() && segments_.back().sequence == sequence;
+        next_sequence_ = kept ? sequence + 1 : sequence;
     }
     return done{};
 }
 
 template <disk Disk>
 result<done> file_store<Disk>::read_segment(
-    const std::string& name, bool newest, opened_log& opened) {
+    std::uint64_t sequence, bool newest, opened_log& opened) {
+    const std::string name = segment_name(sequence);
     auto content = folder_->read(name);
     if (!content) {
         return content.error();
@@ -268,7 +273,7 @@
             return status;
         }
     }
-    segment read{next_sequence_ - 1, log_index(0), scan.valid_bytes};
+    segment read{sequence, log_index(0), scan.valid_bytes};
     std::vector<log_record>& records = opened.state.records;
     for (const auto payload : scan.payloads) {
         auto record = decode_record(payload);
--- a/tests/agreement/file_store_test.cpp
+++ b/tests/agreement/file_store_test.cpp
@@ -112,6 +112,31 @@
     EXPECT_EQ(again->tail_bytes_cut, 0U);
 }
 
+// The segment that a crash left empty is removed; its number must be given
+// again, or the next start misses it.
+TEST(file_store, opens_after_a_crash_before_a_segments_first_sync) {
+    memory_disk disk = initialized_disk();
+    {
+        store_type store(disk);
+        ASSERT_TRUE(store.open());
+        write_records(store, 1, 3);
+    }
+    {
+        store_type store(disk);
+        ASSERT_TRUE(store.open());
+        ASSERT_TRUE(store.append(records_from(4, 6)));
+        disk.crash();
+    }
+    {
+        store_type store(disk);
+        ASSERT_TRUE(store.open());
+        write_records(store, 4, 6);
+    }
+    const auto opened = store_type(disk).open();
+    ASSERT_TRUE(opened) << opened.error().message();
+    EXPECT_EQ(opened->state.records, records_from(1, 6));
+}
+
 TEST(file_store, refuses_a_folder_that_holds_files) {
     memory_disk disk = initialized_disk();
     EXPECT_FALSE(store_type(disk).initialize(initial_identity, {}));
