Discard records of an earlier segment in a segment of their own

When a new leader then replaced records from before the segment's first one, they were written into that same segment, which holds them only together with the segments before it. Its first frame names the record before, as for any other, so that the format stays.

Evidence: file_store.opens_after_discarding_records_of_a_removed_segment. Before: "read log (log-2): log is damaged: a record is missing"; after: passes.

--- a/dragonflymount/src/Agreement/FileStore.hpp
+++ b/dragonflymount/src/Agreement/FileStore.hpp
@@ -74,6 +74,7 @@
     result<done> read_snapshot(
         const std::vector<std::string>& names, opened_log& opened);
     result<done> sync_found();
+    bool fits_newest_segment(log_index index) const;
     result<done> begin_segment();
     result<done> remove_segments(bool all);
     result<done> remove_synced(const std::string& name);
@@ -273,7 +274,7 @@
             return status;
         }
     }
-    segment read{sequence, log_index(0), scan.valid_bytes};
+    segment read{sequence, log_index(0), log_index(0), scan.valid_bytes};
     std::vector<log_record>& records = opened.state.records;
     for (const auto payload : scan.payloads) {
         auto record = decode_record(payload);
@@ -281,6 +282,7 @@
             return damage(name, record.error().detail);
         }
         if (payload.data() == scan.payloads.front().data()) {
+            read.base = record->index;
             if (!chain_.holds(record->index, record->term)) {
                 chain_ = log_chain(record->index, record->term);
                 records.clear();
@@ -345,7 +347,7 @@
         if (failed_) {
             return *failed_;
         }
-        if (!is_open_ || segments_.back().size > segment_bytes) {
+        if (!fits_newest_segment(record.index)) {
             // The first frame of a segment names the record before it.
             chain_.truncate(record.index);
             result<done> status = note(begin_segment());
@@ -366,13 +368,21 @@
     return done{};
 }
 
+// A segment that begins beyond a record can't discard it by itself: those
+// before it may be removed.
+template <disk Disk>
+bool file_store<Disk>::fits_newest_segment(log_index index) const {
+    return is_open_ && segments_.back().size <= segment_bytes &&
+        segments_.back().base < index;
+}
+
 template <disk Disk>
 result<done> file_store<Disk>::begin_segment() {
     result<done> status = sync();
     if (!status) {
         return status;
     }
-    segments_.push_back({next_sequence_, log_index(0), 0});
+    segments_.push_back({next_sequence_, chain_.last(), log_index(0), 0});
     ++next_sequence_;
     is_open_ = true;
     bytes first;
--- a/dragonflymount/src/Agreement/Segments.hpp
+++ b/dragonflymount/src/Agreement/Segments.hpp
@@ -9,6 +9,8 @@
 /// \brief One file of the log.
 struct segment {
     std::uint64_t sequence = 0;
+    /// The record before its first one; all in it have a higher index.
+    log_index base;
     /// The highest index in it, discarded records included.
     log_index highest;
     std::size_t size = 0;
--- a/tests/agreement/file_store_test.cpp
+++ b/tests/agreement/file_store_test.cpp
@@ -137,6 +137,29 @@
     EXPECT_EQ(opened->state.records, records_from(1, 6));
 }
 
+// A new leader may discard records that an earlier segment holds. Once a
+// snapshot has removed that segment, the newest one must stand on its own.
+TEST(file_store, opens_after_discarding_records_of_a_removed_segment) {
+    memory_disk disk = initialized_disk();
+    {
+        store_type store(disk);
+        ASSERT_TRUE(store.open());
+        write_records(store, 1, 5);
+    }
+    store_type store(disk);
+    ASSERT_TRUE(store.open());
+    write_records(store, 6, 8);
+    const std::vector<log_record> other{
+        record_at(4, 2), record_at(5, 2), record_at(6, 2)};
+    ASSERT_TRUE(store.append(other));
+    ASSERT_TRUE(store.sync());
+    ASSERT_TRUE(store.save(image_at(5, 2)));
+    const auto opened = store_type(disk).open();
+    ASSERT_TRUE(opened) << opened.error().message();
+    ASSERT_EQ(opened->state.records.size(), 1U);
+    EXPECT_EQ(opened->state.records.back(), record_at(6, 2));
+}
+
 TEST(file_store, refuses_a_folder_that_holds_files) {
     memory_disk disk = initialized_disk();
     EXPECT_FALSE(store_type(disk).initialize(initial_identity, {}));
