Clear a data folder whose identity was not finished

What callers would see: a scheduler that stays silent for good because its first start was interrupted.

Cause: the identity is the last file of a new folder; without it nothing was promised and the folder is made anew. data_folder looked for it by prefix, so that identity.new, which a crash or a power loss before the rename became durable leaves, counted as the identity. The folder was then opened, the identity was missing, and the replica took this for a damaged log.

Evidence: folder_without_identity.is_cleared_of_an_unfinished_identity. Before: opened->damaged is true; after: passes.

--- a/dragonflymount/src/Hosting/DataFolder.cpp
+++ b/dragonflymount/src/Hosting/DataFolder.cpp
@@ -70,12 +70,13 @@
     if (!names) {
         return names.error();
     }
-    const auto holds = [&](std::string_view prefix) {
-        return std::any_of(names->begin(), names->end(),
-            [&](const std::string& name) { return name.starts_with(prefix); });
-    };
-    if (holds(agreement::identity_file) || holds(agreement::segment_prefix)) {
-        return names->empty();
+    const bool has_identity =
+        std::any_of(names->begin(), names->end(), [](const std::string& name) {
+            return name == agreement::identity_file ||
+                name.starts_with(agreement::segment_prefix);
+        });
+    if (has_identity) {
+        return false;
     }
     // A folder that holds anything else was named by mistake.
     const auto foreign =
--- a/tests/hosting/data_folder_test.cpp
+++ b/tests/hosting/data_folder_test.cpp
@@ -35,6 +35,18 @@
     EXPECT_FALSE(std::filesystem::exists(path_ / "hard.new"));
 }
 
+// The identity is written last, so the crash came before any promise.
+TEST_F(folder_without_identity, is_cleared_of_an_unfinished_identity) {
+    add("hard");
+    add("identity.new");
+    add("snapshot-0");
+    data_folder folder(path_.string());
+    const auto opened = folder.open();
+    ASSERT_TRUE(opened);
+    EXPECT_FALSE(opened->damaged) << folder.error();
+    EXPECT_FALSE(std::filesystem::exists(path_ / "identity.new"));
+}
+
 TEST_F(folder_without_identity, is_refused_if_it_holds_foreign_files) {
     add("snapshot-0");
     add("letter.txt");
