Reopen a data folder for as long as its disk fails

What callers would see: a scheduler that stays silent for good although its disk refused writes for some seconds only; a quorum with one voter fewer.

Opening cuts a torn tail, removes unfinished files and syncs what it found; if the disk still refused that, data_folder took the failure for a damaged log, and a damaged log is never opened again. The same held for a process that started while its disk failed. Now only errc::damaged_log counts as damage; any other failure leaves the disk failed, to be opened again. An identity or hard file that isn't there is damage, as before, and file_store now says so itself.

Evidence: folder_that_refuses_writes.is_reopened_after_a_failed_reopening and .is_reopened_after_a_failed_start. Before: state() is damaged after the first failed reopening; after: both pass.

--- a/dragonflymount/src/Agreement/FileStore.hpp
+++ b/dragonflymount/src/Agreement/FileStore.hpp
@@ -15,6 +15,8 @@
 #include "dragonflymount/src/Agreement/Disk.hpp"
 #include "dragonflymount/src/Agreement/Segments.hpp"
 
+#include <algorithm>
+
 namespace dragonflymount::agreement {
 
 /// \brief What \c file_store::open found.
@@ -174,6 +176,11 @@
     if (!names) {
         return names.error();
     }
+    for (const char* needed : {identity_file, hard_file}) {
+        if (std::find(names->begin(), names->end(), needed) == names->end()) {
+            return damage(needed, "the file is missing");
+        }
+    }
     opened_log opened;
     const auto identity_bytes = get_file(identity_file);
     if (!identity_bytes) {
--- a/dragonflymount/src/Hosting/DataFolder.cpp
+++ b/dragonflymount/src/Hosting/DataFolder.cpp
@@ -113,9 +113,7 @@
     }
     auto opened = store_.open();
     if (!opened) {
-        state_ = disk_state::damaged;
-        error_ = opened.error().message();
-        LOG(ERROR) << event::log_damaged << error_;
+        note_unreadable(opened.error());
         agreement::recovered_state silent;
         silent.damaged = true;
         return silent;
@@ -131,6 +129,18 @@
     return std::move(opened->state);
 }
 
+// A disk that fails for a while may hold all that was synced; a damaged log
+// never gets whole again.
+void data_folder::note_unreadable(const failure& error) {
+    if (error.code != make_error_code(errc::damaged_log)) {
+        note(error);
+        return;
+    }
+    state_ = disk_state::damaged;
+    error_ = error.message();
+    LOG(ERROR) << event::log_damaged << error_;
+}
+
 void data_folder::note(const failure& error) {
     if (state_ != disk_state::sound) {
         return;
--- a/dragonflymount/src/Hosting/DataFolder.hpp
+++ b/dragonflymount/src/Hosting/DataFolder.hpp
@@ -27,7 +27,8 @@
     ///
     /// An empty folder gets a new identity: the replica may have lost its
     /// disk, so it must not vote under any identity that it had before.
-    /// A damaged one gives a state that keeps the replica silent.
+    /// A damaged one, or one on a disk that fails, gives a state that keeps
+    /// the replica silent.
     /// \param first the members that a new site begins with, this replica
     /// among them; an empty folder is then made theirs. Empty if the site
     /// isn't new.
@@ -36,12 +37,13 @@
     result<agreement::recovered_state> open(
         const agreement::member_list& first = {});
     /// \brief Opens the folder again in the same process after a failed
-    /// write; what counts is what the files hold.
+    /// call; what counts is what the files hold. May be tried again for as
+    /// long as \c state is \c disk_state::failed.
     result<agreement::recovered_state> reopen();
 
     agreement::file_store<runtime::folder>& store() { return store_; }
     disk_state state() const { return state_; }
-    /// \brief Notes a failed write.
+    /// \brief Notes a failed call.
     void note(const failure& error);
     /// \returns the first failure, empty if there was none.
     const std::string& error() const { return error_; }
@@ -49,6 +51,7 @@
 private:
     result<done> make_identity();
     result<bool> clear_unfinished();
+    void note_unreadable(const failure& error);
     result<agreement::recovered_state> read(
         const agreement::member_list& first);
 
--- a/tests/hosting/data_folder_test.cpp
+++ b/tests/hosting/data_folder_test.cpp
@@ -1,5 +1,5 @@
 // Data folders without an identity: leftovers of an unfinished start, and
-// folders that were named by mistake.
+// folders that were named by mistake. Data folders that can't be opened.
 #include "dragonflymount/hosting.hpp"
 
 #include <gtest/gtest.h>
@@ -59,5 +59,56 @@
     EXPECT_TRUE(std::filesystem::exists(path_ / "snapshot-0"));
 }
 
+// A folder in the place of an unfinished file refuses its removal, as a disk
+// that refuses writes does.
+class folder_that_refuses_writes : public folder_without_identity {
+protected:
+    folder_that_refuses_writes() {
+        EXPECT_TRUE(folder_.initialize({}));
+        std::filesystem::create_directories(path_ / "hard.new");
+    }
+    void expect_silent() {
+        EXPECT_EQ(folder_.state(), disk_state::failed);
+        EXPECT_FALSE(folder_.error().empty());
+    }
+    void expect_regained() {
+        std::filesystem::remove(path_ / "hard.new");
+        const auto reopened = folder_.reopen();
+        ASSERT_TRUE(reopened);
+        EXPECT_FALSE(reopened->damaged);
+        EXPECT_EQ(reopened->identity, agreement::initial_identity);
+        EXPECT_EQ(folder_.state(), disk_state::sound);
+        EXPECT_TRUE(folder_.error().empty());
+    }
+
+    data_folder folder_{path_.string()};
+};
+
+TEST_F(folder_that_refuses_writes, is_reopened_after_a_failed_reopening) {
+    folder_.note({make_error_code(errc::disk_failed), "sync", {}, {}});
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const auto reopened = folder_.reopen();
+        EXPECT_TRUE(!reopened || reopened->damaged);
+        expect_silent();
+    }
+    expect_regained();
+}
+
+TEST_F(folder_that_refuses_writes, is_reopened_after_a_failed_start) {
+    const auto opened = folder_.reopen();
+    EXPECT_TRUE(!opened || opened->damaged);
+    expect_silent();
+    expect_regained();
+}
+
+TEST_F(folder_that_refuses_writes, stays_damaged_if_a_file_is_missing) {
+    std::filesystem::remove(path_ / "hard.new");
+    std::filesystem::remove(path_ / "hard");
+    const auto reopened = folder_.reopen();
+    ASSERT_TRUE(reopened);
+    EXPECT_TRUE(reopened->damaged);
+    EXPECT_EQ(folder_.state(), disk_state::damaged);
+}
+
 } // namespace
 } // namespace dragonflymount::hosting
