Keep synced records that an unfinished segment was to replace

Cause: the first frame of a segment names the record after which it begins. If a process ended, or its disk refused writes, after that frame and before the first record, the records that were to be replaced still stood: they were read back, synced anew, counted in answers to the leader and could become committed. A newest segment without a record is now removed at open, as one without a valid frame is, and one that an earlier version has left replaces nothing.

Evidence: file_store.keeps_synced_records_that_a_crash_left_unreplaced.

--- a/dragonflymount/src/Agreement/FileStore.hpp
+++ b/dragonflymount/src/Agreement/FileStore.hpp
@@ -266,10 +266,15 @@
         return damage(
             name, "no valid frame at byte " + std::to_string(scan.valid_bytes));
     }
-    if (scan.payloads.empty()) {
-        // The crash came before the segment's first sync.
+    // Without a record it replaces nothing; the crash came before its first
+    // sync.
+    const bool has_records = scan.payloads.size() > 1;
+    if (newest && !has_records) {
         opened.tail_bytes_cut = content->size();
-        return newest ? remove_synced(name) : damage(name, "segment is empty");
+        return remove_synced(name);
+    }
+    if (scan.payloads.empty()) {
+        return damage(name, "segment is empty");
     }
     if (torn) {
         opened.tail_bytes_cut = content->size() - scan.valid_bytes;
@@ -290,7 +295,7 @@
         }
         if (payload.data() == scan.payloads.front().data()) {
             read.base = record->index;
-            if (!chain_.holds(record->index, record->term)) {
+            if (has_records && !chain_.holds(record->index, record->term)) {
                 chain_ = log_chain(record->index, record->term);
                 records.clear();
             }
--- a/tests/agreement/file_store_test.cpp
+++ b/tests/agreement/file_store_test.cpp
@@ -160,6 +160,35 @@
     EXPECT_EQ(opened->state.records.back(), record_at(6, 2));
 }
 
+// The disk takes the beginning of a segment that was to replace records, and
+// none of the new ones: the older records stand, whatever a snapshot removes.
+TEST(file_store, keeps_synced_records_that_a_crash_left_unreplaced) {
+    memory_disk disk = initialized_disk();
+    for (const std::uint64_t first : {1, 4}) {
+        store_type store(disk);
+        ASSERT_TRUE(store.open());
+        write_records(store, first, first + 2);
+    }
+    {
+        constexpr std::size_t calls_to_begin_a_segment = 2;
+        store_type store(disk);
+        ASSERT_TRUE(store.open());
+        disk.fail_after(calls_to_begin_a_segment);
+        const std::vector<log_record> other{record_at(2, 2)};
+        ASSERT_TRUE(store.append(other));
+        ASSERT_FALSE(store.sync());
+    }
+    disk.repair();
+    {
+        store_type store(disk);
+        ASSERT_TRUE(store.open());
+        ASSERT_TRUE(store.save(image_at(4)));
+    }
+    const auto opened = store_type(disk).open();
+    ASSERT_TRUE(opened) << opened.error().message();
+    EXPECT_EQ(opened->state.records, records_from(5, 6));
+}
+
 TEST(file_store, refuses_a_folder_that_holds_files) {
     memory_disk disk = initialized_disk();
     EXPECT_FALSE(store_type(disk).initialize(initial_identity, {}));
--- a/tests/agreement/memory_disk.hpp
+++ b/tests/agreement/memory_disk.hpp
@@ -4,8 +4,10 @@
 
 #include "dragonflymount/src/Agreement/Disk.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <map>
+#include <optional>
 
 namespace dragonflymount::agreement {
 
@@ -34,10 +36,12 @@
         if (names_.try_emplace(name, next_number_).second) {
             ++next_number_;
         }
-        bytes& content = files_[names_[name]].written;
+        file& grown = files_[names_[name]];
+        bytes& content = grown.written;
         const std::size_t fits = std::min(data.size(), free_bytes_);
-        content.insert(content.end(), data.begin(),
-            data.begin() + static_cast<std::ptrdiff_t>(fits));
+        const auto end = data.begin() + static_cast<std::ptrdiff_t>(fits);
+        grown.unsynced.push_back({content.size(), bytes(data.begin(), end)});
+        content.insert(content.end(), data.begin(), end);
         free_bytes_ -= fits;
         if (fits < data.size()) {
             return broken("write", name);
@@ -49,7 +53,9 @@
         if (!spend_call()) {
             return broken("truncate", name);
         }
-        files_[names_[name]].written.resize(size);
+        file& cut = files_[names_[name]];
+        cut.written.resize(size);
+        cut.unsynced.push_back({size, std::nullopt});
         return done{};
     }
 
@@ -76,6 +82,7 @@
         }
         file& synced = files_[names_[name]];
         synced.synced = synced.written;
+        synced.unsynced.clear();
         return done{};
     }
 
@@ -99,7 +106,32 @@
                 content.synced = content.written;
             }
             content.written = content.synced;
+            content.unsynced.clear();
         }
+        repair();
+    }
+
+    /// Loses power: each write since the last sync of its file is there,
+    /// missing or torn, and the names are those of the folder's last sync or
+    /// the newest ones. \p draw gives a number below its argument.
+    template <class Draw>
+    void lose_power(Draw draw) {
+        if (draw(2) == 0) {
+            names_ = durable_names_;
+        }
+        durable_names_ = names_;
+        for (auto& [number, content] : files_) {
+            for (const change& lost : content.unsynced) {
+                apply_some(content.synced, lost, draw);
+            }
+            content.written = content.synced;
+            content.unsynced.clear();
+        }
+        repair();
+    }
+
+    /// Ends full disks and failures.
+    void repair() {
         calls_left_ = unlimited;
         free_bytes_ = unlimited;
     }
@@ -119,12 +151,37 @@
     static constexpr std::size_t unlimited =
         std::numeric_limits<std::size_t>::max();
 
+    struct change {
+        std::size_t place = 0;
+        // Nothing if the file was cut there.
+        std::optional<bytes> data;
+    };
+
     struct file {
         bytes written;
         // What a crash leaves.
         bytes synced;
+        // What leads from one to the other.
+        std::vector<change> unsynced;
     };
 
+    template <class Draw>
+    static void apply_some(bytes& content, const change& lost, Draw draw) {
+        const auto fate = draw(3);
+        if (fate == 0) {
+            return;
+        }
+        if (!lost.data) {
+            content.resize(std::min(content.size(), lost.place));
+            return;
+        }
+        const std::size_t size =
+            fate == 1 ? lost.data->size() : draw(lost.data->size() + 1);
+        content.resize(std::max(content.size(), lost.place + size));
+        std::copy_n(lost.data->begin(), size,
+            content.begin() + static_cast<std::ptrdiff_t>(lost.place));
+    }
+
     static failure broken(const char* step, const std::string& name) {
         return {make_error_code(errc::disk_failed), step, name, {}};
     }
