Discard the log from its newest segment on when an image replaces it

What callers would see: a replica that stays silent for good after a crash while it took over a leader's image.

Cause: an image that ends within a log of other records (a stale tail that was never committed) discards all segments. They now go from the newest on: what a crash leaves then begins before the image and is discarded by it.

Evidence: file_store.opens_after_a_crash_while_an_image_discards_the_log, a failure at every call of the installation. Before: damaged after 7 calls; after: passes.

--- a/dragonflymount/src/Agreement/FileStore.hpp
+++ b/dragonflymount/src/Agreement/FileStore.hpp
@@ -78,7 +78,8 @@
     result<done> sync_found();
     bool fits_newest_segment(log_index index) const;
     result<done> begin_segment();
-    result<done> remove_segments(bool all);
+    result<done> remove_covered_segments();
+    result<done> remove_all_segments();
     result<done> remove_synced(const std::string& name);
 
     Disk* folder_;
@@ -447,15 +448,15 @@
         chain_ = log_chain(image.last_index, image.last_term);
     }
     if (status) {
-        status = remove_segments(!fits);
+        status = fits ? remove_covered_segments() : remove_all_segments();
     }
     return note(std::move(status));
 }
 
+// From the oldest on, each synced: a crash must not leave a gap.
 template <disk Disk>
-result<done> file_store<Disk>::remove_segments(bool all) {
-    // From the oldest on, each synced: a crash must not leave a gap.
-    while (!segments_.empty() && (all || segments_.front().highest <= base_)) {
+result<done> file_store<Disk>::remove_covered_segments() {
+    while (!segments_.empty() && segments_.front().highest <= base_) {
         result<done> status =
             remove_synced(segment_name(segments_.front().sequence));
         if (!status) {
@@ -466,6 +467,20 @@
     return done{};
 }
 
+// From the newest on: what a crash leaves must begin before the snapshot.
+template <disk Disk>
+result<done> file_store<Disk>::remove_all_segments() {
+    while (!segments_.empty()) {
+        result<done> status =
+            remove_synced(segment_name(segments_.back().sequence));
+        if (!status) {
+            return status;
+        }
+        segments_.pop_back();
+    }
+    return done{};
+}
+
 template <disk Disk>
 result<done> file_store<Disk>::remove_synced(const std::string& name) {
     result<done> status = folder_->remove(name);
--- a/tests/agreement/file_store_test.cpp
+++ b/tests/agreement/file_store_test.cpp
@@ -189,6 +189,32 @@
     EXPECT_EQ(opened->state.records, records_from(5, 6));
 }
 
+// A leader's image that ends within a log of other records discards all
+// segments, one call after another.
+TEST(file_store, opens_after_a_crash_while_an_image_discards_the_log) {
+    bool saved = false;
+    for (std::size_t calls = 0; !saved; ++calls) {
+        SCOPED_TRACE(testing::Message() << "calls " << calls);
+        memory_disk disk = initialized_disk();
+        for (const std::uint64_t first : {1, 4, 7}) {
+            store_type store(disk);
+            ASSERT_TRUE(store.open());
+            write_records(store, first, first + 2);
+        }
+        store_type store(disk);
+        ASSERT_TRUE(store.open());
+        disk.fail_after(calls);
+        saved = static_cast<bool>(store.save(image_at(2, 5)));
+        disk.repair();
+        const auto opened = store_type(disk).open();
+        ASSERT_TRUE(opened) << opened.error().message();
+        const bool installed = opened->state.base.last_index == log_index(2);
+        EXPECT_TRUE(installed || !saved);
+        EXPECT_EQ(opened->state.records,
+            installed ? std::vector<log_record>() : records_from(1, 9));
+    }
+}
+
 TEST(file_store, refuses_a_folder_that_holds_files) {
     memory_disk disk = initialized_disk();
     EXPECT_FALSE(store_type(disk).initialize(initial_identity, {}));
