Start what fits, however much stands before it that can't start

Cause: a placement round gave up a pool after 48 steps in a row that it could not place, to bound its cost, whatever the reason: no room, but also a team at its limit, a label that no endpoint has, a gang too wide, or a task that avoids the endpoints at which it failed. The next round began with the same 48 steps. Besides, a task that avoids the endpoints with room kept its siblings in the same step from starting. Class of fault: a bound on cost that decides by position in the queue what is served.

Room only shrinks within a round, so a need that found none finds none again, nor does any that needs as much. The round now remembers the smallest of such needs for each pool and searches only for smaller ones; a team's limit is looked at first. A long backlog stays cheap without hiding what fits.

Tests, placement_round: starts_a_task_behind_many_of_a_team_at_its_limit, ..._behind_many_that_fit_nowhere, ..._behind_many_that_avoid_the_endpoint, and starts_a_task_whose_sibling_avoids_the_endpoint. Before: all four failed, no task placed; after: all pass. starts_what_is_smaller_than_what_found_no_room guards the memory of refused needs; it passes before and after.

--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -9,10 +9,6 @@
 namespace dragonflymount::jobs {
 namespace {
 
-// After this many steps in a row that found no room in their pool, the rest
-// of the pool's steps wait for the next round.
-constexpr std::size_t most_misses_in_pool = 48;
-
 // Jobs of at most this many steps are measured without an allocation.
 constexpr std::size_t usual_steps = 8;
 
@@ -106,22 +102,15 @@
         return {};
     }
     sort_endpoints();
-    std::map<std::string, std::size_t> misses;
     for (const open_step& open : steps_) {
         if (placed_.size() >= most) {
             break;
         }
-        std::size_t& missed = misses[open.queue->pool];
-        if (missed >= most_misses_in_pool) {
-            continue;
-        }
-        const std::size_t before = placed_.size();
         if (open.spec->gang) {
             place_gang(open);
         } else {
             place_step(open, most);
         }
-        missed = placed_.size() > before ? 0 : missed + 1;
     }
     return std::move(placed_);
 }
@@ -219,13 +208,18 @@
 }
 
 void placement::place_step(const open_step& open, std::size_t most) {
+    if (is_refused(room_of_pool(open.queue->pool), need_of(open, 1)) ||
+        !within_limit(*open.job, *open.spec, 1)) {
+        return;
+    }
     step_spread spread = spread_of(open);
     const auto& tasks = open.occurrence->steps[open.step]->tasks;
     for (std::uint32_t k = 0; k < tasks.size(); ++k) {
         if (placed_.size() >= most) {
             return;
         }
-        if (is_waiting(*tasks[k]) && !place_task(open, k, spread)) {
+        if (is_waiting(*tasks[k]) && !place_task(open, k, spread) &&
+            !avoids_any(open)) {
             return;
         }
     }
@@ -236,7 +230,10 @@
 void placement::place_gang(const open_step& open) {
     const auto& tasks = open.occurrence->steps[open.step]->tasks;
     if (!std::all_of(tasks.begin(), tasks.end(),
-            [](const auto& task) { return is_waiting(*task); })) {
+            [](const auto& task) { return is_waiting(*task); }) ||
+        is_refused(
+            room_of_pool(open.queue->pool), need_of(open, tasks.size())) ||
+        !within_limit(*open.job, *open.spec, tasks.size())) {
         return;
     }
     const std::size_t placed_before = placed_.size();
@@ -251,6 +248,7 @@
             return;
         }
         placed_.back().run.run = run;
+        ++spread.members;
     }
 }
 
@@ -264,9 +262,39 @@
     placed_.resize(placed_before);
 }
 
+placement::refused_need placement::need_of(
+    const open_step& open, std::size_t tasks) {
+    return {open.spec->required_label, room_of(*open.spec), tasks};
+}
+
+bool placement::is_refused(const pool_room& pool, const refused_need& need) {
+    return std::any_of(pool.refused.begin(), pool.refused.end(),
+        [&](const refused_need& earlier) { return earlier.covers(need); });
+}
+
+bool placement::avoids_any(const open_step& open) const {
+    const auto first = avoided_.lower_bound(
+        {job_id(open.job->id), open.occurrence->number, open.step, 0});
+    return first != avoided_.end() &&
+        first->first.job == job_id(open.job->id) &&
+        first->first.occurrence == open.occurrence->number &&
+        first->first.step == open.step;
+}
+
+void placement::note_refusal(
+    const open_step& open, std::size_t tasks, pool_room& pool) const {
+    if (open.spec->anti_affinity > 0 || avoids_any(open)) {
+        return;
+    }
+    const refused_need need = need_of(open, tasks);
+    std::erase_if(pool.refused,
+        [&](const refused_need& earlier) { return need.covers(earlier); });
+    pool.refused.push_back(need);
+}
+
 bool placement::place_task(
     const open_step& open, std::uint32_t index, step_spread& spread) {
-    if (!within_limit(*open.job, *open.spec)) {
+    if (!within_limit(*open.job, *open.spec, 1)) {
         return false;
     }
     const task_name name{
@@ -274,6 +302,7 @@
     pool_room& pool = room_of_pool(open.queue->pool);
     const auto chosen = choose(open, name, spread, pool);
     if (!chosen) {
+        note_refusal(open, spread.members + 1, pool);
         return false;
     }
     take_room(pool, *chosen, room_of(*open.spec));
@@ -373,7 +402,7 @@
 }
 
 bool placement::within_limit(
-    const wire::JobT& job, const wire::JobStepT& step) {
+    const wire::JobT& job, const wire::JobStepT& step, std::size_t tasks) {
     const wire::JobTeamT* team = agreed_.find_team(job.team);
     if (team == nullptr) {
         return true;
@@ -382,7 +411,11 @@
     if (found == team_usage_.end()) {
         team_usage_[job.team] = agreed_.usage_of_team(job.team);
     }
-    const resources after = team_usage_[job.team] + usage_of(step);
+    const resources each = usage_of(step);
+    const auto count = static_cast<std::int64_t>(tasks);
+    const resources after = team_usage_[job.team] +
+        resources{
+            each.cpu_milli * count, each.memory_mb * count, each.gpus * count};
     return !exceeds(after.cpu_milli, team->cpu_limit) &&
         !exceeds(after.memory_mb, team->memory_limit) &&
         !exceeds(after.gpus, team->gpu_limit);
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -6,7 +6,9 @@
 //
 // A round costs what waits and the endpoints of the pools that it waits for;
 // a start looks at the roomiest endpoints first and ends its search at one
-// that nothing speaks against.
+// that nothing speaks against. What found no room isn't searched for again,
+// nor is anything that needs as much, so a long backlog costs little and never
+// hides a task that fits.
 #ifndef DRAGONFLYMOUNT_JOBS_PLACEMENT_HPP
 #define DRAGONFLYMOUNT_JOBS_PLACEMENT_HPP
 
@@ -69,11 +71,25 @@
                 std::tie(left.free_cpu_milli, right.candidate);
         }
     };
+    // Tasks that found no room together, for want of room alone. Room only
+    // shrinks in a round, so whatever needs as much finds none, either.
+    struct refused_need {
+        std::string label;
+        resources each;
+        std::size_t tasks = 1;
+
+        bool covers(const refused_need& other) const {
+            return (label.empty() || label == other.label) &&
+                each.fits(other.each) && tasks <= other.tasks;
+        }
+    };
     // The endpoints of one pool that take tasks.
     // Invariant: by_room holds each candidate once, at its present room.
     struct pool_room {
         std::vector<candidate> candidates;
         std::set<room_rank> by_room;
+        // Invariant: none covers another.
+        std::vector<refused_need> refused;
     };
     // What speaks against an endpoint for a task, the gravest first.
     struct place_cost {
@@ -115,6 +131,8 @@
     };
     // Tasks of one step at each endpoint, and the racks that they use.
     struct step_spread {
+        // Members of a gang that the round has placed.
+        std::size_t members = 0;
         std::map<std::string, std::uint32_t> at_endpoint;
         std::set<rack_id> racks;
     };
@@ -130,6 +148,11 @@
     bool place_task(
         const open_step& open, std::uint32_t index, step_spread& spread);
     void take_back(const open_step& open, std::size_t placed_before);
+    static refused_need need_of(const open_step& open, std::size_t tasks);
+    static bool is_refused(const pool_room& pool, const refused_need& need);
+    void note_refusal(
+        const open_step& open, std::size_t tasks, pool_room& pool) const;
+    bool avoids_any(const open_step& open) const;
     std::optional<std::size_t> choose(const open_step& open,
         const task_name& name, const step_spread& spread,
         const pool_room& pool) const;
@@ -137,7 +160,8 @@
         const step_spread& spread, const candidate& place) const;
     bool may_use(const open_step& open, const task_name& name,
         const step_spread& spread, const candidate& place) const;
-    bool within_limit(const wire::JobT& job, const wire::JobStepT& step);
+    bool within_limit(
+        const wire::JobT& job, const wire::JobStepT& step, std::size_t tasks);
     step_spread spread_of(const open_step& open) const;
     /// \returns when a run of \p name last had trouble there, if ever.
     std::optional<instant> last_trouble(
--- a/tests/jobs/placement_test.cpp
+++ b/tests/jobs/placement_test.cpp
@@ -173,6 +173,70 @@
     EXPECT_EQ(placed[1].run.task.job, job_id(8));
 }
 
+// What can't start stands before what can: work of a team that has reached its
+// limit, work that fits nowhere, and work that waits for another endpoint.
+TEST_F(placement_round, starts_a_task_behind_many_of_a_team_at_its_limit) {
+    add("e1");
+    limit_cpu(1000);
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        jobs_.submit(job_builder(id).step(1, 2000).build());
+    }
+    jobs_.submit(job_builder(900).team("other").step(1, 1000).build());
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].run.task.job, job_id(900));
+}
+
+TEST_F(placement_round, starts_a_task_behind_many_that_fit_nowhere) {
+    add("e1");
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        jobs_.submit(job_builder(id).step(1, 5000).build());
+        jobs_.submit(job_builder(id + 200).step(3, 2000).gang().build());
+        jobs_.submit(job_builder(id + 400).step(1).label("gold").build());
+    }
+    jobs_.submit(job_builder(900).step(1, 1000).build());
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].run.task.job, job_id(900));
+}
+
+TEST_F(placement_round, starts_a_task_behind_many_that_avoid_the_endpoint) {
+    add("e1");
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        jobs_.submit(job_builder(id).step(1, 1000).build());
+        avoided_[task(id)]["e1"] = at_ms(15);
+    }
+    jobs_.submit(job_builder(900).step(1, 1000).build());
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].run.task.job, job_id(900));
+}
+
+TEST_F(placement_round, starts_a_task_whose_sibling_avoids_the_endpoint) {
+    add("e1");
+    jobs_.submit(job_builder(7).step(2, 1000).build());
+    avoided_[task(7)]["e1"] = at_ms(15);
+    const auto placed = plan();
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].run.task, task(7, 0, 1));
+}
+
+// What a gang or a larger task doesn't find may be enough for others.
+TEST_F(placement_round, starts_what_is_smaller_than_what_found_no_room) {
+    add("e1");
+    add("e2", {"kind", "gold", "rack"});
+    jobs_.submit(job_builder(1).step(1, 3000).label("gold").build());
+    jobs_.submit(job_builder(2).step(1, 3000).label("gold").build());
+    jobs_.submit(job_builder(3).step(3, 2000).gang().build());
+    jobs_.submit(job_builder(4).step(2, 2000).gang().build());
+    jobs_.submit(job_builder(5).step(1, 1000).label("gold").build());
+    std::set<std::uint64_t> started;
+    for (const placed_run& placed : plan()) {
+        started.insert(placed.run.task.job.value());
+    }
+    EXPECT_EQ(started, (std::set<std::uint64_t>{1, 4, 5}));
+}
+
 TEST_F(placement_round, keeps_lasting_tasks_on_few_endpoints) {
     for (const char* endpoint : {"e1", "e2", "e3", "e4", "e5"}) {
         add(endpoint);
