Keep most of a pool at work while its tasks find no room

Cause: when a pool wants fewer VMs than it has, the manager sets the surplus aside to rest or to move, and they take no new task. A VM with a single long task, however small, stays set aside until that task ends. Late work counts little in what a pool wants, since it is spread over a horizon, so after a burst a pool of eight could want three: five nearly empty VMs took nothing, three were full, and the late tasks waited beside them. Class of fault: room that is promised to a use that can't begin yet.

Ruled out there: quarantine, silence, avoided endpoints, runs that the endpoints didn't hold.

While the last placement round found too little room in a pool, at most one in four of its VMs (at least one) is emptied at a time; VMs without tasks still go at once. The others go on taking tasks, so either the tasks find room or most of the pool is in use.

Test: vm_orders.drains_few_vms_at_once_while_tasks_find_no_room. Before: 3 of 8 VMs in use; after: at least 6.

--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -69,6 +69,7 @@
     stop_requests_.clear();
     avoided_.clear();
     reserved_.clear();
+    short_pools_.clear();
     answer_all(submitters_, reply_of(wire::job_status::interrupted));
     answer_all(cancellers_, reply_of(wire::job_status::interrupted));
     answer_all(committers_, false);
@@ -371,6 +372,7 @@
         order->life = placed.life.number;
         batch.started.push_back(std::move(order));
     }
+    short_pools_ = round.short_pools();
 }
 
 void engine::batch_done(bool agreed, instant now) {
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -110,6 +110,11 @@
     const state& agreed() const { return agreed_; }
     /// \brief VMs that get no new task.
     void reserve(std::set<vm_id> vms) { reserved_ = std::move(vms); }
+    /// \brief Whether the last placement round left a task of the pool without
+    /// a place that its team's limit would admit.
+    bool is_short_of_room(const std::string& pool) const {
+        return short_pools_.contains(pool);
+    }
     /// \brief Asks for the end of a run that is otherwise wanted.
     void request_stop(const run_ref& run);
     bool is_stop_requested(const run_ref& run) const {
@@ -237,6 +242,8 @@
     std::set<run_ref> stop_requests_;
     avoided_endpoints avoided_;
     std::set<vm_id> reserved_;
+    // Pools in which the last placement round found too little room.
+    std::set<std::string> short_pools_;
 };
 
 } // namespace dragonflymount::jobs
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -303,6 +303,7 @@
     const auto chosen = choose(open, name, spread, pool);
     if (!chosen) {
         note_refusal(open, spread.members + 1, pool);
+        short_pools_.insert(open.queue->pool);
         return false;
     }
     take_room(pool, *chosen, room_of(*open.spec));
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -52,6 +52,8 @@
 
     /// \returns the starts of this round, at most \p most.
     std::vector<placed_run> plan(std::size_t most);
+    /// \returns the pools in which \c plan left a task without a place.
+    const std::set<std::string>& short_pools() const { return short_pools_; }
 
 private:
     struct candidate {
@@ -178,6 +180,7 @@
     std::map<std::string, pool_room> pools_;
     std::vector<open_step> steps_;
     std::map<std::string, resources> team_usage_;
+    std::set<std::string> short_pools_;
     std::vector<placed_run> placed_;
     // Invariant: as long as placed_, one place for each run.
     std::vector<taken_place> taken_;
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -246,7 +246,10 @@
     void grow(
         const std::string& name, std::vector<vm_order>& orders, instant now);
     std::vector<const endpoint_view*> spare_vms(const pool_state& pool) const;
-    void shrink(const pool_state& pool,
+    /// \returns how many of a pool's VMs may be emptied at once.
+    std::size_t most_draining(
+        const std::string& name, const pool_state& pool) const;
+    void shrink(const std::string& name,
         const std::vector<std::string>& short_pools,
         std::vector<vm_order>& orders, instant now);
     void order_move(const vm_id& vm, const std::string& pool,
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -22,6 +22,9 @@
 // An endpoint's call to a replica that doesn't answer takes this long to fail.
 constexpr duration call_timeout = std::chrono::seconds(1);
 
+// Of a pool that is short of room, one VM in so many may be emptied at a time.
+constexpr std::size_t draining_part = 4;
+
 // Orders that may go out together after a quiet time.
 constexpr double order_burst_seconds = 0.5;
 
@@ -349,9 +352,9 @@
     for (const std::string& name : short_pools) {
         grow(name, orders, now);
     }
-    for (auto& [name, pool] : pools_) {
+    for (const auto& [name, pool] : pools_) {
         if (standby == nullptr || name != *standby) {
-            shrink(pool, short_pools, orders, now);
+            shrink(name, short_pools, orders, now);
         }
     }
 }
@@ -414,9 +417,21 @@
     return spare;
 }
 
-void vm_manager::shrink(const pool_state& pool,
+// A VM that is being emptied runs less and less until its last task ends,
+// however little that needs. While tasks find no room, most of the pool must
+// go on taking them.
+std::size_t vm_manager::most_draining(
+    const std::string& name, const pool_state& pool) const {
+    return jobs_.is_short_of_room(name)
+        ? std::max<std::size_t>(1, pool.members.size() / draining_part)
+        : pool.members.size();
+}
+
+void vm_manager::shrink(const std::string& name,
     const std::vector<std::string>& short_pools, std::vector<vm_order>& orders,
     instant now) {
+    const pool_state& pool = pools_.at(name);
+    std::size_t may_drain = most_draining(name, pool);
     const std::string* standby = standby_pool();
     const std::size_t held = pool.members.size();
     std::size_t may_rest = standby != nullptr && held > pool.kept &&
@@ -430,17 +445,18 @@
                     !refused_moves_.contains({view->vm, pool_id(other)});
             });
         const bool is_wanted = wanting != short_pools.end();
-        if (!is_wanted && may_rest == 0) {
+        const bool drains = ending_tasks(*view) > 0;
+        if ((!is_wanted && may_rest == 0) || (drains && may_drain == 0)) {
             continue;
         }
+        may_drain -= drains ? 1 : 0;
         leaving_.insert(view->vm);
         if (is_wanted) {
             ++pools_[*wanting].arriving;
         } else {
             --may_rest;
         }
-        if (ending_tasks(*view) == 0 && is_settled(view->vm, now) &&
-            spend_order(now)) {
+        if (!drains && is_settled(view->vm, now) && spend_order(now)) {
             order_move(
                 view->vm, is_wanted ? *wanting : *standby, view->life, orders);
         }
--- a/tests/jobs/vm_manager_test.cpp
+++ b/tests/jobs/vm_manager_test.cpp
@@ -354,6 +354,39 @@
     EXPECT_EQ(given[0].pool, pool_id("pool"));
 }
 
+// Load pattern: a burst has left one long task on each VM of a pool that then
+// wants few VMs. Those that wait for their task to end run nothing else; the
+// late work that follows must not wait beside them.
+TEST_F(vm_orders, drains_few_vms_at_once_while_tasks_find_no_room) {
+    jobs_.submit(job_builder(7).step(8, 100).anti_affinity(1).build());
+    engine_.tick(now_);
+    std::vector<std::string> endpoints;
+    std::vector<vm_record> list;
+    for (int k = 1; k <= 8; ++k) {
+        endpoints.push_back("e" + std::to_string(k));
+        report(endpoints.back());
+        list.push_back({vm_id("vm-" + endpoints.back()), pool_id("pool"),
+            vm_condition::up, endpoints.back(), {}});
+    }
+    ASSERT_EQ(jobs_.agreed.loads().size(), 8U);
+    manager_.take_list(std::move(list), now_, now_);
+    jobs_.time_ms += 10'000;
+    pass(2000, endpoints);
+    auto late = job_builder(8).step(40).build();
+    late->spec->steps[0]->estimate_ms = 100;
+    jobs_.submit(std::move(late));
+    jobs_.time_ms += 10'000;
+    for (int k = 0; k < 10; ++k) {
+        engine_.tick(now_);
+        pass(100, endpoints);
+    }
+    const auto& loads = jobs_.agreed.loads();
+    EXPECT_EQ(loads.size(), 8U);
+    const auto full = std::count_if(loads.begin(), loads.end(),
+        [](const auto& entry) { return entry.second.used.cpu_milli > 3000; });
+    EXPECT_GE(full, 6);
+}
+
 TEST_F(vm_orders, believes_the_list_that_a_silent_endpoint_is_gone) {
     report("e1");
     jobs_.submit(job_builder(7).step(1).build());
