Take the leader's own pause for no evidence against runs

Cause: whether a run stands still or creeps was judged by when the leader took the reports. A report that had waited in the leader's queue, sent soon after the one before it and so with the same percentage, counted for the whole pause: all runs longer than some ten seconds seemed to stand still or to creep at once, were stopped, and two such jobs put their endpoint into quarantine. Class of fault: a process that takes its own delay for that of others.

Each endpoint now has an observed time. It grows by the time between two reports, but no further than the instant at which the second was due: as the answer to the first said, or when an endpoint gives up waiting for an answer. Runs are judged by it. It may count too little, never too much, on a leader that is late.

Tests, job_engine: takes_its_own_pause_for_no_evidence_of_a_stall and ..._of_creeping. Before: both asked for the stop of a sound run; after: neither. moves_a_run_that_stands_still and moves_a_run_that_creeps_but_only_once hold as before.

--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -84,13 +84,23 @@
     view.drain_ends = now + report.drain_remaining;
     view.warm_from = now + report.warmup_left;
     view.sequence = report.sequence;
-    view.heard = now;
-    take_lists(view, report, now);
+    note_observed(view, now);
+    take_lists(view, report);
     return &view;
 }
 
+void endpoint_table::note_observed(endpoint_view& view, instant now) {
+    view.observed += std::min(now, view.report_due) - view.heard;
+    view.heard = now;
+    view.report_due = now + answer_timeout;
+}
+
+void endpoint_table::expect_report(endpoint_view& view, instant due) {
+    view.report_due = due + report_travel_time;
+}
+
 void endpoint_table::take_lists(
-    endpoint_view& view, const endpoint_report& report, instant now) {
+    endpoint_view& view, const endpoint_report& report) {
     std::map<run_ref, run_progress> running;
     for (const running_task& listed : report.running) {
         run_progress progress;
@@ -98,8 +108,8 @@
         progress.load = listed.load;
         progress.checkpoint = listed.checkpoint;
         progress.first_percent = listed.percent;
-        progress.first_seen = now;
-        progress.advanced = now;
+        progress.first_seen = view.observed;
+        progress.advanced = view.observed;
         const auto before = view.running.find(listed.run);
         if (before != view.running.end()) {
             progress.first_percent = before->second.first_percent;
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -49,7 +49,7 @@
     std::vector<ended_task> ended;
 };
 
-/// \brief How a run has been getting on.
+/// \brief How a run has been getting on, by its endpoint's observed time.
 struct run_progress {
     std::uint32_t percent = 0;
     // What was listed first: a run may begin at a checkpoint.
@@ -76,6 +76,12 @@
     instant warm_from{};
     std::uint64_t sequence = 0;
     instant heard{};
+    /// When the next report is due; how much later it is heard may be the
+    /// leader's own delay and tells nothing about the runs.
+    instant report_due{};
+    /// How long the runs there have been observed at least: it doesn't grow
+    /// while a report is overdue.
+    instant observed{};
     /// Everything there has ended by then if no further lease is granted.
     instant lease_ends{};
     std::map<run_ref, run_progress> running;
@@ -101,6 +107,11 @@
     duration quarantine = std::chrono::seconds(4);
 };
 
+/// An endpoint gives up waiting for the answer to a report after this time,
+/// and reports again.
+inline constexpr duration answer_timeout = std::chrono::seconds(1);
+/// What a report that is due may take to arrive, and still counts as on time.
+inline constexpr duration report_travel_time = std::chrono::milliseconds(100);
 /// Rate error of an endpoint's clock, in parts per thousand; the platform's
 /// protocol states 2 %.
 inline constexpr std::int64_t endpoint_drift_per_mille = 20;
@@ -132,6 +143,8 @@
     endpoint_view* take(const endpoint_report& report, instant now);
     /// \brief Notes that a reply to \p view extends its lease.
     void extend_lease(endpoint_view& view, instant reported);
+    /// \brief Notes when an endpoint was told to report again.
+    static void expect_report(endpoint_view& view, instant due);
     /// \brief The endpoint said that it leaves, or is known to be gone.
     void remove(const std::string& endpoint);
     /// \brief The VM service says that a life is over.
@@ -160,8 +173,8 @@
 private:
     bool is_outdated(const endpoint_report& report) const;
     void note_newer_life(const endpoint_report& report);
-    void take_lists(
-        endpoint_view& view, const endpoint_report& report, instant now);
+    static void note_observed(endpoint_view& view, instant now);
+    void take_lists(endpoint_view& view, const endpoint_report& report);
 
     endpoint_options options_;
     view_map views_;
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -161,9 +161,9 @@
     void note_touched(const wire::JobBatchT& batch);
     void touch_runs(const wire::JobT& job);
     void touch_changed_jobs();
-    bool is_stalled(const run_progress& progress, instant heard) const;
+    bool is_stalled(const run_progress& progress, instant observed) const;
     bool is_creeping(const run_progress& progress, const wire::JobStepT& step,
-        instant heard) const;
+        instant observed) const;
     void find_troubled(const endpoint_view& view, instant now);
     void forget_settled(instant now);
 
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -176,6 +176,7 @@
     }
     endpoint_orders orders = orders_for(*view);
     endpoints_.extend_lease(*view, held.received);
+    endpoint_table::expect_report(*view, held.reply_by + orders.retry);
     held.handler(orders);
 }
 
@@ -245,22 +246,23 @@
     reply_overdue(now);
 }
 
-// Judged by the endpoint's last report: silence is no evidence about a run.
-bool engine::is_stalled(const run_progress& progress, instant heard) const {
-    return heard - progress.advanced >= options_.stall_limit;
+// Judged by the time that the endpoint's reports cover: neither its silence
+// nor the leader's own delay is evidence about a run.
+bool engine::is_stalled(const run_progress& progress, instant observed) const {
+    return observed - progress.advanced >= options_.stall_limit;
 }
 
 bool engine::is_creeping(const run_progress& progress,
-    const wire::JobStepT& step, instant heard) const {
-    const duration observed = heard - progress.first_seen;
-    if (observed < options_.least_observation) {
+    const wire::JobStepT& step, instant observed) const {
+    const duration passed = observed - progress.first_seen;
+    if (passed < options_.least_observation) {
         return false;
     }
     // A run that was set back to a checkpoint has gained nothing.
     const std::uint32_t gained = progress.percent > progress.first_percent
         ? progress.percent - progress.first_percent
         : 1;
-    const duration left = observed * (100 - progress.percent) / gained;
+    const duration left = passed * (100 - progress.percent) / gained;
     const duration declared = std::chrono::milliseconds(step.estimate_ms);
     return left > declared * options_.creep_factor + options_.stall_limit;
 }
@@ -276,8 +278,8 @@
             continue;
         }
         const bool creeps = !avoided_.contains(run.task) &&
-            is_creeping(progress, *place.step, view.heard);
-        if (creeps || is_stalled(progress, view.heard)) {
+            is_creeping(progress, *place.step, view.observed);
+        if (creeps || is_stalled(progress, view.observed)) {
             avoided_[run.task][view.life.endpoint] = now;
             troubled.push_back(run);
         }
--- a/tests/jobs/engine_test.cpp
+++ b/tests/jobs/engine_test.cpp
@@ -368,6 +368,31 @@
     EXPECT_FALSE(engine_.is_stop_requested({task(7), 1}));
 }
 
+// Load pattern: the leader is busy for longer than a run may stand still. The
+// reports that it then takes were sent long before, each soon after the one
+// before it.
+TEST_F(job_engine, takes_its_own_pause_for_no_evidence_of_a_stall) {
+    ask(call(wire::job_verb::submit, 7));
+    report(make_report("e1", 1));
+    report(running(2, task(7), 10));
+    now_ += std::chrono::milliseconds(2000);
+    report(running(3, task(7), 10));
+    EXPECT_FALSE(engine_.is_stop_requested({task(7), 1}));
+}
+
+TEST_F(job_engine, takes_its_own_pause_for_no_evidence_of_creeping) {
+    auto made = call(wire::job_verb::submit, 7);
+    made.spec->steps[0]->estimate_ms = 10'000;
+    ask(made);
+    report(make_report("e1", 1));
+    report(running(2, task(7), 0));
+    pass(200);
+    report(running(3, task(7), 2));
+    now_ += std::chrono::milliseconds(2000);
+    report(running(4, task(7), 4));
+    EXPECT_FALSE(engine_.is_stop_requested({task(7), 1}));
+}
+
 TEST_F(job_engine, avoids_an_endpoint_at_which_runs_stand_still) {
     ask(call(wire::job_verb::submit, 7));
     ask(call(wire::job_verb::submit, 8));
