Go on using a pool in which most endpoints seem to fail at once

Cause: an endpoint at which runs of two jobs fail, stand still or creep gets no task for 4 s, then 8 s, then 16 s. If the cause is common to a pool, such as a file server that hangs for a moment, all its endpoints are excluded at once, and nothing is started anywhere. Class of fault: evidence about a whole taken for evidence about each part.

If more than a third of a pool's endpoints, and at least two, are in quarantine at once, their quarantines end.

Test: job_engine.goes_on_using_a_pool_in_which_all_runs_stood_still. Before: none of three endpoints took tasks; after: all. A single one is avoided as before (avoids_an_endpoint_at_which_runs_stand_still).

--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -191,6 +191,30 @@
     ++view->quarantines;
 }
 
+void endpoint_table::end_shared_quarantines(instant now) {
+    std::map<pool_id, std::vector<endpoint_view*>> quarantined;
+    std::map<pool_id, std::size_t> counts;
+    for (auto& [endpoint, view] : views_) {
+        if (view.draining || now - view.heard >= options_.silence_limit) {
+            continue;
+        }
+        ++counts[view.pool];
+        if (now < view.quarantined_until) {
+            quarantined[view.pool].push_back(&view);
+        }
+    }
+    for (const auto& [pool, views] : quarantined) {
+        if (views.size() < 2 ||
+            views.size() * quarantine_part <= counts[pool]) {
+            continue;
+        }
+        for (endpoint_view* view : views) {
+            view->quarantined_until = now;
+            --view->quarantines;
+        }
+    }
+}
+
 bool endpoint_table::can_take_tasks(
     const endpoint_view& view, instant now) const {
     return !view.draining && now - view.heard < options_.silence_limit &&
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -119,6 +119,9 @@
 inline constexpr duration lease_margin = std::chrono::milliseconds(500);
 /// Jobs that must have trouble in a row at one endpoint before it is avoided.
 inline constexpr std::size_t troubles_to_quarantine = 2;
+/// More than one in so many endpoints of a pool that are in quarantine at once,
+/// and at least two, have a cause in common.
+inline constexpr std::size_t quarantine_part = 3;
 /// Quarantines after which their length grows no more.
 inline constexpr std::uint32_t most_quarantine_doublings = 2;
 
@@ -159,6 +162,10 @@
     /// after trouble with several jobs the endpoint is avoided for a while.
     void note_trouble(const std::string& endpoint, job_id job, instant now);
 
+    /// \brief Ends the quarantines of pools in which they have a cause in
+    /// common: elsewhere in the pool, tasks would fare no better.
+    void end_shared_quarantines(instant now);
+
     /// \returns how many lives are known to have ended; it grows whenever
     /// \c is_over may have changed but for the time.
     std::uint64_t ended_lives() const { return ended_lives_; }
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -241,6 +241,7 @@
     }
     placement_due_ = true;
     allow_looks();
+    endpoints_.end_shared_quarantines(now);
     forget_settled(now);
     reply_touched();
     reply_overdue(now);
--- a/tests/jobs/engine_test.cpp
+++ b/tests/jobs/engine_test.cpp
@@ -407,6 +407,34 @@
         *engine_.endpoints().find("e1"), now_));
 }
 
+// Load pattern: what all VMs of a pool share hangs for a moment, so that the
+// runs on all of them stand still.
+TEST_F(job_engine, goes_on_using_a_pool_in_which_all_runs_stood_still) {
+    for (const char* endpoint : {"e1", "e2", "e3"}) {
+        report(make_report(endpoint, 1));
+    }
+    for (std::uint64_t id = 7; id < 13; ++id) {
+        ask(call(wire::job_verb::submit, id));
+    }
+    settle();
+    for (std::uint64_t sequence = 2; sequence < 20; ++sequence) {
+        for (const char* endpoint : {"e1", "e2", "e3"}) {
+            endpoint_report made = make_report(endpoint, sequence);
+            for (const run_ref& run :
+                jobs_.agreed.load_of({endpoint, 1})->runs) {
+                made.running.push_back({run, "", 10, 0});
+            }
+            ASSERT_EQ(made.running.size(), 2U);
+            report(made);
+        }
+        pass(100);
+    }
+    EXPECT_TRUE(engine_.is_stop_requested({task(7), 1}));
+    for (const auto& [endpoint, view] : engine_.endpoints().views()) {
+        EXPECT_TRUE(engine_.endpoints().can_take_tasks(view, now_)) << endpoint;
+    }
+}
+
 TEST_F(job_engine, avoids_an_endpoint_that_fails_tasks_of_several_jobs) {
     std::uint64_t sequence = 1;
     std::uint64_t number = 1;
