Keep an ended attempt until its claim's end is in the log

Cause: an endpoint is told to forget an ended task only after the end of the task's claim is in the log, since the next coordinator learns of it from one or the other. The check compared the task with the claims whose end is not logged. A claim has the name of the request's first attempt; an attempt that was never received is given another name, so the check missed it. Evidence, trace of the cell: r1 is claimed as 2.2, its start is lost, 2.2 is denied, and r1 runs as 2.7 with claim 2.2. 2.7 ends while the coordinator is cut from control, so no end of 2.2 is logged; it confirms 2.7 all the same. The successor of epoch 18 finds all endpoints clean, may replace claim 2.2, and starts r1 again as 18.2. Change: unlogged ends are looked up by request, and each pending confirmation names its request. An end of a task that the coordinator doesn't know doesn't say which request it was for; it is no longer confirmed on the spot, but by way of the announcement that lists it with its request. Pending confirmations are kept once a task instead of once an announcement, as they may now wait for as long as the log is out of reach. Ruled out: the table of claims; with the endpoint's record gone, a clean successor is right to replace a claim of unknown end.

--- a/dragonflymount/src/Zone/Coordinator.cpp
+++ b/dragonflymount/src/Zone/Coordinator.cpp
@@ -294,10 +294,11 @@
         std::erase_if(pending, [&](const auto& entry) {
             // The log must know the end before the endpoint forgets it: the
             // next coordinator learns of it from one or the other.
-            if (entry.first > now || unrecorded_ends_.contains(entry.second)) {
+            const auto& [task, held] = entry;
+            if (held.due > now || has_unrecorded_end(held.key)) {
                 return false;
             }
-            confirmation.tasks.push_back(entry.second.value());
+            confirmation.tasks.push_back(task.value());
             return true;
         });
         if (!confirmation.tasks.empty()) {
--- a/dragonflymount/src/Zone/Coordinator.hpp
+++ b/dragonflymount/src/Zone/Coordinator.hpp
@@ -144,6 +144,11 @@
         vm_id vm;
         instant lease_end{};
     };
+    /// When an endpoint may forget an ended attempt, and of which request.
+    struct confirmation {
+        request_key key;
+        instant due{};
+    };
     using request_map = std::map<request_key, request_record>;
 
     void enter(const request_key& key, request_record& record, instant now);
@@ -188,6 +193,9 @@
     void order_reboots(instant now);
     void report_demand(wire::EntryBeatT& beat) const;
     void forget(instant now);
+    void confirm(
+        const vm_id& vm, task_id task, const request_key& key, instant due);
+    bool has_unrecorded_end(const request_key& key) const;
     void finish_recovery(instant now);
     request_record* find_task(task_id task, request_key& key);
     void enqueue_again(
@@ -227,9 +235,10 @@
     instant claims_due_ = instant::max();
     wire::EndClaimsT ends_;
     std::map<std::uint64_t, wire::EndClaimsT> end_batches_;
-    // Claims that have ended, but not yet in the log.
-    std::set<task_id> unrecorded_ends_;
-    std::map<vm_id, std::vector<std::pair<instant, task_id>>> confirmations_;
+    // Claims that have ended, but not yet in the log. A claim has the name of
+    // the first attempt; a later one is told by its request alone.
+    std::set<std::pair<request_key, task_id>> unrecorded_ends_;
+    std::map<vm_id, std::map<task_id, confirmation>> confirmations_;
     instant zone_lease_end_{};
     instant recovery_end_{};
     bool recovered_ = false;
--- a/dragonflymount/src/Zone/CoordinatorAttempts.cpp
+++ b/dragonflymount/src/Zone/CoordinatorAttempts.cpp
@@ -102,12 +102,12 @@
 void coordinator::count_unadopted(
     const vm_id& vm, const wire::TaskReportT& report, instant now) {
     const task_id task(report.task);
+    const request_key key{team_id(report.team), report.id};
     if (report.phase == wire::task_phase::ended) {
         release_lost(task);
-        confirmations_[vm].emplace_back(now, task);
+        confirm(vm, task, key, now);
         return;
     }
-    const request_key key{team_id(report.team), report.id};
     const auto [found, fresh] = lost_.try_emplace(task);
     found->second = {key, vm, now + grantor_span(options_.task_lease)};
     if (fresh) {
--- a/dragonflymount/src/Zone/CoordinatorClaims.cpp
+++ b/dragonflymount/src/Zone/CoordinatorClaims.cpp
@@ -201,7 +201,7 @@
     end->id = key.id;
     end->task = claim.value();
     end->outcome = outcome;
-    unrecorded_ends_.insert(claim);
+    unrecorded_ends_.emplace(key, claim);
     ends_.ends.push_back(std::move(end));
 }
 
@@ -228,11 +228,24 @@
     end_batches_.erase(found);
     for (auto& end : command.ends) {
         if (reply.result == wire::proposal_result::accepted) {
-            unrecorded_ends_.erase(task_id(end->task));
+            unrecorded_ends_.erase(
+                {{team_id(end->team), end->id}, task_id(end->task)});
         } else {
             ends_.ends.push_back(std::move(end));
         }
     }
 }
 
+bool coordinator::has_unrecorded_end(const request_key& key) const {
+    const auto found = unrecorded_ends_.lower_bound({key, task_id()});
+    return found != unrecorded_ends_.end() && found->first == key;
+}
+
+void coordinator::confirm(
+    const vm_id& vm, task_id task, const request_key& key, instant due) {
+    const auto [held, fresh] =
+        confirmations_[vm].try_emplace(task, confirmation{key, due});
+    held->second.due = std::min(held->second.due, due);
+}
+
 } // namespace dragonflymount::zone
--- a/dragonflymount/src/Zone/CoordinatorEndpoints.cpp
+++ b/dragonflymount/src/Zone/CoordinatorEndpoints.cpp
@@ -82,11 +82,11 @@
     request_key key;
     request_record* record = find_task(task, key);
     if (record == nullptr || record->vm != vm) {
+        // The announcement that lists it settles whether it is needed here.
         release_lost(task);
-        confirmations_[vm].emplace_back(now, task);
         return;
     }
-    confirmations_[vm].emplace_back(now + options_.confirm_delay, task);
+    confirm(vm, task, key, now + options_.confirm_delay);
     const bool repeatable =
         record->request.idempotent && !record->cancelled && !record->overdue;
     const policy::end_verdict verdict = stop_counting(key, *record,
--- a/tests/zone/coordinator_test.cpp
+++ b/tests/zone/coordinator_test.cpp
@@ -84,6 +84,30 @@
     EXPECT_EQ(site_.starts("r1"), 1);
 }
 
+// Its start was lost, so it runs under another name than its claim's, and the
+// log never learns how it ended: only the endpoint can tell the successor.
+TEST_F(coordinator_test, renamed_attempt_is_kept_until_its_end_is_logged) {
+    const process_name before = site_.coordinator_of("z1");
+    const process_name after = before == "z1e1" ? "z1e2" : "z1e1";
+    site_.on_step = [this](const std::string& seen, const process_name& from,
+                        const process_name& to) {
+        if (seen == "start sent" && !done_) {
+            done_ = true;
+            site_.cut(from, to);
+        }
+    };
+    const auto caller = site_.submit(after, "r1", false, 2s);
+    ASSERT_TRUE(site_.run_until([&] { return done_; }, 5s));
+    site_.run_for(500ms);
+    site_.heal();
+    ASSERT_TRUE(site_.run_until([&] { return site_.starts("r1") == 1; }, 10s));
+    site_.cut_both(before, "control");
+    site_.cut(before, after);
+    EXPECT_EQ(outcome_of(caller), wire::outcome::answered) << reason_of(caller);
+    EXPECT_EQ(site_.starts("r1"), 1);
+    EXPECT_EQ(site_.coordinator_of("z1"), after);
+}
+
 TEST_F(coordinator_test, restarted_endpoint_leaves_the_end_unknown) {
     const auto caller = site_.submit("z1e1", "r1", false, 10s);
     site_.run_until([&] { return site_.starts("r1") == 1; }, 5s);
--- a/tests/zone/matrix_test.cpp
+++ b/tests/zone/matrix_test.cpp
@@ -280,7 +280,10 @@
         "coordinator cut from half its endpoints", 81600193,
         "an adopted task that was confirmed elsewhere was called not run"},
     {"answer sent", "messages late and crossed", "sender freezes", 81800187,
-        "an adopted task that was confirmed elsewhere ran again"}};
+        "an adopted task that was confirmed elsewhere ran again"},
+    {"claim committed", "messages lost",
+        "coordinator cut from half its endpoints", 81900165,
+        "a renamed attempt was forgotten before its claim's end was logged"}};
 
 const fault& find_fault(const std::string& name) {
     return *std::find_if(faults.begin(), faults.end(),
