--- /dev/null
+++ b/tests/jobs/machine.hpp
@@ -0,0 +1,76 @@
+// A machine of the random days: an endpoint that carries out orders, crashes,
+// hangs and is cut off. All times are milliseconds of virtual time.
+#ifndef DRAGONFLYMOUNT_TESTS_JOBS_MACHINE_HPP
+#define DRAGONFLYMOUNT_TESTS_JOBS_MACHINE_HPP
+
+#include "tests/jobs/job_builder.hpp"
+
+namespace dragonflymount::jobs::test {
+
+inline const resources vm_capacity{32'000, 64'000, 0};
+
+/// A machine with an endpoint that carries out orders.
+struct machine {
+    struct work {
+        std::int64_t done_ms = 0;
+        std::int64_t needed_ms = 0;
+        bool fails = false;
+        // A lasting run ends only when it is told to.
+        bool lasting = false;
+    };
+
+    std::string name;
+    std::string pool;
+    std::uint64_t life = 1;
+    std::uint64_t sequence = 0;
+    std::uint64_t next_end = 1;
+    std::map<run_ref, work> running;
+    std::vector<ended_task> ended;
+    std::int64_t next_report = 0;
+    // When the call that waits for its answer was sent.
+    std::optional<std::int64_t> called;
+    std::int64_t cut_off_until = 0;
+    std::int64_t down_until = 0;
+    std::int64_t stands_still_until = 0;
+
+    bool is_up(std::int64_t now) const { return now >= down_until; }
+    bool is_reachable(std::int64_t now) const {
+        return is_up(now) && now >= cut_off_until;
+    }
+
+    /// \brief Ends this life; the next one begins at \p back.
+    void restart(std::int64_t back) {
+        running.clear();
+        ended.clear();
+        called.reset();
+        ++life;
+        sequence = 0;
+        next_end = 1;
+        down_until = back;
+        next_report = back;
+    }
+    /// \brief Lists the end of a run that goes on no longer.
+    void end(std::int64_t now, const run_ref& run, wire::run_end how) {
+        ended.push_back({next_end++, run, how, ""});
+        next_report = now;
+    }
+    endpoint_report report() {
+        endpoint_report made = make_report(name, ++sequence);
+        made.life = {name, life};
+        made.pool = pool_id(pool);
+        made.capacity = vm_capacity;
+        for (const auto& [run, work] : running) {
+            running_task listed;
+            listed.run = run;
+            listed.percent = static_cast<std::uint32_t>(
+                100 * work.done_ms / std::max<std::int64_t>(1, work.needed_ms));
+            made.running.push_back(listed);
+        }
+        made.ended = ended;
+        return made;
+    }
+};
+
+} // namespace dragonflymount::jobs::test
+
+#endif
