Let a replica vote for a candidate whose members it has yet to learn

What callers would see: a site of three schedulers without a leader for good after a second disk loss, though the first one was made good and every record is on a replica that is there.

Cause: a vote was given only between voters of the voter's own member list. After a lost disk its replica is promoted by a record of the leader and one other. If the third is cut off then, and the leader's disk is lost before it has caught up, the promoted replica alone may lead, and the third takes it for a learner or for a stranger; if the promoted one itself was cut off, the third needs its vote, and it takes itself for a learner. Neither ever learns of the change, as only a leader could tell. Raft has voters answer without regard to their own member list for this reason.

A replica that is admitted under its identity now also answers a candidate whose log is longer than its own: that log may hold a change that it lacks. The candidate still counts only voters of its list under their identities, so that a lost disk has no vote; a removed replica whose log isn't longer is still left unanswered, and no one is answered while a leader is heard.

Evidence: promotion_beside_an_absent_replica.is_known_to_the_candidate_alone and .is_unknown_to_the_promoted_one. The fault matrix leaves this out, as it spares a disk that any replica's list, however old, rests on.

--- a/dragonflymount/src/Agreement/Election.cpp
+++ b/dragonflymount/src/Agreement/Election.cpp
@@ -83,23 +83,32 @@
     return index >= log_.last_index();
 }
 
+bool replica::is_same_log(const wire::VoteRequestT& request) const {
+    return log_index(request.last_index) == log_.last_index() &&
+        log_term(request.last_term) == log_.last_term();
+}
+
 void replica::receive(const wire::VoteRequestT& request, instant now) {
     const replica_id candidate(request.candidate);
+    const log_term term(request.term);
+    const bool up_to_date = is_up_to_date(
+        log_index(request.last_index), log_term(request.last_term));
     // A candidate under an identity that isn't a voter's has lost its disk,
-    // or was removed; answering it could only disturb the others.
-    if (!can_vote() ||
-        !is_voter(candidate, replica_identity(request.identity))) {
+    // or was removed; answering it could only disturb the others. A longer log
+    // may hold a change of members that this replica has yet to learn: the
+    // candidate knows then whose votes count.
+    const bool longer = up_to_date && !is_same_log(request);
+    const bool between_voters =
+        can_vote() && is_voter(candidate, replica_identity(request.identity));
+    if (!is_admitted() || (!between_voters && !longer)) {
         return;
     }
-    const log_term term(request.term);
     // While a leader is heard, nobody helps to depose it.
     const bool leader_alive =
         is_leader() || now - heard_leader_ < options_.election_timeout;
     if (leader_alive && leader_ != candidate) {
         return;
     }
-    const bool up_to_date = is_up_to_date(
-        log_index(request.last_index), log_term(request.last_term));
     wire::VoteReplyT reply;
     reply.voter = options_.self.str();
     reply.identity = identity_.value();
--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -161,6 +161,11 @@
     return !failed_ && is_voter(options_.self, identity_);
 }
 
+bool replica::is_admitted() const {
+    const member* own = find_member(options_.self);
+    return own != nullptr && own->identity == identity_;
+}
+
 std::size_t replica::voter_count() const {
     return static_cast<std::size_t>(std::count_if(log_.members().begin(),
         log_.members().end(), [](const member& peer) { return peer.voter; }));
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -160,7 +160,10 @@
     const member* find_member(const replica_id& id) const;
     bool is_voter(const replica_id& id, replica_identity identity) const;
     bool can_vote() const;
+    /// \returns whether it is a member under its identity, voter or not.
+    bool is_admitted() const;
     bool is_up_to_date(log_index index, log_term term) const;
+    bool is_same_log(const wire::VoteRequestT& request) const;
     std::size_t voter_count() const;
     bool is_majority(std::size_t count) const;
 
--- a/tests/agreement/replica_test.cpp
+++ b/tests/agreement/replica_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 
 namespace dragonflymount::agreement {
@@ -246,6 +247,67 @@
     EXPECT_TRUE(group.leader());
 }
 
+/// Three replicas, one of which lost its disk and was admitted again. It gets
+/// its vote while \c absent is cut off; then the leader's disk is lost too.
+class promotion_beside_an_absent_replica : public testing::Test {
+protected:
+    promotion_beside_an_absent_replica() {
+        group_.run(std::chrono::seconds(5));
+        leader_ = group_.leader().value();
+        promoted_ = (leader_ + 1) % 3;
+        third_ = (leader_ + 2) % 3;
+        group_.restart_without_disk(promoted_);
+        group_.run(std::chrono::seconds(1));
+        change(wire::replica_change::admit);
+        group_.run(std::chrono::seconds(2));
+    }
+
+    void promote_without(std::size_t absent) {
+        group_.cut(absent, true);
+        change(wire::replica_change::promote);
+        group_.run(std::chrono::milliseconds(500));
+        group_.node(leader_).propose(command("accepted"), group_.now());
+        group_.run(std::chrono::milliseconds(500));
+        ASSERT_EQ(group_.applied(leader_).back().payload, command("accepted"));
+        group_.restart_without_disk(leader_);
+        group_.cut(absent, false);
+        group_.run(std::chrono::seconds(15));
+    }
+
+    void expect_accepted_command() {
+        ASSERT_TRUE(group_.leader());
+        for (const std::size_t k : {promoted_, third_}) {
+            const auto& applied = group_.applied(k);
+            EXPECT_TRUE(std::any_of(
+                applied.begin(), applied.end(), [](const log_record& record) {
+                    return record.payload == command("accepted");
+                }));
+        }
+    }
+
+    void change(wire::replica_change kind) {
+        const member subject{group_.node(promoted_).self(), "",
+            availability_zone_id("z"), group_.node(promoted_).identity(),
+            false};
+        ASSERT_TRUE(group_.node(leader_).change(kind, subject, group_.now()));
+    }
+
+    replica_group group_{3};
+    std::size_t leader_ = 0;
+    std::size_t promoted_ = 0;
+    std::size_t third_ = 0;
+};
+
+TEST_F(promotion_beside_an_absent_replica, is_known_to_the_candidate_alone) {
+    promote_without(third_);
+    expect_accepted_command();
+}
+
+TEST_F(promotion_beside_an_absent_replica, is_unknown_to_the_promoted_one) {
+    promote_without(promoted_);
+    expect_accepted_command();
+}
+
 TEST(replica, frozen_leader_believes_nothing_when_it_wakes) {
     replica_group group(3);
     group.run(std::chrono::seconds(5));
