Leave its vote to a replica that can't read its folder

What callers would see: a quorum with one voter fewer after a scheduler's disk refused to be read for a moment.

Cause: a replica whose folder can't be opened doesn't know its identity, and asked to join under none. The leader took that for a new identity, which ends the old one's vote; when the disk worked again the replica came back as a learner, and until its promotion a site of three needed both others. A failed replica now doesn't ask, schedulers ignore such a request, and no member is admitted without an identity.

Evidence: replica_step.voter_keeps_its_vote_if_it_asks_without_an_identity. Before: change() succeeds and c2 loses its vote; after: passes. The two lines in member_keeper have no test of their own; it has no test target.

--- a/dragonflymount/src/Agreement/Membership.cpp
+++ b/dragonflymount/src/Agreement/Membership.cpp
@@ -29,6 +29,10 @@
         [&](const member& peer) { return peer.id == subject.id; });
     switch (change) {
     case wire::replica_change::admit:
+        if (subject.identity == replica_identity()) {
+            return change_failure(
+                subject.id, errc::conflict, "it has no identity");
+        }
         // An admission under a new identity also ends the old one's vote.
         if (found != members.end()) {
             members.erase(found);
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -26,7 +26,9 @@
     : replica_(replica), self_(std::move(self)), voters_(voters) {}
 
 void member_keeper::receive(const wire::JoinReplicaT& request) {
-    if (!request.member || request.member->replica.empty()) {
+    if (!request.member || request.member->replica.empty() ||
+        agreement::replica_identity(request.member->identity) ==
+            agreement::replica_identity()) {
         return;
     }
     if (!replica_.is_settled_leader()) {
@@ -57,6 +59,10 @@
 }
 
 void member_keeper::ask_to_join(instant now) {
+    // It couldn't follow, and may have a vote to come back to.
+    if (replica_.replica().is_failed()) {
+        return;
+    }
     const auto& members = replica_.replica().members();
     const bool admitted =
         std::any_of(members.begin(), members.end(), [this](const auto& peer) {
--- a/tests/agreement/replica_step_test.cpp
+++ b/tests/agreement/replica_step_test.cpp
@@ -207,6 +207,17 @@
     EXPECT_EQ(broken.node().last_lead_end(), lead_end::disk_failed);
 }
 
+// A replica that can't read its folder doesn't know its identity.
+TEST(replica_step, voter_keeps_its_vote_if_it_asks_without_an_identity) {
+    single_replica group(voters(3));
+    group.elect();
+    member unreadable = voter("c2");
+    unreadable.identity = replica_identity();
+    EXPECT_FALSE(group.node().change(
+        wire::replica_change::admit, unreadable, group.now()));
+    EXPECT_EQ(group.node().members(), voters(3));
+}
+
 TEST(replica_step, frozen_leader_changes_no_member) {
     single_replica group(voters(3));
     group.elect();
