Share the three replicas of the host's tests; let posted work run before a host goes

The test of a leader that never caught up built its replicas anew; it uses the fixture of its neighbours now and checks the same. A host that is destroyed while a flush is posted would be used after its end (found by reading); tests now run what is posted first. A replica that failed answers no candidate. Findings of the linter in the same files are mended.

--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -163,7 +163,7 @@
 
 bool replica::is_admitted() const {
     const member* own = find_member(options_.self);
-    return own != nullptr && own->identity == identity_;
+    return !failed_ && own != nullptr && own->identity == identity_;
 }
 
 std::size_t replica::voter_count() const {
--- a/dragonflymount/src/Hosting/AppliedState.hpp
+++ b/dragonflymount/src/Hosting/AppliedState.hpp
@@ -62,7 +62,7 @@
     /// \brief Replaces the state by that of \p image.
     result<done> load(const agreement::snapshot& image) {
         image_.reset();
-        const result<done> status = state_.load(image.state);
+        result<done> status = state_.load(image.state);
         if (status) {
             index_ = image.last_index;
             waiting_.clear();
--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -415,8 +415,8 @@
 
 template <replicated_state State>
 std::size_t replica_host<State>::apply_slice() {
-    const std::size_t count =
-        applied_.apply(longest_slice, [this](const auto& record, auto&& reply) {
+    const std::size_t count = applied_.apply(longest_slice,
+        [this](const agreement::log_record& record, wire::ProposeReplyT reply) {
             note_applied(record, std::move(reply));
         });
     if (applied_.is_behind()) {
--- a/tests/hosting/replica_host_test.cpp
+++ b/tests/hosting/replica_host_test.cpp
@@ -107,6 +107,9 @@
     void stop() {
         host_->stop();
         listener_.stop();
+        // What the host has posted refers to it.
+        context_.poll();
+        context_.restart();
         host_.reset();
     }
     /// Ends its connections; the replica itself stays.
@@ -233,7 +236,7 @@
         }
     }
     bool has_leader() {
-        return run_until(context_, [&] { return leader() != nullptr; });
+        return run_until([&] { return leader() != nullptr; });
     }
     /// \returns whether all were committed and applied by each replica.
     bool commit(std::size_t count) {
@@ -243,13 +246,38 @@
         return all_hold(count);
     }
     bool all_hold(std::size_t count) {
-        return run_until(context_, [&] {
+        return run_until([&] {
             return std::all_of(nodes_.begin(), nodes_.end(), [&](node& each) {
                 return each.host().agreed().commands >= count;
             });
         });
     }
     void run(duration span) { context_.run_for(span); }
+    template <class Predicate>
+    bool run_until(Predicate holds) {
+        return hosting::run_until(context_, holds);
+    }
+    /// \returns the replica that is elected, whatever its state holds yet.
+    node* find_elected() {
+        node* found = nullptr;
+        run_until([&] {
+            for (node& each : nodes_) {
+                if (each.host().replica().is_settled()) {
+                    found = &each;
+                }
+            }
+            return found != nullptr;
+        });
+        return found;
+    }
+    void silence_all_but(const node& heard) {
+        for (node& each : nodes_) {
+            if (&each != &heard) {
+                each.host().stop();
+                each.deafen();
+            }
+        }
+    }
     std::size_t leads_lost() const {
         std::size_t lost = 0;
         for (const node& each : nodes_) {
@@ -308,58 +336,22 @@
 // has proposed something to it meanwhile must be told.
 TEST(replica_host, answers_a_proposal_to_a_leader_that_never_caught_up) {
     constexpr std::size_t command_count = 2000;
-    asio::io_context context;
-    std::array<node, 3> nodes{node(context, "c1", free_address(context)),
-        node(context, "c2", free_address(context)),
-        node(context, "c3", free_address(context))};
-    agreement::member_list members;
-    for (const node& each : nodes) {
-        members.push_back(each.member());
-    }
-    const auto leader = [&]() -> node* {
-        const auto found = std::find_if(nodes.begin(), nodes.end(),
-            [](node& each) { return each.host().replica().is_settled(); });
-        return found == nodes.end() ? nullptr : &*found;
-    };
-    for (node& each : nodes) {
-        each.start(members, true);
-    }
-    ASSERT_TRUE(run_until(context, [&] { return leader() != nullptr; }));
-    std::size_t committed = 0;
-    for (std::size_t k = 0; k < command_count; ++k) {
-        leader()->host().propose(
-            to_bytes("command"), [&](const auto&) { ++committed; });
-    }
-    ASSERT_TRUE(run_until(context, [&] { return committed == command_count; }));
-    for (node& each : nodes) {
-        each.stop();
-        each.move_data();
-    }
-    context.poll();
-    context.restart();
-    counting_state::time_of_command = milliseconds(1);
-    for (node& each : nodes) {
-        each.start(members, true);
-    }
-    ASSERT_TRUE(run_until(context, [&] { return leader() != nullptr; }));
-    node* behind = leader();
+    node_trio trio;
+    trio.start();
+    ASSERT_TRUE(trio.has_leader());
+    ASSERT_TRUE(trio.commit(command_count));
+    counting_state::time_to_apply = milliseconds(1);
+    trio.restart();
+    node* behind = trio.find_elected();
+    ASSERT_NE(behind, nullptr);
     ASSERT_FALSE(behind->host().is_settled_leader());
-    for (node& each : nodes) {
-        if (&each != behind) {
-            each.host().stop();
-            each.deafen();
-        }
-    }
+    trio.silence_all_but(*behind);
     bool answered = false;
     behind->host().propose(
         to_bytes("late"), [&](const auto&) { answered = true; });
-    EXPECT_TRUE(run_until(
-        context, [&] { return !behind->host().replica().is_leader(); }));
-    EXPECT_TRUE(run_until(context, [&] { return answered; }));
-    counting_state::time_of_command = duration::zero();
-    for (node& each : nodes) {
-        each.stop();
-    }
+    EXPECT_TRUE(
+        trio.run_until([&] { return !behind->host().replica().is_leader(); }));
+    EXPECT_TRUE(trio.run_until([&] { return answered; }));
 }
 
 } // namespace
