Refuse a late copy of a start whose task was confirmed

Callers saw: a request that must run at most once ran twice (matrix, grant changed, messages late and crossed / messages doubled). Cause: an endpoint refuses a start of a task that it holds or has denied, but kept nothing of a task whose end was confirmed. A second copy of the start, still within its lease, ran the task again. Evidence, trace of the cell: the start of 2.7 for r4 is sent at 115.54 s and arrives at 115.68 s; 2.7 ends, its claim's end is logged, it is confirmed at 118.58 s; the doubled start arrives at 118.72 s and runs. Change: an endpoint refuses the names of confirmed tasks until the task's lease has run out, from when on no start of it is valid anyway. What it keeps is thereby bounded by the tasks of one lease. The worker and the endpoint of the test site follow the same rule; the invariants of the site are unchanged. The worker was built; no test runs it with a doubled start, and none was run with it.

--- a/programs/worker/endpoint.cpp
+++ b/programs/worker/endpoint.cpp
@@ -66,6 +66,9 @@
 // ---- Announcements ---------------------------------------------------------
 
 void endpoint::announce_all() {
+    const instant now = runtime::system_clock::now();
+    std::erase_if(
+        confirmed_, [&](const auto& held) { return held.second <= now; });
     for (const auto& [entry, opened] : links_) {
         announce(entry);
     }
@@ -157,6 +160,9 @@
     if (denied_.contains(start.task)) {
         return "the task was denied before";
     }
+    if (confirmed_.contains(start.task)) {
+        return "the task has ended";
+    }
     if (sha256(start.request->body) != start.request->digest) {
         return "the digest does not match the body";
     }
@@ -266,7 +272,11 @@
 
 void endpoint::receive(const wire::ConfirmTasksT& confirmation) {
     for (const std::uint64_t number : confirmation.tasks) {
-        tasks_.erase(number);
+        const auto found = tasks_.find(number);
+        if (found != tasks_.end()) {
+            confirmed_.emplace(number, found->second.lease_end);
+            tasks_.erase(found);
+        }
     }
 }
 
@@ -286,6 +296,7 @@
 void endpoint::go_down() {
     links_.clear();
     denied_.clear();
+    confirmed_.clear();
     pool_.clear();
     coordinator_.clear();
     assignment_epoch_ = 0;
--- a/programs/worker/endpoint.hpp
+++ b/programs/worker/endpoint.hpp
@@ -86,6 +86,9 @@
     std::map<std::uint64_t, running_task> tasks_;
     // Tasks that were denied; a late start of one must not run.
     std::set<std::uint64_t> denied_;
+    // Tasks that ended and were confirmed, until no start of one can be valid
+    // any more; a late copy of its start must not run.
+    std::map<std::uint64_t, instant> confirmed_;
     bool leaving_ = false;
     std::function<void()> on_idle_;
 };
--- a/tests/zone/fake_endpoint.hpp
+++ b/tests/zone/fake_endpoint.hpp
@@ -53,6 +53,7 @@
     instant leaving_since{};
     std::map<std::uint64_t, task> tasks;
     std::set<std::uint64_t> denied;
+    std::map<std::uint64_t, instant> confirmed;
     /// Invariant: outlives the endpoint's incarnations.
     std::vector<started_task> started;
 
@@ -65,6 +66,7 @@
         leaving = false;
         tasks.clear();
         denied.clear();
+        confirmed.clear();
     }
 
     std::size_t running() const {
@@ -117,7 +119,8 @@
             order.incarnation != incarnation ||
             order.assignment_epoch != assignment_epoch || order.pool != pool ||
             order.announced_ms + order.lease_ms <= to_clock_ms(now) ||
-            leaving || running() >= slots || denied.contains(order.task)) {
+            leaving || running() >= slots || denied.contains(order.task) ||
+            confirmed.contains(order.task)) {
             denied.insert(order.task);
             return true;
         }
@@ -137,6 +140,14 @@
         return false;
     }
 
+    void confirm(std::uint64_t number) {
+        const auto found = tasks.find(number);
+        if (found != tasks.end()) {
+            confirmed.emplace(number, found->second.lease_end);
+            tasks.erase(found);
+        }
+    }
+
     wire::TaskEndedT ended(const task& held) const {
         wire::TaskEndedT message;
         message.task = held.report.task;
@@ -148,6 +159,8 @@
 
     /// \returns the tasks that end now.
     std::vector<wire::TaskEndedT> tick(instant now) {
+        std::erase_if(
+            confirmed, [&](const auto& held) { return held.second <= now; });
         std::vector<wire::TaskEndedT> messages;
         for (auto& [number, held] : tasks) {
             if (held.report.phase == wire::task_phase::running &&
--- a/tests/zone/matrix_test.cpp
+++ b/tests/zone/matrix_test.cpp
@@ -283,7 +283,9 @@
         "an adopted task that was confirmed elsewhere ran again"},
     {"claim committed", "messages lost",
         "coordinator cut from half its endpoints", 81900165,
-        "a renamed attempt was forgotten before its claim's end was logged"}};
+        "a renamed attempt was forgotten before its claim's end was logged"},
+    {"grant changed", "messages late and crossed", "messages doubled", 81400195,
+        "a late copy of a start ran a confirmed task again"}};
 
 const fault& find_fault(const std::string& name) {
     return *std::find_if(faults.begin(), faults.end(),
--- a/tests/zone/site.cpp
+++ b/tests/zone/site.cpp
@@ -383,7 +383,7 @@
         }
     } else if (const auto* confirmed = content.body.AsConfirmTasks()) {
         for (const std::uint64_t number : confirmed->tasks) {
-            self.tasks.erase(number);
+            self.confirm(number);
         }
     } else if (const auto* query = content.body.AsQueryTask()) {
         const auto found = self.tasks.find(query->task);
