Count maintenance orders that aren't committed against a wave's limit

Cause: a decision round counts the committed orders only, so when a commit takes longer than the 150 ms between rounds, each round chooses VMs anew.

--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -182,6 +182,8 @@
     void decide_waves(std::vector<vm_order>& orders, instant now);
     void decide_wave(const wire::MaintenanceWaveT& wave,
         std::vector<vm_order>& orders, instant now);
+    std::vector<vm_id> uncommitted_vms(
+        const wire::MaintenanceWaveT& wave) const;
     void advance_step(const wire::MaintenanceStepT& step,
         std::vector<vm_order>& orders, instant now);
     void choose_next_vms(
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -65,9 +65,30 @@
             advance_step(*step, orders, now);
         }
     }
+    for (const vm_id& vm : uncommitted_vms(wave)) {
+        ++down;
+        chosen_for_wave_.insert(vm);
+    }
     choose_next_vms(wave, down, now);
 }
 
+// A slow commit outlasts several decision rounds. VMs whose maintenance is in
+// an uncommitted batch count as down, too, so that the rounds in between don't
+// exceed the wave's limit.
+std::vector<vm_id> vm_manager::uncommitted_vms(
+    const wire::MaintenanceWaveT& wave) const {
+    std::vector<vm_id> uncommitted;
+    for (const std::string& name : wave.vms) {
+        const wire::MaintenanceStepT* step = find_step(wave, name);
+        const bool is_committed = step != nullptr &&
+            step->phase != wire::maintenance_phase::waiting;
+        if (!is_committed && maintenance_ordered_.contains(vm_id(name))) {
+            uncommitted.emplace_back(name);
+        }
+    }
+    return uncommitted;
+}
+
 // Gives the maintenance order of a step until the service confirms it, and then
 // notes the VM's return. A new life without the confirmation isn't enough,
 // since a VM that crashes also returns with a new life.
