Let a new leader order VMs before it has heard every endpoint

What callers saw: a leader lost in a turn of demand cost the turn.

No safety rule needs that wait: that a VM is in one pool only rests on the service's list, the fence and the moves that are under way; availability budgets and doubled runs concern maintenance and starts. It only kept pools that are not heard from counting as empty. Now a VM that is listed as up and hasn't reported counts as held by its pool for the same time, orders are decided when the list arrives, and the listed capacities serve until the first report.

--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -108,6 +108,8 @@
     std::string pool;
     std::size_t held = 0;
     std::size_t arriving = 0;
+    /// VMs listed as up that haven't reported to this leader yet.
+    std::size_t unheard = 0;
     std::size_t wanted = 0;
     pool_demand demand;
 
@@ -173,10 +175,16 @@
         // The fewest VMs on which long-running tasks meet their anti-affinity.
         std::uint32_t least = 0;
         std::size_t arriving = 0;
+        // VMs listed as up that haven't reported to this leader yet.
+        std::size_t unheard = 0;
         std::size_t wanted = 0;
         // The peak of wanted in the current and the previous window; VMs beyond
         // it move to standby.
         std::size_t peak_wanted = 0;
+
+        std::size_t vm_count() const {
+            return members.size() + arriving + unheard;
+        }
     };
 
     void decide_waves(std::vector<vm_order>& orders, instant now);
@@ -240,7 +248,7 @@
     using need_map = std::map<std::string, team_need>;
 
     void decide_moves(std::vector<vm_order>& orders, instant now);
-    bool has_heard_endpoints(instant now) const;
+    void count_unheard(instant now);
     void remove_ended_moves(instant now);
     bool has_reached_standby(
         const pool_id& target, const order_state& order, instant now) const;
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -15,11 +15,6 @@
 // With fewer VMs a pool could not absorb the loss of one.
 constexpr std::size_t min_pool_size = 3;
 
-// Share of the listed VMs that may not have reported while the pools' sizes
-// already count as known. So few VMs change little in what a pool needs, and
-// they may have failed.
-constexpr std::int64_t max_unheard_percent = 3;
-
 // Timeout of an endpoint's call to a replica that doesn't answer.
 constexpr duration call_timeout = std::chrono::seconds(1);
 
@@ -174,6 +169,7 @@
     }
 }
 
+// Before the first endpoint has reported, the listed capacities are used.
 void vm_manager::measure_usual_capacity() {
     resources total;
     std::int64_t count = 0;
@@ -181,6 +177,12 @@
         total += view.capacity;
         ++count;
     }
+    if (count == 0) {
+        for (const auto& [vm, record] : list_) {
+            total += record.capacity;
+            ++count;
+        }
+    }
     if (count > 0) {
         usual_capacity_ = {total.cpu_milli / count, total.memory_mb / count,
             total.gpus / count};
@@ -201,6 +203,7 @@
     for (const auto& [vm, pool] : move_targets_) {
         ++pools_[pool.str()].arriving;
     }
+    count_unheard(now);
     need_map needs;
     for (const job_id id : jobs_.agreed().active_jobs()) {
         measure_job(*jobs_.agreed().find_job(id), needs);
@@ -234,11 +237,11 @@
         if (standby != nullptr && name == *standby) {
             continue;
         }
-        vms += pool.members.size() + pool.arriving;
+        vms += pool.vm_count();
         sharing.push_back(&pool);
         demands.push_back(demand_of(pool));
-        summaries_.push_back(
-            {name, pool.members.size(), pool.arriving, 0, demands.back()});
+        summaries_.push_back({name, pool.members.size(), pool.arriving,
+            pool.unheard, 0, demands.back()});
     }
     const std::vector<std::size_t> shares = divide_vms(demands, vms);
     for (std::size_t k = 0; k < sharing.size(); ++k) {
@@ -318,30 +321,25 @@
     });
 }
 
-// A new leader must not move VMs before it has heard the endpoints, since it
-// would see every pool as empty.
-bool vm_manager::has_heard_endpoints(instant now) const {
-    if (list_.empty()) {
-        return false;
+// A new leader hears the endpoints one after the other. A VM that is listed as
+// up in a pool and hasn't reported yet counts as held by that pool, so that no
+// other VM is moved there in its place. After the time in which a new leader
+// hears every endpoint, including those whose first call goes to a failed
+// replica, such a VM counts as lost.
+void vm_manager::count_unheard(instant now) {
+    if (now - led_since_ >= options_.report_interval + call_timeout) {
+        return;
+    }
+    for (const auto& [vm, record] : list_) {
+        if (record.condition == vm_condition::up && find_vm(vm) == nullptr &&
+            !move_targets_.contains(vm) && !chosen_for_wave_.contains(vm)) {
+            ++pools_[record.pool.str()].unheard;
+        }
     }
-    const std::string* standby = standby_pool();
-    // Time in which a new leader hears every endpoint, including those whose
-    // first call goes to a failed replica.
-    const duration discovery_time = options_.report_interval + call_timeout;
-    const auto unheard =
-        std::count_if(list_.begin(), list_.end(), [&](const auto& entry) {
-            const vm_record& record = entry.second;
-            return record.condition == vm_condition::up &&
-                (standby == nullptr || record.pool.str() != *standby) &&
-                find_vm(record.vm) == nullptr;
-        });
-    return now - led_since_ >= discovery_time ||
-        unheard * 100 <=
-        static_cast<std::int64_t>(list_.size()) * max_unheard_percent;
 }
 
 void vm_manager::decide_moves(std::vector<vm_order>& orders, instant now) {
-    if (!has_heard_endpoints(now)) {
+    if (list_.empty()) {
         return;
     }
     measure_pools(now);
@@ -372,7 +370,7 @@
 }
 
 std::size_t vm_manager::missing_vms(const pool_state& pool) {
-    const std::size_t held = pool.members.size() + pool.arriving;
+    const std::size_t held = pool.vm_count();
     return pool.wanted > held ? pool.wanted - held : 0;
 }
 
