Prepare a wave's VMs with long-running tasks beside those on standby

Cause: 65 VMs on standby took the whole limit for 8 s, so the VMs with long-running tasks, whose tasks move one after the other, began only at 11 s of 26 s. Ruled out: refused or lost orders (168 of 168 done). VMs on standby cost no capacity, so they now fill what the others leave of the limit, and the part of each round counts only VMs of pools. The test fails on the code before.

--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -194,8 +194,15 @@
         const wire::MaintenanceWaveT& wave) const;
     void advance_step(const wire::MaintenanceStepT& step,
         std::vector<vm_order>& orders, instant now);
+    /// VMs of a wave that are down for maintenance.
+    struct vms_down {
+        std::size_t on_standby = 0;
+        std::size_t in_pools = 0;
+
+        std::size_t count() const { return on_standby + in_pools; }
+    };
     void choose_next_vms(
-        const wire::MaintenanceWaveT& wave, std::size_t down, instant now);
+        const wire::MaintenanceWaveT& wave, vms_down down, instant now);
     /// VMs of a wave for which no maintenance has been ordered yet.
     struct unmaintained_vms {
         // All of them, also those that can't be chosen now.
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -57,16 +57,16 @@
 
 void vm_manager::decide_wave(const wire::MaintenanceWaveT& wave,
     std::vector<vm_order>& orders, instant now) {
-    std::size_t down = 0;
+    vms_down down;
     for (const auto& step : wave.steps) {
         if (step->phase == wire::maintenance_phase::ordered) {
-            ++down;
+            ++(step->endpoint.empty() ? down.on_standby : down.in_pools);
             chosen_for_wave_.insert(vm_id(step->vm));
             advance_step(*step, orders, now);
         }
     }
     for (const vm_id& vm : uncommitted_vms(wave)) {
-        ++down;
+        ++(find_vm(vm) == nullptr ? down.on_standby : down.in_pools);
         chosen_for_wave_.insert(vm);
     }
     choose_next_vms(wave, down, now);
@@ -80,8 +80,8 @@
     std::vector<vm_id> uncommitted;
     for (const std::string& name : wave.vms) {
         const wire::MaintenanceStepT* step = find_step(wave, name);
-        const bool is_committed = step != nullptr &&
-            step->phase != wire::maintenance_phase::waiting;
+        const bool is_committed =
+            step != nullptr && step->phase != wire::maintenance_phase::waiting;
         if (!is_committed && maintenance_ordered_.contains(vm_id(name))) {
             uncommitted.emplace_back(name);
         }
@@ -266,12 +266,13 @@
     return unmaintained;
 }
 
-// Chooses no more VMs at a time than completing the wave in the remaining time
-// requires, since each one reduces its pool's capacity. Some VMs with
-// long-running tasks come first, because each such task has to work elsewhere
-// before the next of its step is stopped.
+// Chooses no more VMs of pools at a time than completing the wave in the
+// remaining time requires, since each one reduces its pool's capacity. Some VMs
+// with long-running tasks come first, because each such task has to work
+// elsewhere before the next of its step is stopped, which takes the longest.
+// VMs on standby use only what they leave of the wave's limit.
 void vm_manager::choose_next_vms(
-    const wire::MaintenanceWaveT& wave, std::size_t down, instant now) {
+    const wire::MaintenanceWaveT& wave, vms_down down, instant now) {
     const unmaintained_vms unmaintained = collect_unmaintained(wave, now);
     const std::uint64_t passed = jobs_.agreed().time_ms() - wave.started_ms;
     const auto goal = wave.duration_ms *
@@ -282,36 +283,32 @@
     const std::size_t rounds =
         std::max<std::size_t>(1, static_cast<std::size_t>(time_left / each));
     const std::size_t most = std::max<std::size_t>(1, wave.most_down);
+    const auto share_of_round = [rounds](std::size_t vms) {
+        return (vms + rounds - 1) / rounds;
+    };
+    const bool urgent = passed + each >= wave.duration_ms;
     const std::size_t at_once =
-        std::min(most, (unmaintained.vm_count + rounds - 1) / rounds);
-    for (const vm_id& vm : unmaintained.on_standby) {
-        if (down >= most) {
-            return;
+        share_of_round(unmaintained.vm_count - unmaintained.on_standby.size());
+    const auto prepare = [&](const endpoint_view* view) {
+        if (down.count() < most && down.in_pools < at_once) {
+            down.in_pools +=
+                prepare_maintenance(wave.number, *view, urgent, now) ? 1 : 0;
         }
-        ++down;
-        chosen_for_wave_.insert(vm);
-        order_maintenance(wave.number, vm, {}, now);
-    }
-    const bool urgent = passed + each >= wave.duration_ms;
-    const std::size_t long_running_at_once =
-        std::min(unmaintained.with_long_running.size(),
-            (unmaintained.with_long_running.size() + rounds - 1) / rounds);
-    std::vector<const endpoint_view*> order(
-        unmaintained.with_long_running.begin(),
-        unmaintained.with_long_running.begin() +
-            static_cast<std::ptrdiff_t>(long_running_at_once));
-    order.insert(order.end(), unmaintained.without_long_running.begin(),
-        unmaintained.without_long_running.end());
-    order.insert(order.end(),
-        unmaintained.with_long_running.begin() +
-            static_cast<std::ptrdiff_t>(long_running_at_once),
-        unmaintained.with_long_running.end());
-    for (const endpoint_view* view : order) {
-        if (down >= at_once) {
-            return;
+    };
+    const auto& long_running = unmaintained.with_long_running;
+    const auto first = long_running.begin() +
+        static_cast<std::ptrdiff_t>(share_of_round(long_running.size()));
+    std::for_each(long_running.begin(), first, prepare);
+    for (const vm_id& vm : unmaintained.on_standby) {
+        if (down.count() < most) {
+            ++down.on_standby;
+            chosen_for_wave_.insert(vm);
+            order_maintenance(wave.number, vm, {}, now);
         }
-        down += prepare_maintenance(wave.number, *view, urgent, now) ? 1 : 0;
     }
+    std::for_each(unmaintained.without_long_running.begin(),
+        unmaintained.without_long_running.end(), prepare);
+    std::for_each(first, long_running.end(), prepare);
 }
 
 // Reserves the VM and orders its maintenance once its tasks allow it.
--- a/tests/jobs/vm_manager_test.cpp
+++ b/tests/jobs/vm_manager_test.cpp
@@ -45,6 +45,31 @@
     EXPECT_EQ(jobs_.agreed.waves().at(1).steps.size(), 2U);
 }
 
+// The VMs with long-running tasks take the longest, since their tasks move one
+// after the other. On a day with 168 VMs in a wave, those on standby used up
+// the limit for 8 s, and the last VM was late.
+TEST_F(vm_orders, prepares_long_running_vms_beside_those_on_standby) {
+    const auto endpoints = names("e", 3);
+    for (const std::string& endpoint : endpoints) {
+        report(endpoint);
+    }
+    jobs_.submit(job_builder(7).step(3).long_running(1).build());
+    engine_.tick(now_);
+    commit_batches();
+    const auto standby = names("s", 12);
+    list_vms(endpoints, standby);
+    std::vector<std::string> vms = standby;
+    for (const std::string& endpoint : endpoints) {
+        vms.push_back("vm-" + endpoint);
+    }
+    start_wave(vms, 2);
+    std::set<std::string> first;
+    for (const vm_order& order : run_for(600, endpoints)) {
+        first.insert(order.vm.str().substr(0, 1));
+    }
+    EXPECT_EQ(first, (std::set<std::string>{"s", "v"}));
+}
+
 TEST_F(vm_orders, is_complete_only_when_the_order_was_carried_out) {
     report("e1");
     start_wave({"vm-e1"}, 1);
