--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -296,11 +296,16 @@
         }
     };
     const auto& long_running = unmaintained.with_long_running;
-    const auto first = long_running.begin() +
+    const auto first =
         static_cast<std::ptrdiff_t>(share_of_round(long_running.size()));
-    std::for_each(long_running.begin(), first, prepare);
+    const std::size_t down_before = down.in_pools;
+    std::for_each(long_running.begin(), long_running.begin() + first, prepare);
+    // Each VM whose tasks may not end yet keeps its place.
+    const std::size_t kept = std::min(
+        static_cast<std::size_t>(first) - (down.in_pools - down_before),
+        most / 2);
     for (const vm_id& vm : unmaintained.on_standby) {
-        if (down.count() < most) {
+        if (down.count() + kept < most) {
             ++down.on_standby;
             chosen_for_wave_.insert(vm);
             order_maintenance(wave.number, vm, {}, now);
@@ -308,7 +313,7 @@
     }
     std::for_each(unmaintained.without_long_running.begin(),
         unmaintained.without_long_running.end(), prepare);
-    std::for_each(first, long_running.end(), prepare);
+    std::for_each(long_running.begin() + first, long_running.end(), prepare);
 }
 
 // Reserves the VM and orders its maintenance once its tasks allow it.
