Size pools for the work that arrives until another VM can help

Ruled out: the rate of orders (64 a second, not reached) and placement (tasks started as soon as a VM reported).

vms_in_time now counts the work that will arrive until an ordered VM takes tasks, from an exponential mean of the last 0.7 s of agreed arrivals, less what the VMs at hand finish until then. A rate that rests on few jobs counts less, a single job shows none. The share of usable slack and the room for everything at once are gone; a pool's peak is kept for 1 to 2 s instead of 0.6 to 1.2 s.

--- a/dragonflymount/src/Jobs/Allocation.cpp
+++ b/dragonflymount/src/Jobs/Allocation.cpp
@@ -3,10 +3,15 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace dragonflymount::jobs {
 namespace {
 
+// Least time in which further VMs work off what waits for them. Less would
+// take many VMs for a moment.
+constexpr double catch_up_ms = 800;
+
 std::size_t sum_of(const std::vector<std::size_t>& amounts) {
     return std::accumulate(amounts.begin(), amounts.end(), std::size_t{0});
 }
@@ -45,17 +50,24 @@
 
 } // namespace
 
-double vms_in_time(std::vector<timed_work> work) {
+double vms_in_time(work_outlook outlook, const vm_supply& supply) {
+    std::vector<timed_work> work = std::move(outlook.present);
+    const double mean_arrival_ms = supply.order_ms / 2;
+    work.push_back({static_cast<std::uint64_t>(
+                        mean_arrival_ms + outlook.arriving_within_ms),
+        outlook.arrival_rate * supply.order_ms});
     std::sort(work.begin(), work.end(),
         [](const timed_work& one, const timed_work& other) {
             return one.within_ms < other.within_ms;
         });
+    const double done_before = supply.working * supply.order_ms;
     double most = 0;
     double sum = 0;
     for (const timed_work& part : work) {
         sum += part.vm_ms;
-        const std::uint64_t within = std::max<std::uint64_t>(1, part.within_ms);
-        most = std::max(most, sum / static_cast<double>(within));
+        const double time_left = std::max(
+            catch_up_ms, static_cast<double>(part.within_ms) - supply.order_ms);
+        most = std::max(most, (sum - done_before) / time_left);
     }
     return most;
 }
--- a/dragonflymount/src/Jobs/Allocation.hpp
+++ b/dragonflymount/src/Jobs/Allocation.hpp
@@ -25,22 +25,45 @@
     friend bool operator==(const pool_demand&, const pool_demand&) = default;
 };
 
-/// \brief An amount of work with a time limit.
+/// \brief An amount of work and the time that it should take.
 struct timed_work {
-    /// Time until the work is due.
+    /// Time from now until the work should be done.
     std::uint64_t within_ms = 0;
     /// Number of VMs that the work occupies, multiplied by the time in
     /// milliseconds for which it occupies them.
     double vm_ms = 0;
 };
 
-/// \brief Computes how many VMs finish each part of \p work within its time, if
-/// the most urgent part is done first.
+/// \brief What a pool has to do soon.
+struct work_outlook {
+    /// Work that has arrived.
+    std::vector<timed_work> present;
+    /// Rate at which further work arrives: the number of VMs that it keeps
+    /// busy.
+    double arrival_rate = 0;
+    /// Mean time that arriving work should take.
+    double arriving_within_ms = 0;
+};
+
+/// \brief The VMs that can do it, and when further ones can help.
+struct vm_supply {
+    /// VMs that work in the pool now.
+    double working = 0;
+    /// Time from an order until a further VM takes tasks.
+    double order_ms = 0;
+};
+
+/// \brief Computes how many VMs a pool needs once further ones can be there.
 ///
-/// The jobs of a burst can wait for some seconds. VMs for all of them at once
-/// would be idle soon after.
-/// \returns the minimum number of VMs, not rounded; 0 without work.
-double vms_in_time(std::vector<timed_work> work);
+/// Load pattern: the demand of a queue rises within a second to several times
+/// its mean and stays there for some seconds. VMs that are ordered when the
+/// waiting work fills them come after the turn. Therefore the work that will
+/// arrive until an ordered VM takes tasks counts as well, and what is left then
+/// is to be done in the time that each part should take, the most urgent part
+/// first.
+/// \returns the minimum number of VMs, not rounded; 0 if those that work now
+/// finish everything before another can help.
+double vms_in_time(work_outlook outlook, const vm_supply& supply);
 
 /// \brief Divides \p vms among pools: first \c least of each pool, then
 /// \c timely, then \c all. If the VMs don't suffice for one of these classes,
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -86,15 +86,10 @@
     /// Length of the window over which a pool's peak demand is measured. A pool
     /// keeps the most VMs that it wanted in the current and the previous
     /// window; surplus VMs move to standby.
-    duration surplus_time = std::chrono::milliseconds(600);
+    duration surplus_time = std::chrono::milliseconds(1000);
     /// Capacity beyond the present need, in percent of the need, since tasks
     /// don't pack into VMs without gaps.
     std::int64_t headroom_percent = 25;
-    /// Share of a job's slack, in percent, that the size of its pool relies on.
-    /// The slack is the time that the job can wait without being late. It isn't
-    /// used in full, since run times are rough estimates. The time that a
-    /// further VM takes to arrive is subtracted from this share.
-    std::int64_t usable_slack_percent = 20;
     /// Time in which late work should be done; the VMs for it are planned so
     /// that the work takes this long.
     duration late_horizon = std::chrono::seconds(8);
@@ -158,15 +153,18 @@
     // Need for waiting and running work, in VMs of the usual capacity.
     struct vm_need {
         double long_running_vms = 0;
-        // VMs that all timely work would fill if it ran at the same time.
-        double at_once = 0;
-        // The most VMs that one occurrence of a job can fill at a time.
-        double widest = 0;
+        // Work that can be on time.
         std::vector<timed_work> timely;
         double late = 0;
+        // VMs that recently arrived work keeps busy, and the sum over that work
+        // of the time that it should take, weighted by these VMs.
+        double arrival_rate = 0;
+        double weighted_within_ms = 0;
+        // Number of jobs on which the rate rests, weighted by their age.
+        double recent_jobs = 0;
 
         void add(const vm_need& other, double share);
-        double timely_vms() const;
+        work_outlook outlook() const;
     };
     struct pool_state {
         std::vector<const endpoint_view*> members;
@@ -268,8 +266,10 @@
     void measure_occurrence(const wire::JobT& job,
         const wire::JobOccurrenceT& occurrence, const wire::JobQueueT& queue,
         vm_need& need) const;
-    double vms_for(
-        const wire::JobStepT& step, const wire::StepTasksT& group) const;
+    void measure_arrival(const wire::JobT& job,
+        const wire::JobOccurrenceT& occurrence, vm_need& need) const;
+    /// \returns the part of a VM that one task of the step fills.
+    double vm_share(const wire::JobStepT& step) const;
     void add_needs(const need_map& needs);
     pool_demand demand_of(const pool_state& pool) const;
     void divide_among_pools(instant now);
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -18,6 +18,13 @@
 // Timeout of an endpoint's call to a replica that doesn't answer.
 constexpr duration call_timeout = std::chrono::seconds(1);
 
+// Time from a VM's arrival in a pool until it takes tasks: its first report, a
+// placement round and its commit.
+constexpr duration join_time = std::chrono::milliseconds(500);
+
+// Time constant of the mean over which the rate of arriving work is measured.
+constexpr double rate_window_ms = 700;
+
 // In a pool without room for waiting tasks, one in this many VMs may drain at a
 // time.
 constexpr std::size_t draining_divisor = 4;
@@ -43,6 +50,14 @@
     return static_cast<std::int64_t>(group.tasks.size()) - group.done;
 }
 
+// A running task counts as half done, the mean over all moments of its run.
+double remaining_tasks(const wire::StepTasksT& group) {
+    const auto waiting = std::count_if(group.tasks.begin(), group.tasks.end(),
+        [](const auto& task) { return is_waiting(*task); });
+    const auto open = static_cast<double>(open_tasks(group));
+    return (open + static_cast<double>(waiting)) / 2;
+}
+
 // For each resource, the most that the open tasks of one step of the occurrence
 // count against the team's limit.
 resources widest_usage(
@@ -69,31 +84,32 @@
     return nullptr;
 }
 
-// The VMs that the open tasks of a step fill, measured in the resource of which
-// they need the largest share of a VM.
-double vm_manager::vms_for(
-    const wire::JobStepT& step, const wire::StepTasksT& group) const {
+// Measured in the resource of which a task needs the largest share of a VM.
+double vm_manager::vm_share(const wire::JobStepT& step) const {
     const resources each = room_of(step);
-    const double part =
-        std::max({fraction_of(each.cpu_milli, usual_capacity_.cpu_milli),
-            fraction_of(each.memory_mb, usual_capacity_.memory_mb),
-            fraction_of(each.gpus, usual_capacity_.gpus)});
-    return part * static_cast<double>(open_tasks(group));
+    return std::max({fraction_of(each.cpu_milli, usual_capacity_.cpu_milli),
+        fraction_of(each.memory_mb, usual_capacity_.memory_mb),
+        fraction_of(each.gpus, usual_capacity_.gpus)});
 }
 
 void vm_manager::vm_need::add(const vm_need& other, double share) {
     long_running_vms += other.long_running_vms * share;
-    at_once += other.at_once * share;
-    widest = std::max(widest, other.widest * share);
     late += other.late * share;
+    arrival_rate += other.arrival_rate * share;
+    weighted_within_ms += other.weighted_within_ms * share;
+    recent_jobs += other.recent_jobs;
     for (const timed_work& part : other.timely) {
         timely.push_back({part.within_ms, part.vm_ms * share});
     }
 }
 
-double vm_manager::vm_need::timely_vms() const {
-    return long_running_vms +
-        std::min(at_once, std::max(widest, vms_in_time(timely)));
+// A rate that rests on few jobs is uncertain, and a single job shows none.
+work_outlook vm_manager::vm_need::outlook() const {
+    if (recent_jobs <= 1) {
+        return {timely, 0, 0};
+    }
+    return {timely, arrival_rate * (recent_jobs - 1) / recent_jobs,
+        weighted_within_ms / arrival_rate};
 }
 
 void vm_manager::measure_job(const wire::JobT& job, need_map& needs) {
@@ -126,13 +142,15 @@
     double vm_ms = 0;
     for (std::size_t k = 0; k < occurrence.steps.size(); ++k) {
         const wire::JobStepT& step = *job.spec->steps[k];
-        const double vms = vms_for(step, *occurrence.steps[k]);
+        const wire::StepTasksT& group = *occurrence.steps[k];
+        const double vms =
+            vm_share(step) * static_cast<double>(open_tasks(group));
         if (step.long_running) {
             need.long_running_vms += vms;
             continue;
         }
         widest = std::max(widest, vms);
-        vm_ms += vms * step.estimate_ms;
+        vm_ms += vm_share(step) * remaining_tasks(group) * step.estimate_ms;
     }
     const std::uint64_t now_ms = jobs_.agreed().time_ms();
     if (predict_timeliness(job, occurrence, queue, now_ms) !=
@@ -142,15 +160,33 @@
         need.late += std::min(widest, vm_ms / horizon_ms);
         return;
     }
-    const std::uint64_t due = due_time_ms(job, occurrence.number, queue);
-    const std::uint64_t chain = remaining_chain_ms(*job.spec, occurrence);
-    const std::uint64_t usable = (due - now_ms - chain) *
-        static_cast<std::uint64_t>(options_.usable_slack_percent) / 100;
-    const std::uint64_t arrival = to_wire_ms(options_.move_time);
-    need.timely.push_back(
-        {chain + (usable > arrival ? usable - arrival : 0), vm_ms});
-    need.at_once += widest;
-    need.widest = std::max(need.widest, widest);
+    need.timely.push_back({remaining_chain_ms(*job.spec, occurrence), vm_ms});
+    measure_arrival(job, occurrence, need);
+}
+
+// The rate is a mean over past arrivals whose weight falls exponentially with
+// their age, so that it follows a turn of demand within a second. It rests on
+// agreed times only, so a new leader knows it at once.
+void vm_manager::measure_arrival(const wire::JobT& job,
+    const wire::JobOccurrenceT& occurrence, vm_need& need) const {
+    const auto age_ms =
+        static_cast<double>(jobs_.agreed().time_ms() - job.accepted_ms);
+    if (job.spec->repeats > 0 || age_ms > 4 * rate_window_ms) {
+        return;
+    }
+    double vm_ms = 0;
+    for (std::size_t k = 0; k < occurrence.steps.size(); ++k) {
+        const wire::JobStepT& step = *job.spec->steps[k];
+        if (!step.long_running) {
+            vm_ms += vm_share(step) * step.count * step.estimate_ms;
+        }
+    }
+    const double weight = std::exp(-age_ms / rate_window_ms);
+    const double rate = vm_ms * weight / rate_window_ms;
+    need.arrival_rate += rate;
+    need.recent_jobs += vm_ms > 0 ? weight : 0;
+    need.weighted_within_ms +=
+        rate * static_cast<double>(longest_chain_ms(*job.spec));
 }
 
 // Scales down the need of a team that exceeds its limit, since the team can't
@@ -220,9 +256,15 @@
     };
     pool_demand demand;
     demand.least = std::max<std::size_t>(min_pool_size, pool.least);
-    const double timely = pool.need.timely_vms();
+    const vm_need& need = pool.need;
+    const double working = std::max(
+        0.0, static_cast<double>(pool.members.size()) - need.long_running_vms);
+    const auto order_ms =
+        static_cast<double>(to_wire_ms(options_.move_time + join_time));
+    const double timely = need.long_running_vms +
+        vms_in_time(need.outlook(), {working, order_ms});
     demand.timely = std::max(demand.least, whole_vms(timely));
-    demand.all = std::max(demand.timely, whole_vms(timely + pool.need.late));
+    demand.all = std::max(demand.timely, whole_vms(timely + need.late));
     return demand;
 }
 
