Keep long-running tasks off VMs that are still to be maintained

Cause: a task that leaves a VM for its maintenance often went to another VM of the same wave and had to leave that one as well, and the tasks of a step move one after the other. Such a VM is now the place of last choice among those that aren't crowded.

--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -106,6 +106,7 @@
         return {};
     }
     group_endpoints();
+    find_awaiting_maintenance();
     for (const open_step& open : steps_) {
         if (placed_.size() >= most) {
             break;
@@ -128,6 +129,26 @@
     }
 }
 
+void placement::find_awaiting_maintenance() {
+    if (std::none_of(steps_.begin(), steps_.end(),
+            [](const open_step& open) { return open.long_running; })) {
+        return;
+    }
+    for (const auto& [number, wave] : agreed_.waves()) {
+        std::set<std::string> ordered;
+        for (const auto& step : wave.steps) {
+            if (step->phase != wire::maintenance_phase::waiting) {
+                ordered.insert(step->vm);
+            }
+        }
+        for (const std::string& vm : wave.vms) {
+            if (!ordered.contains(vm)) {
+                awaiting_maintenance_.insert(vm);
+            }
+        }
+    }
+}
+
 placement::pool_room& placement::room_of_pool(const std::string& pool) {
     const auto [found, inserted] = pools_.try_emplace(pool);
     pool_room& made = found->second;
@@ -375,12 +396,14 @@
     if (step.long_running) {
         // Long-running tasks are packed on few VMs, so that the other VMs can
         // move to another pool. The number of tasks of one step on a VM is kept
-        // low to limit the effect of a crash.
+        // low to limit the effect of a crash. On a VM that is still to be
+        // maintained a task would soon have to move again.
         const auto same_step_runs = spread.at_endpoint.find(view.life.endpoint);
         cost.same_step_runs = same_step_runs == spread.at_endpoint.end()
             ? 0
             : same_step_runs->second;
         cost.crowded = cost.same_step_runs >= max_long_running_together;
+        cost.awaits_maintenance = awaiting_maintenance_.contains(view.vm.str());
         cost.without_long_running = !place.holds_long_running;
     }
     return cost;
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -107,16 +107,18 @@
         // Runs of any job were bad there since the last run that was done.
         bool has_bad_runs = false;
         bool warming_up = false;
-        // For a long-running step: too many of its tasks are there, no
-        // long-running task is there, number of its tasks there.
+        // For a long-running step: too many of its tasks are there, the VM is
+        // still to be maintained, no long-running task is there, number of its
+        // tasks there.
         bool crowded = false;
+        bool awaits_maintenance = false;
         bool without_long_running = false;
         std::uint32_t same_step_runs = 0;
 
         auto fields() const {
             return std::tie(avoided, other_rack, off_preferred_rack,
-                has_bad_runs, warming_up, crowded, without_long_running,
-                same_step_runs);
+                has_bad_runs, warming_up, crowded, awaits_maintenance,
+                without_long_running, same_step_runs);
         }
         friend bool operator<(const place_cost& one, const place_cost& other) {
             return one.fields() < other.fields();
@@ -157,6 +159,7 @@
         pool_room& pool, std::size_t candidate, const resources& taken);
     void collect_steps();
     void collect_steps(const wire::JobT& job);
+    void find_awaiting_maintenance();
     void place_step(const open_step& open, std::size_t most);
     void place_gang(const open_step& open);
     bool place_task(
@@ -191,6 +194,9 @@
     std::map<std::string, std::vector<const endpoint_view*>> endpoints_of_;
     std::map<std::string, pool_room> pools_;
     std::vector<open_step> steps_;
+    // VMs of waves whose maintenance hasn't been ordered; empty unless the
+    // round has a long-running step.
+    std::set<std::string> awaiting_maintenance_;
     std::map<std::string, resources> team_usage_;
     std::set<std::string> short_pools_;
     std::vector<placed_run> placed_;
--- a/tests/jobs/placement_test.cpp
+++ b/tests/jobs/placement_test.cpp
@@ -253,6 +253,32 @@
     EXPECT_EQ(count.size(), 3U);
 }
 
+// In a wave, long-running tasks leave one VM after the other. Those that went
+// to a VM of the same wave had to leave it again, and the last VM was late.
+TEST_F(placement_round, keeps_long_running_tasks_off_vms_to_be_maintained) {
+    for (const char* endpoint : {"e1", "e2", "e3", "e4"}) {
+        add(endpoint);
+    }
+    wire::JobBatchT batch;
+    auto wave = std::make_unique<wire::MaintenanceWaveT>();
+    wave->number = 1;
+    wave->vms = {"vm-e1", "vm-e2", "vm-e3"};
+    batch.waves.push_back(std::move(wave));
+    auto step = std::make_unique<wire::MaintenanceStepT>();
+    step->wave = 1;
+    step->vm = "vm-e3";
+    step->phase = wire::maintenance_phase::returned;
+    batch.maintained.push_back(std::move(step));
+    jobs_.apply(std::move(batch));
+    jobs_.submit(
+        job_builder(7).step(4, 100).long_running(1).anti_affinity(2).build());
+    std::set<std::string> used;
+    for (const placed_run& placed : plan()) {
+        used.insert(placed.life.endpoint);
+    }
+    EXPECT_EQ(used, (std::set<std::string>{"e3", "e4"}));
+}
+
 TEST_F(placement_round, serves_long_running_tasks_first) {
     add("e1");
     jobs_.submit(job_builder(7).step(1, 3000).build());
