--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -51,9 +51,6 @@
     /// so that a new start can be sent at once. Must be less than the 1 s after
     /// which endpoints drop a reply.
     duration idle_hold = std::chrono::milliseconds(600);
-    /// The same while one of its tasks has not begun its work. Until then no
-    /// other task of its step may be stopped for maintenance.
-    duration beginning_hold = std::chrono::milliseconds(150);
     duration idle_retry = std::chrono::milliseconds(20);
     /// Time for which the reply to a report with ended runs is delayed, so that
     /// it can carry the acknowledgement and the starts that use the freed
@@ -185,7 +182,6 @@
     }
     void reset_scan_limits();
     bool has_ending_tasks(const endpoint_view& view) const;
-    static bool has_beginning_tasks(const endpoint_view& view);
     duration busy_retry() const;
     endpoint_orders orders_for(const endpoint_view& view) const;
     void reply(const std::string& endpoint);
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -58,9 +58,7 @@
         held.reply_by = now + options_.ends_hold;
         held_with_ends_.insert(report.life.endpoint);
     } else if (!has_ending_tasks(*view)) {
-        held.reply_by = now +
-            (has_beginning_tasks(*view) ? options_.beginning_hold
-                                        : options_.idle_hold);
+        held.reply_by = now + options_.idle_hold;
         reply_if_ready(report.life.endpoint);
     } else {
         reply(report.life.endpoint);
@@ -137,11 +135,6 @@
     return load != nullptr && load->finite_runs() > 0;
 }
 
-bool engine::has_beginning_tasks(const endpoint_view& view) {
-    return std::any_of(view.running.begin(), view.running.end(),
-        [](const auto& entry) { return entry.second.percent < 100; });
-}
-
 endpoint_orders engine::orders_for(const endpoint_view& view) const {
     endpoint_orders orders;
     orders.lease = options_.endpoints.lease;
