--- a/tests/jobs/vm_orders.hpp
+++ b/tests/jobs/vm_orders.hpp
@@ -51,6 +51,7 @@
     void list_vms(const std::vector<std::string>& endpoints,
         const std::vector<std::string>& standby) {
         std::vector<vm_record> list;
+        list.reserve(endpoints.size() + standby.size());
         for (const std::string& endpoint : endpoints) {
             list.push_back({vm_id("vm-" + endpoint), pool_id("pool"),
                 vm_condition::up, endpoint, {4000, 4000, 0}});
@@ -93,6 +94,7 @@
     static std::vector<std::string> names(
         const std::string& prefix, int count) {
         std::vector<std::string> made;
+        made.reserve(static_cast<std::size_t>(count));
         for (int k = 0; k < count; ++k) {
             made.push_back(prefix + std::to_string(k));
         }
