Log what the leader's event loop spends its time on

What operators saw: a leader whose log shows no late timer and no slow turn, whose batches are agreed in 30 ms, and whose answers nevertheless reach nobody. Timers fire once for each pass over the connections that are ready, so they don't show how long callers wait in the others.

Event 214, leader_load, gives each second the time of each kind of work, the connections, the replies that could not be delivered, and by how much reports were late. The last one comes from the endpoints' own clocks: the difference to the leader's clock in the fastest report is taken as the time without delay, and may rise by the clocks' drift.

--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -92,6 +92,7 @@
     /// \returns the state after the commands applied so far.
     const State& agreed() const { return applied_.state(); }
     const data_folder& data() const { return data_; }
+    const turn_log& turns() const { return turn_; }
     /// \returns the address of the leader, empty if none is known.
     std::string leader_address() const;
     /// \brief Sets the handler that is called with true when this replica
--- a/dragonflymount/src/Hosting/TurnLog.cpp
+++ b/dragonflymount/src/Hosting/TurnLog.cpp
@@ -24,6 +24,7 @@
     const instant now = runtime::system_clock::now();
     const duration taken = now - begun_;
     longest_ = std::max(longest_, taken);
+    total_ += taken;
     if (taken < threshold) {
         return;
     }
--- a/dragonflymount/src/Hosting/TurnLog.hpp
+++ b/dragonflymount/src/Hosting/TurnLog.hpp
@@ -23,6 +23,8 @@
     void end(log_index through, duration threshold);
     /// \returns the duration of the longest turn since the start.
     duration longest() const { return longest_; }
+    /// \returns the duration of all turns since the start.
+    duration total() const { return total_; }
 
 private:
     instant begun_{};
@@ -30,6 +32,7 @@
     instant applied_{};
     std::size_t records_ = 0;
     duration longest_{};
+    duration total_{};
 };
 
 } // namespace dragonflymount::hosting
--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -84,11 +84,27 @@
     view.drain_ends = now + report.drain_remaining;
     view.warm_from = now + report.warmup_left;
     view.sequence = report.sequence;
+    measure_delay(view, report, now);
     advance_observation(view, now);
     update_runs(view, report);
     return &view;
 }
 
+// The clocks are not synchronized: only the change of their difference tells
+// how long a report took.
+void endpoint_table::measure_delay(
+    endpoint_view& view, const endpoint_report& report, instant now) {
+    if (report.sent == duration::zero()) {
+        return;
+    }
+    const duration offset = now.time_since_epoch() - report.sent;
+    const duration drift = (now - view.heard) * endpoint_drift_per_mille / 1000;
+    view.least_offset = view.least_offset
+        ? std::min(offset, *view.least_offset + drift)
+        : offset;
+    view.report_delay = offset - *view.least_offset;
+}
+
 void endpoint_table::advance_observation(endpoint_view& view, instant now) {
     view.observation_time += std::min(now, view.report_due) - view.heard;
     view.heard = now;
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -45,6 +45,9 @@
     duration warmup_left{};
     resources capacity;
     std::vector<std::string> labels;
+    /// When the report was sent, on the endpoint's own steady clock; zero if
+    /// unknown.
+    duration sent{};
     /// Grows with each report of one life.
     std::uint64_t sequence = 0;
     std::vector<running_task> running;
@@ -79,6 +82,12 @@
     std::uint64_t sequence = 0;
     /// When the last report arrived.
     instant heard{};
+    /// By how much the last report took longer to arrive than the fastest one
+    /// of this life.
+    duration report_delay{};
+    // Difference of the two clocks as seen in the fastest report, which rises
+    // by the endpoint's drift.
+    std::optional<duration> least_offset;
     /// When the next report is due. A later arrival may be caused by the leader
     /// itself, so the time after it is no evidence about the runs.
     instant report_due{};
@@ -193,6 +202,8 @@
     bool is_outdated(const endpoint_report& report) const;
     void note_newer_life(const endpoint_report& report);
     static void advance_observation(endpoint_view& view, instant now);
+    static void measure_delay(
+        endpoint_view& view, const endpoint_report& report, instant now);
     void update_runs(endpoint_view& view, const endpoint_report& report);
 
     endpoint_options options_;
--- a/dragonflymount/src/Runtime/Http.hpp
+++ b/dragonflymount/src/Runtime/Http.hpp
@@ -75,6 +75,11 @@
     /// \returns requests whose reply is still owed.
     std::size_t open_requests() const { return open_requests_; }
     std::size_t connections() const { return sessions_.size(); }
+    /// \returns the number of connections accepted since the start.
+    std::uint64_t accepted() const { return accepted_; }
+    /// \returns the number of replies since the start that were dropped
+    /// because their connection was gone.
+    std::uint64_t undelivered() const { return undelivered_; }
     std::string address() const;
 
 private:
@@ -89,6 +94,8 @@
     handler on_request_;
     std::set<std::shared_ptr<http_session>> sessions_;
     std::size_t open_requests_ = 0;
+    std::uint64_t accepted_ = 0;
+    std::uint64_t undelivered_ = 0;
     bool draining_ = false;
 };
 
--- a/dragonflymount/src/Runtime/HttpServer.cpp
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -169,6 +169,9 @@
     void written(std::error_code code) {
         --server_->open_requests_;
         replying_ = false;
+        if (code) {
+            ++server_->undelivered_;
+        }
         if (code || close_after_) {
             leave();
             return;
@@ -239,6 +242,7 @@
         }
         auto session = std::make_shared<http_session>(*this, std::move(socket));
         sessions_.insert(session);
+        ++accepted_;
         session->start();
         accept();
     });
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -77,6 +77,7 @@
         return;
     }
     proposing_ = true;
+    const load_log::scope measured(load_, work::batches);
     const instant proposed = runtime::system_clock::now();
     if (auto batch = engine_.take_batch(proposed, runtime::wall_time_ms())) {
         // Encoding consumes the batch; this copy is logged once it is agreed.
@@ -99,7 +100,10 @@
         agreement_times_.add(now - proposed);
         decisions_.write(batch, term, now - proposed, now);
     }
-    engine_.batch_done(agreed, now);
+    {
+        const load_log::scope measured(load_, work::outcomes);
+        engine_.batch_done(agreed, now);
+    }
     asio::post(context_, [this] { propose_batch(); });
 }
 
@@ -149,7 +153,12 @@
     last_tick_ = now;
     members_.tick(now);
     if (is_ready()) {
+        const load_log::scope measured(load_, work::ticks);
         engine_.tick(now);
+        if (connections_) {
+            load_.write(connections_(), replica_.turns().total(),
+                agreed().startable_jobs().size(), now);
+        }
         propose_batch();
     }
 }
@@ -190,6 +199,7 @@
         from->send(wire::make_message(std::move(reply), correlation));
         return;
     }
+    const load_log::scope measured(load_, work::calls);
     engine_.call(call, [this, from, correlation](wire::JobReplyT reply) {
         if (reply.status == wire::job_status::interrupted) {
             add_leader_hints(reply);
--- a/programs/scheduler/scheduler.hpp
+++ b/programs/scheduler/scheduler.hpp
@@ -7,6 +7,7 @@
 #include "dragonflymount/jobs.hpp"
 #include "dragonflymount/src/Runtime/Metrics.hpp"
 #include "programs/scheduler/decision_log.hpp"
+#include "programs/scheduler/load_log.hpp"
 #include "programs/scheduler/member_keeper.hpp"
 
 namespace dragonflymount::scheduler_program {
@@ -37,6 +38,11 @@
     jobs::engine& engine() { return engine_; }
     const jobs::state& agreed() const { return replica_.agreed(); }
     const replica_host& replica() const { return replica_; }
+    load_log& load() { return load_; }
+    /// \brief Sets the source of the counts of connections in the load log.
+    void on_load_line(std::function<connection_counts()> connections) {
+        connections_ = std::move(connections);
+    }
     /// \returns the metrics of this process as text.
     std::string metrics() const;
     /// \returns the name of the leader, empty if none is known.
@@ -72,6 +78,8 @@
     std::function<void(bool)> on_leadership_;
     bool proposing_ = false;
     instant last_tick_{};
+    load_log load_;
+    std::function<connection_counts()> connections_;
     // Times from the proposal of a batch until it was agreed.
     runtime::time_summary agreement_times_;
 };
