Accept all connections that wait in one turn of the event loop

Cause: an asynchronous accept completes once in a pass over all connections that are ready. With several hundred ready connections a pass takes tens of milliseconds, so a busy leader accepted fewer connections than arrived. Each one that waited was given up by its caller after a second, who asked at another replica, was sent back and so added one more; the leader then worked through a queue of up to 4096 connections whose callers had gone. The queue is served in order, so that it never became short again: an overload that keeps itself up.

Ruled out: descriptors (sessions stayed far below them, no accept failed), links (no reply was undeliverable), elections, disk (batches in 30 to 40 ms).

The same in listener, which accepts the connections of gateways and replicas.

--- a/dragonflymount/src/Runtime/Connection.cpp
+++ b/dragonflymount/src/Runtime/Connection.cpp
@@ -217,27 +217,33 @@
 }
 
 void listener::accept() {
-    acceptor_.async_accept([this](std::error_code code,
-                               asio::ip::tcp::socket socket) {
-        if (code == asio::error::operation_aborted) {
-            return;
-        }
-        if (code) {
-            LOG(WARNING) << event::connection_failed
-                         << "accept: " << code.message();
-            accept_later();
-            return;
-        }
-        auto accepted =
-            std::make_shared<connection>(std::move(socket), options_);
-        connections_.insert(accepted);
-        accepted->start(on_message_,
-            [this](const connection::pointer& closed, const failure& error) {
-                connections_.erase(closed);
-                on_close_(closed, error);
-            });
-        accept();
-    });
+    acceptor_.async_accept(
+        [this](std::error_code code, asio::ip::tcp::socket socket) {
+            if (code == asio::error::operation_aborted) {
+                return;
+            }
+            if (code) {
+                LOG(WARNING)
+                    << event::connection_failed << "accept: " << code.message();
+                accept_later();
+                return;
+            }
+            accept_waiting(acceptor_, std::move(socket),
+                [this](asio::ip::tcp::socket accepted) {
+                    begin_connection(std::move(accepted));
+                });
+            accept();
+        });
+}
+
+void listener::begin_connection(asio::ip::tcp::socket socket) {
+    auto accepted = std::make_shared<connection>(std::move(socket), options_);
+    connections_.insert(accepted);
+    accepted->start(on_message_,
+        [this](const connection::pointer& closed, const failure& error) {
+            connections_.erase(closed);
+            on_close_(closed, error);
+        });
 }
 
 void listener::stop() {
--- a/dragonflymount/src/Runtime/Connection.hpp
+++ b/dragonflymount/src/Runtime/Connection.hpp
@@ -88,6 +88,7 @@
 private:
     void accept();
     void accept_later();
+    void begin_connection(asio::ip::tcp::socket socket);
 
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer retry_timer_;
--- a/dragonflymount/src/Runtime/Http.hpp
+++ b/dragonflymount/src/Runtime/Http.hpp
@@ -86,6 +86,7 @@
     friend class http_session;
 
     void accept();
+    void begin_session(asio::ip::tcp::socket socket);
     void sweep();
 
     asio::ip::tcp::acceptor acceptor_;
--- a/dragonflymount/src/Runtime/HttpServer.cpp
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -223,29 +223,36 @@
 }
 
 void http_server::accept() {
-    acceptor_.async_accept([this](std::error_code code,
-                               asio::ip::tcp::socket socket) {
-        if (code == asio::error::operation_aborted) {
-            return;
-        }
-        if (code) {
-            LOG(WARNING) << event::connection_failed
-                         << "accept HTTP: " << code.message();
-            timer_.expires_after(accept_retry);
-            timer_.async_wait([this](std::error_code cancelled) {
-                if (!cancelled) {
-                    accept();
-                    sweep();
-                }
-            });
-            return;
-        }
-        auto session = std::make_shared<http_session>(*this, std::move(socket));
-        sessions_.insert(session);
-        ++accepted_;
-        session->start();
-        accept();
-    });
+    acceptor_.async_accept(
+        [this](std::error_code code, asio::ip::tcp::socket socket) {
+            if (code == asio::error::operation_aborted) {
+                return;
+            }
+            if (code) {
+                LOG(WARNING) << event::connection_failed
+                             << "accept HTTP: " << code.message();
+                timer_.expires_after(accept_retry);
+                timer_.async_wait([this](std::error_code cancelled) {
+                    if (!cancelled) {
+                        accept();
+                        sweep();
+                    }
+                });
+                return;
+            }
+            accept_waiting(acceptor_, std::move(socket),
+                [this](asio::ip::tcp::socket accepted) {
+                    begin_session(std::move(accepted));
+                });
+            accept();
+        });
+}
+
+void http_server::begin_session(asio::ip::tcp::socket socket) {
+    auto session = std::make_shared<http_session>(*this, std::move(socket));
+    sessions_.insert(session);
+    ++accepted_;
+    session->start();
 }
 
 void http_server::sweep() {
--- a/dragonflymount/src/Runtime/Listening.cpp
+++ b/dragonflymount/src/Runtime/Listening.cpp
@@ -24,6 +24,9 @@
     if (!code) {
         acceptor.listen(asio::socket_base::max_listen_connections, code);
     }
+    if (!code) {
+        acceptor.non_blocking(true, code);
+    }
     if (code) {
         return failure{code, "listen", address, {}};
     }
