Go on closing idle connections while no descriptor is free

What callers would see: once a server has no free descriptor it accepts nobody any more, also after its callers have left.

Cause: the timer that closes idle connections and the one that repeats a failed accept were the same. A failed accept was repeated after 100 ms and put the closing off by a second, each time, so that no connection was closed while no descriptor was free.

--- a/dragonflymount/src/Runtime/Http.hpp
+++ b/dragonflymount/src/Runtime/Http.hpp
@@ -86,11 +86,13 @@
     friend class http_session;
 
     void accept();
+    void accept_later();
     void begin_session(asio::ip::tcp::socket socket);
     void sweep();
 
     asio::ip::tcp::acceptor acceptor_;
-    asio::steady_timer timer_;
+    asio::steady_timer sweep_timer_;
+    asio::steady_timer accept_timer_;
     http_limits limits_;
     handler on_request_;
     std::set<std::shared_ptr<http_session>> sessions_;
--- a/dragonflymount/src/Runtime/HttpServer.cpp
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -200,7 +200,8 @@
 };
 
 http_server::http_server(asio::io_context& context, http_limits limits)
-    : acceptor_(context), timer_(context), limits_(limits) {}
+    : acceptor_(context), sweep_timer_(context), accept_timer_(context),
+      limits_(limits) {}
 
 http_server::~http_server() {
     stop();
@@ -231,13 +232,7 @@
             if (code) {
                 LOG(WARNING) << event::connection_failed
                              << "accept HTTP: " << code.message();
-                timer_.expires_after(accept_retry);
-                timer_.async_wait([this](std::error_code cancelled) {
-                    if (!cancelled) {
-                        accept();
-                        sweep();
-                    }
-                });
+                accept_later();
                 return;
             }
             accept_waiting(acceptor_, std::move(socket),
@@ -248,6 +243,17 @@
         });
 }
 
+// Descriptors become free when idle connections are closed, which goes on
+// meanwhile.
+void http_server::accept_later() {
+    accept_timer_.expires_after(accept_retry);
+    accept_timer_.async_wait([this](std::error_code cancelled) {
+        if (!cancelled) {
+            accept();
+        }
+    });
+}
+
 void http_server::begin_session(asio::ip::tcp::socket socket) {
     auto session = std::make_shared<http_session>(*this, std::move(socket));
     sessions_.insert(session);
@@ -256,8 +262,8 @@
 }
 
 void http_server::sweep() {
-    timer_.expires_after(sweep_interval);
-    timer_.async_wait([this](std::error_code code) {
+    sweep_timer_.expires_after(sweep_interval);
+    sweep_timer_.async_wait([this](std::error_code code) {
         if (code) {
             return;
         }
@@ -277,7 +283,8 @@
 void http_server::stop() {
     asio::error_code ignored;
     acceptor_.close(ignored);
-    timer_.cancel();
+    sweep_timer_.cancel();
+    accept_timer_.cancel();
     const auto sessions = std::move(sessions_);
     sessions_.clear();
     for (const auto& session : sessions) {
--- a/tests/runtime/accept_test.cpp
+++ b/tests/runtime/accept_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 namespace dragonflymount::runtime {
 namespace {
 
@@ -72,5 +75,49 @@
     EXPECT_LE(served - served_before, 3 * callers);
 }
 
+/// Limits the descriptors of this process to about \p count beside those that
+/// are open, until the scope ends.
+class descriptor_limit {
+public:
+    explicit descriptor_limit(int count) {
+        ::getrlimit(RLIMIT_NOFILE, &before_);
+        const int lowest_free = ::dup(STDIN_FILENO);
+        ::close(lowest_free);
+        rlimit reduced = before_;
+        reduced.rlim_cur = static_cast<rlim_t>(lowest_free + count);
+        ::setrlimit(RLIMIT_NOFILE, &reduced);
+    }
+    ~descriptor_limit() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+    descriptor_limit(const descriptor_limit&) = delete;
+    descriptor_limit& operator=(const descriptor_limit&) = delete;
+
+private:
+    rlimit before_{};
+};
+
+// Each accept that failed put off the closing of idle connections, which alone
+// makes descriptors free.
+TEST(http_server, closes_idle_connections_while_no_descriptor_is_free) {
+    constexpr std::size_t callers = 20;
+    constexpr duration patience = std::chrono::seconds(10);
+    asio::io_context context;
+    http_limits limits;
+    limits.idle_timeout = std::chrono::milliseconds(100);
+    http_server server(context, limits);
+    ASSERT_TRUE(server.start("127.0.0.1:0",
+        [](const http_request&, const http_server::responder&) {}));
+    std::vector<tcp::socket> idle;
+    for (std::size_t k = 0; k < callers; ++k) {
+        idle.emplace_back(context).connect(endpoint_of(server));
+    }
+    const descriptor_limit scarce(callers / 2);
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (
+        server.accepted() < callers && std::chrono::steady_clock::now() < end) {
+        context.run_one_for(std::chrono::milliseconds(100));
+    }
+    EXPECT_EQ(server.accepted(), callers);
+}
+
 } // namespace
 } // namespace dragonflymount::runtime
