Look routes up by host and prefix

Cause: a call's queue was found by a scan of all routes that compared the host of each. Now one look-up for each length of prefix that occurs finds it.

Tests: route_table_test for what the scan did: the longest prefix wins, hosts are kept apart, the first of two equal routes wins, an empty prefix matches. The engine's tests stay as they are. It is a matter of cost, so no test failed before.

--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -91,23 +91,6 @@
 
 // ---- Calls -----------------------------------------------------------------
 
-const wire::JobQueueT* engine::route(
-    const wire::JobCallT& call, std::string& subpath) const {
-    const wire::JobQueueT* best = nullptr;
-    for (const auto& queue : agreed_.catalogue().queues) {
-        if (queue->host == call.host &&
-            call.path.starts_with(queue->path_prefix) &&
-            (best == nullptr ||
-                queue->path_prefix.size() > best->path_prefix.size())) {
-            best = queue.get();
-        }
-    }
-    if (best != nullptr) {
-        subpath = call.path.substr(best->path_prefix.size());
-    }
-    return best;
-}
-
 void engine::call(const wire::JobCallT& call, call_handler on_reply) {
     if (!agreed_.has_catalogue()) {
         wire::JobReplyT reply = reply_of(wire::job_status::not_accepted);
@@ -116,12 +99,12 @@
         on_reply(std::move(reply));
         return;
     }
-    std::string subpath;
-    const wire::JobQueueT* queue = route(call, subpath);
+    const wire::JobQueueT* queue = agreed_.route(call.host, call.path);
     if (queue == nullptr) {
         on_reply(reply_of(wire::job_status::not_found));
         return;
     }
+    const std::string subpath = call.path.substr(queue->path_prefix.size());
     const wire::JobTeamT* team = agreed_.team_of_key(call.key);
     if (team == nullptr && !queue->open) {
         on_reply(reply_of(wire::job_status::unauthorized));
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -149,8 +149,6 @@
         ended_task end;
     };
 
-    const wire::JobQueueT* route(
-        const wire::JobCallT& call, std::string& subpath) const;
     void submit(const wire::JobCallT& call, const wire::JobQueueT& queue,
         const wire::JobTeamT* team, job_id id, call_handler on_reply);
     void read(job_id id, const call_handler& on_reply) const;
--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -216,6 +216,7 @@
 
 void state::set_catalogue(std::shared_ptr<const wire::CatalogueT> catalogue) {
     catalogue_ = std::move(catalogue);
+    routes_.reset(*catalogue_);
     queue_index_ = index_names(catalogue_->queues);
     pool_index_ = index_names(catalogue_->pools);
     team_index_ = index_names(catalogue_->teams);
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -8,6 +8,7 @@
 #ifndef DRAGONFLYMOUNT_JOBS_STATE_HPP
 #define DRAGONFLYMOUNT_JOBS_STATE_HPP
 
+#include "dragonflymount/src/Jobs/RouteTable.hpp"
 #include "dragonflymount/src/Jobs/Types.hpp"
 
 #include <deque>
@@ -93,6 +94,11 @@
     const wire::CatalogueT& catalogue() const { return *catalogue_; }
     bool has_catalogue() const { return catalogue_->version > 0; }
     const wire::JobQueueT* find_queue(const std::string& name) const;
+    /// \returns the queue that calls to \p path at \p host are for, or null.
+    const wire::JobQueueT* route(
+        const std::string& host, const std::string& path) const {
+        return routes_.find(host, path);
+    }
     const wire::JobPoolT* find_pool(const std::string& name) const;
     const wire::JobTeamT* find_team(const std::string& name) const;
     /// \returns the team that \p key authorizes, or null.
@@ -186,6 +192,8 @@
     std::map<std::string, resources> team_usage_;
     // End times in milliseconds and IDs of ended jobs, the oldest first.
     std::deque<std::pair<std::uint64_t, job_id>> ended_;
+    // Refers to catalogue_.
+    route_table routes_;
     std::map<std::string, std::size_t> queue_index_;
     std::map<std::string, std::size_t> pool_index_;
     std::map<std::string, std::size_t> team_index_;
