Count a job as pending until an endpoint lists one of its runs

Cause: a job counted as begun as soon as the start of a task was agreed. The start is sent with the reply to the endpoint's next report; while endpoints get no replies in time, it isn't carried out for seconds, or never, as the runs lapse. The same for the state that callers read: it was 'running'. The class: an order that is agreed is taken for what it orders.

The leader now keeps the jobs of which only starts are agreed until a report lists a run of them, running or ended after a start; they count as pending and are shown as queued. A new leader begins with the active jobs whose agreed state shows no end of a run, and hears of the others within a report interval.

Ruled out: the agreed count itself, which follows each commit; another queue's count, since the queue's name is compared.

--- a/dragonflymount/jobs.hpp
+++ b/dragonflymount/jobs.hpp
@@ -11,6 +11,7 @@
 #include "dragonflymount/src/Jobs/State.hpp"
 #include "dragonflymount/src/Jobs/StateImage.hpp"
 #include "dragonflymount/src/Jobs/Types.hpp"
+#include "dragonflymount/src/Jobs/UnconfirmedJobs.hpp"
 #include "dragonflymount/src/Jobs/VmManager.hpp"
 
 #endif
--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -49,6 +49,7 @@
     leads_ = true;
     term_ = term;
     endpoints_.reset(now);
+    unconfirmed_.reset(agreed_);
     placement_due_ = true;
     reset_scan_limits();
 }
@@ -68,6 +69,7 @@
     cancels_in_flight_.clear();
     collected_ends_.clear();
     stop_requests_.clear();
+    unconfirmed_.clear();
     avoided_.clear();
     reserved_.clear();
     short_pools_.clear();
@@ -169,7 +171,7 @@
     }
     wire::JobReplyT reply = reply_of(wire::job_status::state);
     reply.phase = job->phase;
-    reply.begun = job->begun;
+    reply.begun = job->begun && !unconfirmed_.contains(id);
     on_reply(std::move(reply));
 }
 
@@ -192,7 +194,8 @@
 void engine::count_pending(
     const wire::JobQueueT& queue, const call_handler& on_reply) const {
     wire::JobReplyT reply = reply_of(wire::job_status::pending);
-    reply.pending = agreed_.pending_in(queue.name);
+    reply.pending = agreed_.pending_in(queue.name) +
+        unconfirmed_.count_in(queue.name, agreed_);
     on_reply(std::move(reply));
 }
 
@@ -349,6 +352,10 @@
     placement round(agreed_, endpoints_, avoided_, reserved_, now);
     for (const placed_run& placed : round.plan(options_.most_starts)) {
         auto order = std::make_unique<wire::RunStartT>();
+        const job_id job = placed.run.task.job;
+        if (!agreed_.find_job(job)->begun) {
+            unconfirmed_.propose(job);
+        }
         order->task =
             std::make_unique<wire::TaskNameT>(to_wire(placed.run.task));
         order->run = placed.run.run;
@@ -368,6 +375,7 @@
         return;
     }
     batch_in_flight_ = false;
+    unconfirmed_.commit();
     placement_due_ = true;
     reset_scan_limits();
     ++agreed_batches_;
@@ -456,6 +464,7 @@
         return;
     }
     next_cleanup_ = now + cleanup_interval;
+    unconfirmed_.erase_ended(agreed_);
     std::erase_if(avoided_, [this](const auto& entry) {
         const task_place place = agreed_.find_task(entry.first);
         return !place || place.task->done;
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -14,6 +14,7 @@
 #define DRAGONFLYMOUNT_JOBS_ENGINE_HPP
 
 #include "dragonflymount/src/Jobs/Placement.hpp"
+#include "dragonflymount/src/Jobs/UnconfirmedJobs.hpp"
 
 #include <functional>
 
@@ -229,6 +230,7 @@
     std::vector<commit_handler> committers_in_flight_;
 
     std::map<std::string, held_report> held_;
+    unconfirmed_jobs unconfirmed_;
     // Endpoints whose held report lists ended runs.
     std::set<std::string> held_with_ends_;
     // Endpoints whose orders may have changed since they were last computed.
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -40,6 +40,7 @@
         !could_take_tasks && endpoints_.can_take_tasks(*view, now);
     placement_due_ = placement_due_ || (gains_capacity && may_trigger_round());
     collect_ends(report);
+    unconfirmed_.confirm(report);
     for (const run_ref& run : ran_before) {
         if (!view->running.contains(run) && !view->ended.contains(run)) {
             vanished_.insert(run);
