Look up the load of an endpoint's life by hash

Each report, each placement round and each comparison in the VM manager's sorting looks up the load of a life. The ordered map compared about ten names for that. A hash index now refers to the elements of the map, which stays for its order.

--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -141,8 +141,8 @@
 }
 
 const endpoint_load* state::load_of(const endpoint_life& life) const {
-    const auto found = loads_.find(life);
-    return found == loads_.end() ? nullptr : &found->second;
+    const auto found = load_of_life_.find(life);
+    return found == load_of_life_.end() ? nullptr : found->second;
 }
 
 std::uint64_t state::acknowledged(const endpoint_life& life) const {
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -10,6 +10,8 @@
 
 #include "dragonflymount/src/Jobs/Types.hpp"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <deque>
 #include <map>
 #include <memory>
@@ -183,6 +185,10 @@
     std::map<std::string, std::uint32_t> pending_;
     // Invariant: exactly the runs in jobs_, by the life that executes them.
     std::map<endpoint_life, endpoint_load> loads_;
+    // Invariant: refers to exactly the elements of loads_. Each report and each
+    // placement round looks up many lives; comparing names in an ordered map
+    // would cost more than all else in these look-ups.
+    absl::flat_hash_map<endpoint_life, endpoint_load*> load_of_life_;
     std::map<std::string, resources> team_usage_;
     // End times in milliseconds and IDs of ended jobs, the oldest first.
     std::deque<std::pair<std::uint64_t, job_id>> ended_;
--- a/dragonflymount/src/Jobs/StateIndexes.cpp
+++ b/dragonflymount/src/Jobs/StateIndexes.cpp
@@ -29,6 +29,7 @@
     repeating_.clear();
     pending_.clear();
     loads_.clear();
+    load_of_life_.clear();
     team_usage_.clear();
     ended_.clear();
     for (const auto& [id, job] : jobs_) {
@@ -90,7 +91,11 @@
 
 void state::add_run(const run_ref& run, const wire::TaskRunT& record,
     const wire::JobT& job, const wire::JobStepT& step) {
-    endpoint_load& load = loads_[{record.endpoint, record.life}];
+    endpoint_load*& known = load_of_life_[{record.endpoint, record.life}];
+    if (known == nullptr) {
+        known = &loads_[{record.endpoint, record.life}];
+    }
+    endpoint_load& load = *known;
     load.used += room_of(step);
     load.runs.push_back(run);
     load.long_running_runs += step.long_running ? 1 : 0;
@@ -100,15 +105,18 @@
 void state::remove_run(const run_ref& run, const wire::TaskRunT& record,
     const wire::JobT& job, const wire::JobStepT& step) {
     team_usage_[job.team] -= usage_of(step);
-    const auto found = loads_.find({record.endpoint, record.life});
-    if (found == loads_.end()) {
+    const endpoint_life life{record.endpoint, record.life};
+    const auto found = load_of_life_.find(life);
+    if (found == load_of_life_.end()) {
         return;
     }
-    found->second.used -= room_of(step);
-    std::erase(found->second.runs, run);
-    found->second.long_running_runs -= step.long_running ? 1 : 0;
-    if (found->second.runs.empty()) {
-        loads_.erase(found);
+    endpoint_load& load = *found->second;
+    load.used -= room_of(step);
+    std::erase(load.runs, run);
+    load.long_running_runs -= step.long_running ? 1 : 0;
+    if (load.runs.empty()) {
+        load_of_life_.erase(found);
+        loads_.erase(life);
     }
 }
 
--- a/dragonflymount/src/Jobs/Types.hpp
+++ b/dragonflymount/src/Jobs/Types.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace dragonflymount::jobs {
 
@@ -47,6 +48,10 @@
         return std::tie(left.endpoint, left.number) <
             std::tie(right.endpoint, right.number);
     }
+    template <class Hash>
+    friend Hash AbslHashValue(Hash hash, const endpoint_life& life) {
+        return Hash::combine(std::move(hash), life.endpoint, life.number);
+    }
 };
 
 /// \brief Amounts of the resources that tasks use and VMs provide.
