Compute the times of a waiting occurrence once a round

A placement round computed both critical paths of each waiting job twice: once for the order of service and once within the prediction. So did the VM manager with the remaining path. times_of returns all three results at once.

--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -45,6 +45,16 @@
     return longest;
 }
 
+// The critical path through the steps that are not done.
+std::uint64_t remaining_chain_ms(
+    const wire::JobSpecT& spec, const wire::JobOccurrenceT& occurrence) {
+    return longest_chain(spec, [&](std::size_t k) -> std::uint64_t {
+        const wire::StepTasksT& group = *occurrence.steps[k];
+        return group.done == group.tasks.size() ? 0
+                                                : spec.steps[k]->estimate_ms;
+    });
+}
+
 std::uint64_t begin_time_ms(const wire::JobT& job, std::uint32_t occurrence) {
     return job.spec->repeats > 0
         ? job.spec->start_at_ms + occurrence * job.spec->interval_ms
@@ -59,39 +69,26 @@
     });
 }
 
-std::uint64_t remaining_chain_ms(
-    const wire::JobSpecT& spec, const wire::JobOccurrenceT& occurrence) {
-    return longest_chain(spec, [&](std::size_t k) -> std::uint64_t {
-        const wire::StepTasksT& group = *occurrence.steps[k];
-        return group.done == group.tasks.size() ? 0
-                                                : spec.steps[k]->estimate_ms;
-    });
-}
-
-std::uint64_t due_time_ms(const wire::JobT& job, std::uint32_t occurrence,
-    const wire::JobQueueT& queue) {
-    const std::uint64_t begin = begin_time_ms(job, occurrence);
-    const double chain = static_cast<double>(longest_chain_ms(*job.spec));
-    return begin + static_cast<std::uint64_t>(queue.stretch * chain) +
-        queue.objective_ms;
-}
-
 // In a burst that exceeds the pool's capacity, an order by due time alone would
 // start each job just too late, and all jobs would be late. Therefore jobs that
 // can still be on time are served before jobs that can't.
-timeliness predict_timeliness(const wire::JobT& job,
+occurrence_times times_of(const wire::JobT& job,
     const wire::JobOccurrenceT& occurrence, const wire::JobQueueT& queue,
     std::uint64_t now_ms) {
     const std::uint64_t begin = begin_time_ms(job, occurrence.number);
-    const std::uint64_t due = due_time_ms(job, occurrence.number, queue);
-    const std::uint64_t objective = due - begin;
-    const std::uint64_t end =
-        now_ms + remaining_chain_ms(*job.spec, occurrence);
-    if (end <= due) {
-        return timeliness::on_time;
+    const double chain = static_cast<double>(longest_chain_ms(*job.spec));
+    const std::uint64_t objective =
+        static_cast<std::uint64_t>(queue.stretch * chain) + queue.objective_ms;
+    occurrence_times times;
+    times.due_ms = begin + objective;
+    times.remaining_ms = remaining_chain_ms(*job.spec, occurrence);
+    const std::uint64_t end = now_ms + times.remaining_ms;
+    if (end > times.due_ms) {
+        times.predicted = end <= begin + latest_use_factor * objective
+            ? timeliness::late
+            : timeliness::useless;
     }
-    return end <= begin + latest_use_factor * objective ? timeliness::late
-                                                        : timeliness::useless;
+    return times;
 }
 
 placement::placement(const state& agreed, const endpoint_table& endpoints,
@@ -196,11 +193,8 @@
         return;
     }
     for (const auto& occurrence : job.occurrences) {
-        const std::uint64_t due = due_time_ms(job, occurrence->number, *queue);
-        const std::uint64_t remaining =
-            remaining_chain_ms(*job.spec, *occurrence);
-        const timeliness predicted =
-            predict_timeliness(job, *occurrence, *queue, agreed_.time_ms());
+        const occurrence_times times =
+            times_of(job, *occurrence, *queue, agreed_.time_ms());
         for (std::uint32_t k = 0; k < occurrence->steps.size(); ++k) {
             const wire::StepTasksT& group = *occurrence->steps[k];
             const wire::JobStepT& step = *job.spec->steps[k];
@@ -211,8 +205,10 @@
                 continue;
             }
             steps_.push_back({&job, occurrence.get(), k, &step, queue,
-                step.long_running, queue->priority, predicted,
-                due > remaining ? due - remaining : 0});
+                step.long_running, queue->priority, times.predicted,
+                times.due_ms > times.remaining_ms
+                    ? times.due_ms - times.remaining_ms
+                    : 0});
         }
     }
 }
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -204,15 +204,20 @@
     std::vector<used_place> used_places_;
 };
 
-/// \brief When an occurrence of a job should be complete, in log time.
-/// \returns milliseconds since 1970.
-std::uint64_t due_time_ms(const wire::JobT& job, std::uint32_t occurrence,
-    const wire::JobQueueT& queue);
-
-/// \brief Predicts whether an occurrence will be on time if its next step
-/// starts at \p now_ms, in milliseconds since 1970. Uses the declared run
-/// times.
-timeliness predict_timeliness(const wire::JobT& job,
+/// \brief The times of an occurrence that decide about its order of service.
+struct occurrence_times {
+    /// When it should be complete, in milliseconds since 1970 of log time.
+    std::uint64_t due_ms = 0;
+    /// The sum of declared run times on the critical path through the steps
+    /// that are not done.
+    std::uint64_t remaining_ms = 0;
+    /// Whether it will be on time if its next step starts now, by the declared
+    /// run times.
+    timeliness predicted = timeliness::on_time;
+};
+
+/// \param now_ms log time in milliseconds since 1970.
+occurrence_times times_of(const wire::JobT& job,
     const wire::JobOccurrenceT& occurrence, const wire::JobQueueT& queue,
     std::uint64_t now_ms);
 
@@ -220,11 +225,6 @@
 /// steps, in milliseconds.
 std::uint64_t longest_chain_ms(const wire::JobSpecT& spec);
 
-/// \returns the sum of declared run times on the critical path through the
-/// steps that are not done, in milliseconds.
-std::uint64_t remaining_chain_ms(
-    const wire::JobSpecT& spec, const wire::JobOccurrenceT& occurrence);
-
 } // namespace dragonflymount::jobs
 
 #endif
--- a/dragonflymount/src/Jobs/VmManagerDemand.cpp
+++ b/dragonflymount/src/Jobs/VmManagerDemand.cpp
@@ -132,15 +132,15 @@
         widest = std::max(widest, vms);
         vm_ms += vm_share(step) * remaining_tasks(group) * step.estimate_ms;
     }
-    const std::uint64_t now_ms = jobs_.agreed().time_ms();
-    if (predict_timeliness(job, occurrence, queue, now_ms) !=
-        timeliness::on_time) {
+    const occurrence_times times =
+        times_of(job, occurrence, queue, jobs_.agreed().time_ms());
+    if (times.predicted != timeliness::on_time) {
         const auto horizon_ms =
             static_cast<double>(to_wire_ms(options_.late_horizon));
         need.late += std::min(widest, vm_ms / horizon_ms);
         return;
     }
-    need.timely.push_back({remaining_chain_ms(*job.spec, occurrence), vm_ms});
+    need.timely.push_back({times.remaining_ms, vm_ms});
     measure_arrival(job, occurrence, need);
 }
 
