Keep a pool's order of room in a sorted vector

A placement round built a std::set with a node for each endpoint, and every placement removed and added a node. Sorting a vector once and moving one element within it costs less for pools of a few hundred endpoints.

--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -157,19 +157,31 @@
         const bool loaded = load != nullptr;
         const resources room =
             loaded ? view->capacity - load->used : view->capacity;
-        made.by_room.insert({room.cpu_milli, made.candidates.size()});
+        made.by_room.push_back({room.cpu_milli, made.candidates.size()});
         made.candidates.push_back(
             {view, room, loaded && load->long_running_runs > 0});
     }
+    std::sort(made.by_room.begin(), made.by_room.end());
     return made;
 }
 
 void placement::take_room(
     pool_room& pool, std::size_t candidate, const resources& taken) {
     resources& room = pool.candidates[candidate].room;
-    pool.by_room.erase({room.cpu_milli, candidate});
+    const auto begin = pool.by_room.begin();
+    const auto end = pool.by_room.end();
+    const auto from =
+        std::lower_bound(begin, end, room_rank{room.cpu_milli, candidate});
     room -= taken;
-    pool.by_room.insert({room.cpu_milli, candidate});
+    const room_rank moved{room.cpu_milli, candidate};
+    const auto to = std::lower_bound(begin, end, moved);
+    if (from < to) {
+        std::rotate(from, from + 1, to);
+        *(to - 1) = moved;
+    } else {
+        std::rotate(to, from, from + 1);
+        *to = moved;
+    }
 }
 
 void placement::collect_steps() {
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -91,10 +91,13 @@
         }
     };
     // The endpoints of one pool that take tasks.
-    // Invariant: by_room holds each candidate once, with its current room.
+    // Invariant: by_room holds each candidate once, with its current room, in
+    // ascending order. A pool has few enough endpoints that moving an element
+    // within the vector costs less than allocating one for each endpoint in
+    // each round.
     struct pool_room {
         std::vector<candidate> candidates;
-        std::set<room_rank> by_room;
+        std::vector<room_rank> by_room;
         // Invariant: no element covers another.
         std::vector<refused_need> refused;
     };
