Index the steps of a wave by VM once a round

For each VM of a wave, the VM manager searched all steps of the wave, up to three times a round. Towards the end of a wave of hundreds of VMs this took the square of their number in comparisons of names.

--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -56,15 +56,21 @@
         });
 }
 
+absl::flat_hash_set<std::string_view> finished_vms(
+    const wire::MaintenanceWaveT& wave) {
+    absl::flat_hash_set<std::string_view> finished;
+    for (const auto& step : wave.steps) {
+        if (step->phase >= wire::maintenance_phase::returned) {
+            finished.insert(step->vm);
+        }
+    }
+    return finished;
+}
+
 bool is_complete(const wire::MaintenanceWaveT& wave) {
-    return std::all_of(
-        wave.vms.begin(), wave.vms.end(), [&](const std::string& vm) {
-            return std::any_of(
-                wave.steps.begin(), wave.steps.end(), [&](const auto& step) {
-                    return step->vm == vm &&
-                        step->phase >= wire::maintenance_phase::returned;
-                });
-        });
+    const auto finished = finished_vms(wave);
+    return std::all_of(wave.vms.begin(), wave.vms.end(),
+        [&](const std::string& vm) { return finished.contains(vm); });
 }
 
 // ---- Queries ---------------------------------------------------------------
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -11,11 +11,13 @@
 #include "dragonflymount/src/Jobs/Types.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <deque>
 #include <map>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -53,6 +55,10 @@
     return !task.done && task.runs.empty();
 }
 
+/// \returns the VMs of the wave that have returned from maintenance or are no
+/// longer listed by the VM service. The names are those in \p wave.
+absl::flat_hash_set<std::string_view> finished_vms(
+    const wire::MaintenanceWaveT& wave);
 /// \brief Whether every VM of the wave has returned from maintenance or is
 /// no longer listed by the VM service.
 bool is_complete(const wire::MaintenanceWaveT& wave);
--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -46,13 +46,9 @@
     }
     end_unlisted_lives(requested, now);
     for (const auto& [number, wave] : jobs_.agreed().waves()) {
+        const auto finished = finished_vms(wave);
         for (const std::string& vm : wave.vms) {
-            const bool open = std::none_of(
-                wave.steps.begin(), wave.steps.end(), [&](const auto& step) {
-                    return step->vm == vm &&
-                        step->phase >= wire::maintenance_phase::returned;
-                });
-            if (open && !list_.contains(vm_id(vm))) {
+            if (!finished.contains(vm) && !list_.contains(vm_id(vm))) {
                 wire::MaintenanceStepT step;
                 step.wave = number;
                 step.vm = vm;
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -188,8 +188,12 @@
     void decide_waves(std::vector<vm_order>& orders, instant now);
     void decide_wave(const wire::MaintenanceWaveT& wave,
         std::vector<vm_order>& orders, instant now);
+    /// The steps of a wave by the name of their VM.
+    using step_index =
+        absl::flat_hash_map<std::string_view, const wire::MaintenanceStepT*>;
+    static step_index index_steps(const wire::MaintenanceWaveT& wave);
     std::vector<vm_id> uncommitted_vms(
-        const wire::MaintenanceWaveT& wave) const;
+        const wire::MaintenanceWaveT& wave, const step_index& steps) const;
     void advance_step(const wire::MaintenanceStepT& step,
         std::vector<vm_order>& orders, instant now);
     /// VMs of a wave that are down for maintenance.
@@ -199,8 +203,8 @@
 
         std::size_t count() const { return on_standby + in_pools; }
     };
-    void choose_next_vms(
-        const wire::MaintenanceWaveT& wave, vms_down down, instant now);
+    void choose_next_vms(const wire::MaintenanceWaveT& wave,
+        const step_index& steps, vms_down down, instant now);
     /// VMs of a wave for which no maintenance has been ordered yet.
     struct unmaintained_vms {
         // All of them, also those that can't be chosen now.
@@ -211,8 +215,8 @@
         std::vector<const endpoint_view*> with_long_running;
         std::vector<const endpoint_view*> without_long_running;
     };
-    unmaintained_vms collect_unmaintained(
-        const wire::MaintenanceWaveT& wave, instant now);
+    unmaintained_vms collect_unmaintained(const wire::MaintenanceWaveT& wave,
+        const step_index& steps, instant now);
     bool prepare_maintenance(std::uint64_t wave, const endpoint_view& view,
         bool urgent, instant now);
     bool is_on_standby(const vm_id& vm) const;
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -10,14 +10,12 @@
 // Time in which a report that was in flight when a VM went down arrives.
 constexpr duration late_report_time = std::chrono::seconds(1);
 
-const wire::MaintenanceStepT* find_step(
-    const wire::MaintenanceWaveT& wave, const std::string& vm) {
-    for (const auto& step : wave.steps) {
-        if (step->vm == vm) {
-            return step.get();
-        }
-    }
-    return nullptr;
+// Whether the log holds an order to maintain the VM.
+template <class Steps>
+bool is_ordered(const Steps& steps, const std::string& vm) {
+    const auto found = steps.find(vm);
+    return found != steps.end() &&
+        found->second->phase != wire::maintenance_phase::waiting;
 }
 
 wire::MaintenanceStepT with_phase(
@@ -65,24 +63,34 @@
             advance_step(*step, orders, now);
         }
     }
-    for (const vm_id& vm : uncommitted_vms(wave)) {
+    const step_index steps = index_steps(wave);
+    for (const vm_id& vm : uncommitted_vms(wave, steps)) {
         ++(find_vm(vm) == nullptr ? down.on_standby : down.in_pools);
         chosen_for_wave_.insert(vm);
     }
-    choose_next_vms(wave, down, now);
+    choose_next_vms(wave, steps, down, now);
+}
+
+// A wave has hundreds of VMs and, towards its end, as many steps; searching the
+// steps for each VM would take the square of that in each round.
+vm_manager::step_index vm_manager::index_steps(
+    const wire::MaintenanceWaveT& wave) {
+    step_index steps;
+    for (const auto& step : wave.steps) {
+        steps.emplace(step->vm, step.get());
+    }
+    return steps;
 }
 
 // A slow commit outlasts several decision rounds. VMs whose maintenance is in
 // an uncommitted batch count as down, too, so that the rounds in between don't
 // exceed the wave's limit.
 std::vector<vm_id> vm_manager::uncommitted_vms(
-    const wire::MaintenanceWaveT& wave) const {
+    const wire::MaintenanceWaveT& wave, const step_index& steps) const {
     std::vector<vm_id> uncommitted;
     for (const std::string& name : wave.vms) {
-        const wire::MaintenanceStepT* step = find_step(wave, name);
-        const bool is_committed =
-            step != nullptr && step->phase != wire::maintenance_phase::waiting;
-        if (!is_committed && maintenance_ordered_.contains(vm_id(name))) {
+        if (!is_ordered(steps, name) &&
+            maintenance_ordered_.contains(vm_id(name))) {
             uncommitted.emplace_back(name);
         }
     }
@@ -228,12 +236,10 @@
 }
 
 vm_manager::unmaintained_vms vm_manager::collect_unmaintained(
-    const wire::MaintenanceWaveT& wave, instant now) {
+    const wire::MaintenanceWaveT& wave, const step_index& steps, instant now) {
     unmaintained_vms unmaintained;
     for (const std::string& name : wave.vms) {
-        const wire::MaintenanceStepT* step = find_step(wave, name);
-        if (step != nullptr &&
-            step->phase != wire::maintenance_phase::waiting) {
+        if (is_ordered(steps, name)) {
             continue;
         }
         ++unmaintained.vm_count;
@@ -271,9 +277,10 @@
 // with long-running tasks come first, because each such task has to work
 // elsewhere before the next of its step is stopped, which takes the longest.
 // VMs on standby use only what they leave of the wave's limit.
-void vm_manager::choose_next_vms(
-    const wire::MaintenanceWaveT& wave, vms_down down, instant now) {
-    const unmaintained_vms unmaintained = collect_unmaintained(wave, now);
+void vm_manager::choose_next_vms(const wire::MaintenanceWaveT& wave,
+    const step_index& steps, vms_down down, instant now) {
+    const unmaintained_vms unmaintained =
+        collect_unmaintained(wave, steps, now);
     const std::uint64_t passed = jobs_.agreed().time_ms() - wave.started_ms;
     const auto goal = wave.duration_ms *
         static_cast<std::uint64_t>(options_.wave_time_percent) / 100;
