Spare the VM manager look-ups of what it already holds

The endpoint of a VM is found by hash, the index of VMs is built with one look-up for each, and whether a listed VM is on standby no longer searches the list for the record that is at hand.

--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -113,10 +113,11 @@
         if (view.vm.empty()) {
             continue;
         }
-        std::string& known = endpoint_of_[view.vm];
-        const endpoint_view* other = jobs_.endpoints().find(known);
-        if (other == nullptr || other->heard < view.heard) {
-            known = endpoint;
+        const auto [known, is_first] =
+            endpoint_of_.try_emplace(view.vm, endpoint);
+        if (!is_first &&
+            jobs_.endpoints().find(known->second)->heard < view.heard) {
+            known->second = endpoint;
         }
     }
 }
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -220,6 +220,7 @@
     bool prepare_maintenance(std::uint64_t wave, const endpoint_view& view,
         bool urgent, instant now);
     bool is_on_standby(const vm_id& vm) const;
+    bool is_on_standby(const vm_record& record) const;
     void order_maintenance(std::uint64_t wave, const vm_id& vm,
         const endpoint_life& life, instant now);
     /// The number of tasks of one step that work on a given VM, and of those
@@ -314,7 +315,7 @@
     std::set<vm_id> maintenance_ordered_;
     // When each VM of the two sets above was reserved.
     std::map<vm_id, instant> reserved_since_;
-    std::map<vm_id, std::string> endpoint_of_;
+    absl::flat_hash_map<vm_id, std::string, std::hash<vm_id>> endpoint_of_;
     std::map<std::string, pool_state> pools_;
     std::vector<pool_summary> summaries_;
     // Mean capacity of the VMs whose endpoints report.
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -97,7 +97,7 @@
 }
 
 bool vm_manager::is_free(const vm_record& record) const {
-    return is_on_standby(record.vm) && !chosen_for_wave_.contains(record.vm) &&
+    return is_on_standby(record) && !chosen_for_wave_.contains(record.vm) &&
         find_vm(record.vm) == nullptr;
 }
 
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -342,11 +342,14 @@
 }
 
 bool vm_manager::is_on_standby(const vm_id& vm) const {
-    const std::string* standby = standby_pool();
     const auto record = list_.find(vm);
-    return standby != nullptr && record != list_.end() &&
-        record->second.condition == vm_condition::up &&
-        record->second.pool.str() == *standby && !move_targets_.contains(vm);
+    return record != list_.end() && is_on_standby(record->second);
+}
+
+bool vm_manager::is_on_standby(const vm_record& record) const {
+    const std::string* standby = standby_pool();
+    return standby != nullptr && record.condition == vm_condition::up &&
+        record.pool.str() == *standby && !move_targets_.contains(record.vm);
 }
 
 void vm_manager::order_maintenance(std::uint64_t wave, const vm_id& vm,
