Compute the orders of a report with fewer look-ups

The newest lives are found by hash, a report finds its view once instead of three times, and the orders find each task once instead of twice and keep the wanted runs in a vector instead of a set.

--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -62,12 +62,13 @@
     if (is_outdated(report)) {
         return nullptr;
     }
-    const auto known = views_.find(report.life.endpoint);
-    if (known == views_.end() || known->second.life != report.life) {
+    endpoint_view* known = find(report.life.endpoint);
+    if (known == nullptr || known->life != report.life) {
         note_newer_life(report);
-        views_[report.life.endpoint] = endpoint_view{};
+        known = &views_[report.life.endpoint];
+        *known = endpoint_view{};
     }
-    endpoint_view& view = views_[report.life.endpoint];
+    endpoint_view& view = *known;
     if (view.life != report.life) {
         view.life = report.life;
         // An earlier leader may have granted a lease until this leader began.
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -210,11 +210,11 @@
     view_map views_;
     // The newest life reported for each address, endpoint and VM; older ones
     // have ended.
-    std::map<std::string, std::uint64_t> newest_at_address_;
-    std::map<std::string, std::uint64_t> newest_of_endpoint_;
-    std::map<vm_id, std::uint64_t> newest_of_vm_;
+    absl::flat_hash_map<std::string, std::uint64_t> newest_at_address_;
+    absl::flat_hash_map<std::string, std::uint64_t> newest_of_endpoint_;
+    absl::flat_hash_map<vm_id, std::uint64_t, std::hash<vm_id>> newest_of_vm_;
     // Newest life that is known to have ended, by the endpoint's name.
-    std::map<std::string, std::uint64_t> last_ended_life_;
+    absl::flat_hash_map<std::string, std::uint64_t> last_ended_life_;
     std::uint64_t ended_lives_ = 0;
     // Latest end of the leases that earlier leaders can have granted.
     instant unknown_leases_end_{};
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -142,25 +142,27 @@
     orders.fence = term_.value();
     orders.retry = has_ending_tasks(view) ? busy_retry() : options_.idle_retry;
     const endpoint_load* load = agreed_.load_of(view.life);
-    std::set<run_ref> kept;
+    std::vector<run_ref> kept;
     if (load != nullptr) {
+        kept.reserve(load->runs.size());
         for (const run_ref& run : load->runs) {
-            const bool wanted = agreed_.is_wanted(run) &&
+            const task_place place = agreed_.find_task(run.task);
+            const bool wanted = is_wanted(place) &&
                 !stop_requests_.contains(run) && !declared_ended_.contains(run);
             if (wanted) {
-                kept.insert(run);
+                kept.push_back(run);
             }
             if (!wanted || view.draining || !is_unlisted(view, run) ||
                 vanished_.contains(run)) {
                 continue;
             }
-            const task_place place = agreed_.find_task(run.task);
             orders.starts.push_back(
                 {run, place.job->spec->payload, place.task->checkpoint, {}});
         }
     }
+    std::sort(kept.begin(), kept.end());
     for (const auto& [run, progress] : view.running) {
-        if (!kept.contains(run)) {
+        if (!std::binary_search(kept.begin(), kept.end(), run)) {
             orders.stops.push_back(run);
         }
     }
--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -141,9 +141,7 @@
 }
 
 bool state::is_wanted(const run_ref& run) const {
-    const task_place place = find_task(run.task);
-    return place && place.job->phase == wire::job_phase::active &&
-        !place.task->done;
+    return jobs::is_wanted(find_task(run.task));
 }
 
 const endpoint_load* state::load_of(const endpoint_life& life) const {
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -75,6 +75,13 @@
     explicit operator bool() const { return task != nullptr; }
 };
 
+/// \brief Whether the results of the task's runs are still needed: the job is
+/// active and the task isn't done.
+inline bool is_wanted(const task_place& place) {
+    return place && place.job->phase == wire::job_phase::active &&
+        !place.task->done;
+}
+
 class state_image;
 
 class state {
