Scan acknowledgements and quarantines only if one can end

Each batch scanned all acknowledgements for expired ones, though they last 15 minutes; a lower bound of their times now shows that none can have expired. Each tick counted the endpoints of all pools by name, also while none was in quarantine.

--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -209,6 +209,11 @@
 }
 
 void endpoint_table::end_shared_quarantines(instant now) {
+    if (std::none_of(views_.begin(), views_.end(), [&](const auto& entry) {
+            return now < entry.second.quarantined_until;
+        })) {
+        return;
+    }
     std::map<pool_id, std::vector<endpoint_view*>> quarantined;
     std::map<pool_id, std::size_t> counts;
     for (auto& [endpoint, view] : views_) {
--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -425,8 +425,17 @@
         }
         ended_.pop_front();
     }
+    if (acks_touched_from_ms_ + ack_retention_ms >= time_ms_) {
+        return;
+    }
+    acks_touched_from_ms_ = time_ms_;
     std::erase_if(acks_, [this](const auto& entry) {
-        return entry.second.touched_ms + ack_retention_ms < time_ms_;
+        const std::uint64_t touched_ms = entry.second.touched_ms;
+        const bool expired = touched_ms + ack_retention_ms < time_ms_;
+        if (!expired) {
+            acks_touched_from_ms_ = std::min(acks_touched_from_ms_, touched_ms);
+        }
+        return expired;
     });
 }
 
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -184,6 +184,8 @@
         std::make_shared<wire::CatalogueT>();
     std::unordered_map<std::uint64_t, std::unique_ptr<wire::JobT>> jobs_;
     std::map<endpoint_life, acknowledgement> acks_;
+    // Invariant: no element of acks_ was touched before this time.
+    std::uint64_t acks_touched_from_ms_ = 0;
     std::map<std::uint64_t, wire::MaintenanceWaveT> waves_;
 
     // Indexes over the members above, updated with each change and rebuilt
