--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -56,15 +56,21 @@
         });
 }
 
+absl::flat_hash_set<std::string_view> finished_vms(
+    const wire::MaintenanceWaveT& wave) {
+    absl::flat_hash_set<std::string_view> finished;
+    for (const auto& step : wave.steps) {
+        if (step->phase >= wire::maintenance_phase::returned) {
+            finished.insert(step->vm);
+        }
+    }
+    return finished;
+}
+
 bool is_complete(const wire::MaintenanceWaveT& wave) {
-    return std::all_of(
-        wave.vms.begin(), wave.vms.end(), [&](const std::string& vm) {
-            return std::any_of(
-                wave.steps.begin(), wave.steps.end(), [&](const auto& step) {
-                    return step->vm == vm &&
-                        step->phase >= wire::maintenance_phase::returned;
-                });
-        });
+    const auto finished = finished_vms(wave);
+    return std::all_of(wave.vms.begin(), wave.vms.end(),
+        [&](const std::string& vm) { return finished.contains(vm); });
 }
 
 // ---- Queries ---------------------------------------------------------------
@@ -135,14 +141,12 @@
 }
 
 bool state::is_wanted(const run_ref& run) const {
-    const task_place place = find_task(run.task);
-    return place && place.job->phase == wire::job_phase::active &&
-        !place.task->done;
+    return jobs::is_wanted(find_task(run.task));
 }
 
 const endpoint_load* state::load_of(const endpoint_life& life) const {
-    const auto found = loads_.find(life);
-    return found == loads_.end() ? nullptr : &found->second;
+    const auto found = load_of_life_.find(life);
+    return found == load_of_life_.end() ? nullptr : found->second;
 }
 
 std::uint64_t state::acknowledged(const endpoint_life& life) const {
@@ -422,8 +426,17 @@
         }
         ended_.pop_front();
     }
+    if (acks_touched_from_ms_ + ack_retention_ms >= time_ms_) {
+        return;
+    }
+    acks_touched_from_ms_ = time_ms_;
     std::erase_if(acks_, [this](const auto& entry) {
-        return entry.second.touched_ms + ack_retention_ms < time_ms_;
+        const std::uint64_t touched_ms = entry.second.touched_ms;
+        const bool expired = touched_ms + ack_retention_ms < time_ms_;
+        if (!expired) {
+            acks_touched_from_ms_ = std::min(acks_touched_from_ms_, touched_ms);
+        }
+        return expired;
     });
 }
 
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -11,10 +11,14 @@
 #include "dragonflymount/src/Jobs/RouteTable.hpp"
 #include "dragonflymount/src/Jobs/Types.hpp"
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
 #include <deque>
 #include <map>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -52,6 +56,10 @@
     return !task.done && task.runs.empty();
 }
 
+/// \returns the VMs of the wave that have returned from maintenance or are no
+/// longer listed by the VM service. The names are those in \p wave.
+absl::flat_hash_set<std::string_view> finished_vms(
+    const wire::MaintenanceWaveT& wave);
 /// \brief Whether every VM of the wave has returned from maintenance or is
 /// no longer listed by the VM service.
 bool is_complete(const wire::MaintenanceWaveT& wave);
@@ -68,6 +76,13 @@
     explicit operator bool() const { return task != nullptr; }
 };
 
+/// \brief Whether the results of the task's runs are still needed: the job is
+/// active and the task isn't done.
+inline bool is_wanted(const task_place& place) {
+    return place && place.job->phase == wire::job_phase::active &&
+        !place.task->done;
+}
+
 class state_image;
 
 class state {
@@ -175,6 +190,8 @@
         std::make_shared<wire::CatalogueT>();
     std::unordered_map<std::uint64_t, std::unique_ptr<wire::JobT>> jobs_;
     std::map<endpoint_life, acknowledgement> acks_;
+    // Invariant: no element of acks_ was touched before this time.
+    std::uint64_t acks_touched_from_ms_ = 0;
     std::map<std::uint64_t, wire::MaintenanceWaveT> waves_;
 
     // Indexes over the members above, updated with each change and rebuilt
@@ -189,6 +206,10 @@
     std::map<std::string, std::uint32_t> pending_;
     // Invariant: exactly the runs in jobs_, by the life that executes them.
     std::map<endpoint_life, endpoint_load> loads_;
+    // Invariant: refers to exactly the elements of loads_. Each report and each
+    // placement round looks up many lives; comparing names in an ordered map
+    // would cost more than all else in these look-ups.
+    absl::flat_hash_map<endpoint_life, endpoint_load*> load_of_life_;
     std::map<std::string, resources> team_usage_;
     // End times in milliseconds and IDs of ended jobs, the oldest first.
     std::deque<std::pair<std::uint64_t, job_id>> ended_;
--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -46,13 +46,9 @@
     }
     end_unlisted_lives(requested, now);
     for (const auto& [number, wave] : jobs_.agreed().waves()) {
+        const auto finished = finished_vms(wave);
         for (const std::string& vm : wave.vms) {
-            const bool open = std::none_of(
-                wave.steps.begin(), wave.steps.end(), [&](const auto& step) {
-                    return step->vm == vm &&
-                        step->phase >= wire::maintenance_phase::returned;
-                });
-            if (open && !list_.contains(vm_id(vm))) {
+            if (!finished.contains(vm) && !list_.contains(vm_id(vm))) {
                 wire::MaintenanceStepT step;
                 step.wave = number;
                 step.vm = vm;
@@ -117,10 +113,11 @@
         if (view.vm.empty()) {
             continue;
         }
-        std::string& known = endpoint_of_[view.vm];
-        const endpoint_view* other = jobs_.endpoints().find(known);
-        if (other == nullptr || other->heard < view.heard) {
-            known = endpoint;
+        const auto [known, is_first] =
+            endpoint_of_.try_emplace(view.vm, endpoint);
+        if (!is_first &&
+            jobs_.endpoints().find(known->second)->heard < view.heard) {
+            known->second = endpoint;
         }
     }
 }
