Measure by their reports how far a leader is behind

What operators saw: a leader whose reports were seconds late asked for no fewer of them, since its timers were on time; and it held reports of idle endpoints for 600 ms from the moment at which it handled them, though their endpoints give up a second after they sent them. A delay of 400 ms was enough to lose each such reply and to gain a new connection for it.

Both now go by the delay of the reports, which the endpoints' clocks show: the report interval grows with the larger of the two delays, and a report is held that much shorter.

--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -49,6 +49,7 @@
     leads_ = true;
     term_ = term;
     endpoints_.reset(now);
+    report_delay_ = {};
     unconfirmed_.reset(agreed_);
     placement_due_ = true;
     reset_scan_limits();
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -157,6 +157,7 @@
     void count_pending(
         const wire::JobQueueT& queue, const call_handler& on_reply) const;
 
+    static duration time_to_hold(duration hold, const endpoint_view& view);
     void collect_ends(const endpoint_report& report);
     void collect_ended(wire::JobBatchT& batch, instant now);
     void collect_lapsed(wire::JobBatchT& batch, instant now);
@@ -245,6 +246,8 @@
     std::uint64_t agreed_batches_ = 0;
     // Smoothed delay of the leader's timers.
     duration lag_{};
+    // Smoothed time by which reports were late when the leader handled them.
+    duration report_delay_{};
     instant next_lapse_check_{};
     std::uint64_t lapse_checks_ = 0;
     // Number of ended lives at the time of the last lapse check.
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -10,11 +10,17 @@
 // the starts that use the freed capacity.
 constexpr std::uint64_t batches_to_refill = 2;
 
-// Number of timers over which the delay is smoothed.
+// Number of timers over which their delay is smoothed.
 constexpr std::int64_t lag_smoothing = 8;
+// Number of reports over which their delay is smoothed.
+constexpr std::int64_t report_delay_smoothing = 64;
 // Increase of the report interval per unit of delay.
 constexpr std::int64_t retry_per_lag = 10;
 
+duration smooth(duration mean, duration value, std::int64_t count) {
+    return (mean * (count - 1) + value) / count;
+}
+
 } // namespace
 
 void engine::report(
@@ -39,6 +45,8 @@
     const bool gains_capacity =
         !could_take_tasks && endpoints_.can_take_tasks(*view, now);
     placement_due_ = placement_due_ || (gains_capacity && may_trigger_round());
+    report_delay_ =
+        smooth(report_delay_, view->report_delay, report_delay_smoothing);
     collect_ends(report);
     unconfirmed_.confirm(report);
     for (const run_ref& run : ran_before) {
@@ -56,16 +64,22 @@
     held = {std::move(on_orders), now, now, 0, agreed_batches_};
     if (!report.ended.empty()) {
         held.last_end = report.ended.back().number;
-        held.reply_by = now + options_.ends_hold;
+        held.reply_by = now + time_to_hold(options_.ends_hold, *view);
         held_with_ends_.insert(report.life.endpoint);
     } else if (!has_ending_tasks(*view)) {
-        held.reply_by = now + options_.idle_hold;
+        held.reply_by = now + time_to_hold(options_.idle_hold, *view);
         reply_if_ready(report.life.endpoint);
     } else {
         reply(report.life.endpoint);
     }
 }
 
+// The endpoint waits for the reply since it sent the report, not since the
+// leader handled it.
+duration engine::time_to_hold(duration hold, const endpoint_view& view) {
+    return std::max(duration::zero(), hold - view.report_delay);
+}
+
 void engine::collect_ends(const endpoint_report& report) {
     std::uint64_t& collected = collected_ends_[report.life];
     collected = std::max(collected, agreed_.acknowledged(report.life));
@@ -115,7 +129,7 @@
 // leader replies; they then time out and are sent again, which adds load. The
 // smoothed delay lengthens the report interval to prevent this.
 void engine::note_lag(duration lag) {
-    lag_ = (lag_ * (lag_smoothing - 1) + lag) / lag_smoothing;
+    lag_ = smooth(lag_, lag, lag_smoothing);
 }
 
 // The limits protect a new leader that receives the first report of every
@@ -126,8 +140,11 @@
     early_lapse_checks_ = 0;
 }
 
+// While reports wait in their connections, the timers can be on time: they fire
+// once for each pass over the connections that are ready.
 duration engine::busy_retry() const {
-    return std::min(options_.busy_retry + lag_ * retry_per_lag,
+    return std::min(
+        options_.busy_retry + std::max(lag_, report_delay_) * retry_per_lag,
         options_.longest_busy_retry);
 }
 
--- a/tests/jobs/unconfirmed_test.cpp
+++ b/tests/jobs/unconfirmed_test.cpp
@@ -1,48 +1,20 @@
 // What callers are told of jobs whose first start hasn't reached its endpoint.
-#include "tests/jobs/job_builder.hpp"
-
-#include <gtest/gtest.h>
+#include "tests/jobs/leading_engine.hpp"
 
 namespace dragonflymount::jobs::test {
 namespace {
 
 /// An engine with one waiting job, 7, and the endpoint e1.
-class waiting_job : public testing::Test {
+class waiting_job : public leading_engine {
 protected:
-    waiting_job() : engine_(jobs_.agreed, engine_options{}) {
-        engine_.lead(log_term(3), now_);
+    waiting_job() {
         jobs_.submit(job_builder(7).step(1).build());
         report(make_report("e1", 1));
     }
-    void report(const endpoint_report& made) {
-        engine_.report(
-            made, [](const auto&) {}, now_);
-        settle();
-    }
-    void settle() {
-        while (auto batch = engine_.take_batch(now_, jobs_.time_ms)) {
-            jobs_.apply(std::move(*batch));
-            engine_.batch_done(true, now_);
-        }
-    }
     endpoint_report second_report() const { return make_report("e1", 2); }
-    wire::JobReplyT ask(const std::string& path) {
-        wire::JobCallT call;
-        call.verb = wire::job_verb::read;
-        call.host = "host";
-        call.path = "/q/" + path;
-        call.key = "key";
-        wire::JobReplyT answer;
-        engine_.call(
-            call, [&](wire::JobReplyT reply) { answer = std::move(reply); });
-        return answer;
-    }
     std::uint32_t pending() { return ask("").pending; }
 
     const run_ref first_run_{task(7), 1};
-    agreed_jobs jobs_;
-    instant now_ = at_ms(100'000);
-    engine engine_;
 };
 
 TEST_F(waiting_job, is_pending_while_its_start_has_not_reached_the_endpoint) {
