Begin no session once a server is stopped

What operators would see: a server that was stopped, at shutdown or by a restart of its supervisor, began one more session if an accept had completed by then, and logged a failed accept each 100 ms from then on; after a restart two chains of accepts ran side by side.

Cause: closing an acceptor doesn't recall an accept that has completed, and the handler looked at the error only. It now also looks whether the acceptor is open. The same in listener.

Test: http_server.begins_no_session_once_it_is_stopped failed before (1 session, 0 expected).

--- a/dragonflymount/src/Runtime/Connection.cpp
+++ b/dragonflymount/src/Runtime/Connection.cpp
@@ -217,23 +217,25 @@
 }
 
 void listener::accept() {
-    acceptor_.async_accept(
-        [this](std::error_code code, asio::ip::tcp::socket socket) {
-            if (code == asio::error::operation_aborted) {
-                return;
-            }
-            if (code) {
-                LOG(WARNING)
-                    << event::connection_failed << "accept: " << code.message();
-                accept_later();
-                return;
-            }
-            accept_waiting(acceptor_, std::move(socket),
-                [this](asio::ip::tcp::socket accepted) {
-                    begin_connection(std::move(accepted));
-                });
-            accept();
-        });
+    acceptor_.async_accept([this](std::error_code code,
+                               asio::ip::tcp::socket socket) {
+        // A connection may have been accepted before the listener was
+        // stopped.
+        if (code == asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (code) {
+            LOG(WARNING) << event::connection_failed
+                         << "accept: " << code.message();
+            accept_later();
+            return;
+        }
+        accept_waiting(acceptor_, std::move(socket),
+            [this](asio::ip::tcp::socket accepted) {
+                begin_connection(std::move(accepted));
+            });
+        accept();
+    });
 }
 
 void listener::begin_connection(asio::ip::tcp::socket socket) {
--- a/dragonflymount/src/Runtime/HttpServer.cpp
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -224,23 +224,24 @@
 }
 
 void http_server::accept() {
-    acceptor_.async_accept(
-        [this](std::error_code code, asio::ip::tcp::socket socket) {
-            if (code == asio::error::operation_aborted) {
-                return;
-            }
-            if (code) {
-                LOG(WARNING) << event::connection_failed
-                             << "accept HTTP: " << code.message();
-                accept_later();
-                return;
-            }
-            accept_waiting(acceptor_, std::move(socket),
-                [this](asio::ip::tcp::socket accepted) {
-                    begin_session(std::move(accepted));
-                });
-            accept();
-        });
+    acceptor_.async_accept([this](std::error_code code,
+                               asio::ip::tcp::socket socket) {
+        // A connection may have been accepted before the server was stopped.
+        if (code == asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (code) {
+            LOG(WARNING) << event::connection_failed
+                         << "accept HTTP: " << code.message();
+            accept_later();
+            return;
+        }
+        accept_waiting(acceptor_, std::move(socket),
+            [this](asio::ip::tcp::socket accepted) {
+                begin_session(std::move(accepted));
+            });
+        accept();
+    });
 }
 
 // Descriptors become free when idle connections are closed, which goes on
--- a/tests/runtime/accept_test.cpp
+++ b/tests/runtime/accept_test.cpp
@@ -1,5 +1,6 @@
 // How soon a busy server accepts the connections that wait.
 #include "dragonflymount/src/Runtime/Http.hpp"
+#include "dragonflymount/src/Runtime/Listening.hpp"
 
 #include <gtest/gtest.h>
 
@@ -75,6 +76,24 @@
     EXPECT_LE(served - served_before, 3 * callers);
 }
 
+// The next accept may have completed already when the server is stopped.
+TEST(http_server, begins_no_session_once_it_is_stopped) {
+    asio::io_context context;
+    http_server server(context, {});
+    ASSERT_TRUE(server.start("127.0.0.1:0",
+        [](const http_request&, const http_server::responder&) {}));
+    std::vector<tcp::socket> waiting;
+    for (std::size_t k = 0; k < most_accepts + 2; ++k) {
+        waiting.emplace_back(context).connect(endpoint_of(server));
+    }
+    while (server.accepted() == 0) {
+        context.run_one();
+    }
+    server.stop();
+    context.poll();
+    EXPECT_EQ(server.connections(), 0U);
+}
+
 /// Limits the descriptors of this process to about \p count beside those that
 /// are open, until the scope ends.
 class descriptor_limit {
