Drop requests of endpoints and operators that have given up

What operators saw: an overloaded leader did the whole work for callers that had closed their connections a second after they asked: it decoded, applied, held and answered their reports one by one, so that those who still waited gave up as well.

Callers' own interface at the gateways stays as it is, since a caller may close its sending side alone.

--- a/dragonflymount/src/Runtime/Http.hpp
+++ b/dragonflymount/src/Runtime/Http.hpp
@@ -47,6 +47,9 @@
     std::uint64_t body_bytes = 256U << 10U;
     /// From the first byte of a request to its last.
     duration request_timeout = std::chrono::seconds(5);
+    /// Drop a request whose caller has closed the connection before it is
+    /// handled. Only for callers that don't close their sending side alone.
+    bool drop_abandoned = false;
     /// Between two requests of a connection.
     duration idle_timeout = std::chrono::seconds(20);
 };
--- a/dragonflymount/src/Runtime/HttpServer.cpp
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -57,6 +57,7 @@
     void start() {
         asio::error_code ignored;
         socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        socket_.non_blocking(true, ignored);
         begin_request();
     }
 
@@ -127,6 +128,10 @@
             read();
             return;
         }
+        if (server_->limits_.drop_abandoned && is_abandoned()) {
+            leave();
+            return;
+        }
         auto message = parser_->release();
         http_request request;
         request.method = std::string(message.method_string());
@@ -144,6 +149,15 @@
             });
     }
 
+    bool is_abandoned() {
+        std::array<char, 1> next{};
+        asio::error_code code;
+        socket_.receive(
+            asio::buffer(next), asio::socket_base::message_peek, code);
+        return code == asio::error::eof ||
+            code == asio::error::connection_reset;
+    }
+
     // What follows a message that can't be parsed can't be trusted either.
     void refuse(unsigned status) {
         replying_ = true;
--- a/tests/runtime/accept_test.cpp
+++ b/tests/runtime/accept_test.cpp
@@ -94,6 +94,31 @@
     EXPECT_EQ(server.connections(), 0U);
 }
 
+// A busy server did the work of callers that had given up, one by one.
+TEST(http_server, drops_requests_whose_callers_have_gone) {
+    asio::io_context context;
+    http_limits limits;
+    limits.drop_abandoned = true;
+    http_server server(context, limits);
+    std::size_t handled = 0;
+    ASSERT_TRUE(server.start("127.0.0.1:0",
+        [&](const http_request&, const http_server::responder& respond) {
+            ++handled;
+            respond({200, {}, {}});
+        }));
+    tcp::socket patient(context);
+    patient.connect(endpoint_of(server));
+    asio::write(patient, asio::buffer(request));
+    for (std::size_t k = 0; k < 3; ++k) {
+        tcp::socket impatient(context);
+        impatient.connect(endpoint_of(server));
+        asio::write(impatient, asio::buffer(request));
+    }
+    context.run_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(handled, 1U);
+    EXPECT_EQ(server.connections(), 1U);
+}
+
 /// Limits the descriptors of this process to about \p count beside those that
 /// are open, until the scope ends.
 class descriptor_limit {
