Refuse a settings file with an unreadable paired setting

Operators saw: a SIGHUP after a settings file with, for instance, a 'longest-lease' of -1ms ended the running process by an uncaught map::at, instead of the line E108; at a start the error text was missing. Cause: 'task-lease' is derived from 'longest-lease', and the derived default was computed though that setting had been refused. Ruled out: Boost's reader, whose errors are caught; the verification of pairs, which runs only without errors. The test failed before with the exception "map::at". Defaults are now derived only while no error was found; every error is still reported.

--- a/dragonflymount/src/Settings/Settings.cpp
+++ b/dragonflymount/src/Settings/Settings.cpp
@@ -179,7 +179,10 @@
                         known.section, "]"));
                 continue;
             }
-            result.settings.texts_[key] = known.fallback(result.settings);
+            // A derived default needs the settings that it is derived from.
+            if (result.ok()) {
+                result.settings.texts_[key] = known.fallback(result.settings);
+            }
         }
     }
 
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -158,5 +158,21 @@
     ASSERT_FALSE(read.ok());
 }
 
+// The settings file may change while the process runs; it then keeps the
+// settings that it has.
+TEST(platform_settings, are_refused_if_a_paired_setting_is_unreadable) {
+    for (const char* name : {"longest-lease", "task-lease", "heartbeat",
+             "election-timeout", "control", "lost-disks"}) {
+        for (const char* value : {"-1ms", "1e999", "x", ""}) {
+            const auto read = settings::read_text(
+                absl::StrReplaceAll(fill_placeholders("scheduler.ini", {}),
+                    {{"longest-lease = 10000ms",
+                        absl::StrCat(name, " = ", value)}}),
+                "scheduler.ini", scheduler_schema());
+            EXPECT_FALSE(read.ok()) << name << ' ' << value;
+        }
+    }
+}
+
 } // namespace
 } // namespace dragonflymount::platform
