Bound the occurrences of a job that are stored at once

A caller's job with 'repeats' of four billion and no interval, or a start long ago, began one occurrence in each batch without end. With 5,000 tasks each the leader stored 250,000 tasks after 50 batches, and each further leader after it the same, until its memory was over the limit. An interval near 2^64 wrapped around and made all occurrences due at once. Ruled out: the limit on tasks of one submission; it counts one occurrence. At most 1,000 occurrences and 20,000 tasks of a job are open now; the next one begins when an earlier one ends. Times beyond the range are the latest time. The three tests failed before.

--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -11,6 +11,22 @@
 // an election.
 constexpr std::uint32_t unready_retry_ms = 1000;
 
+// The most tasks and occurrences of one job that are stored at once. A short
+// interval, or a start long ago, makes many occurrences due at once; a schedule
+// of four billion would use up the memory of each leader in turn.
+constexpr std::size_t max_open_tasks = 20'000;
+constexpr std::size_t max_open_occurrences = 1000;
+
+bool has_room_for_occurrence(const wire::JobT& job) {
+    std::size_t tasks = 0;
+    for (const auto& step : job.spec->steps) {
+        tasks += step->count;
+    }
+    const std::size_t open = job.occurrences.size();
+    return open == 0 ||
+        (open < max_open_occurrences && (open + 1) * tasks <= max_open_tasks);
+}
+
 // Interval at which evidence about finished tasks is dropped.
 constexpr duration cleanup_interval = std::chrono::seconds(1);
 
@@ -350,10 +366,8 @@
 void engine::collect_due(wire::JobBatchT& batch, std::uint64_t wall_ms) const {
     for (const job_id id : agreed_.repeating_jobs()) {
         const wire::JobT& job = *agreed_.find_job(id);
-        const wire::JobSpecT& spec = *job.spec;
-        const std::uint64_t due =
-            spec.start_at_ms + job.next_occurrence * spec.interval_ms;
-        if (due <= wall_ms) {
+        if (start_time_ms(*job.spec, job.next_occurrence) <= wall_ms &&
+            has_room_for_occurrence(job)) {
             auto order = std::make_unique<wire::OccurrenceDueT>();
             order->job = id.value();
             order->number = job.next_occurrence;
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -5,6 +5,7 @@
 #include <absl/container/inlined_vector.h>
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace dragonflymount::jobs {
@@ -46,9 +47,8 @@
 }
 
 std::uint64_t begin_time_ms(const wire::JobT& job, std::uint32_t occurrence) {
-    return job.spec->repeats > 0
-        ? job.spec->start_at_ms + occurrence * job.spec->interval_ms
-        : job.accepted_ms;
+    return job.spec->repeats > 0 ? start_time_ms(*job.spec, occurrence)
+                                 : job.accepted_ms;
 }
 
 } // namespace
@@ -68,6 +68,15 @@
     });
 }
 
+std::uint64_t start_time_ms(
+    const wire::JobSpecT& spec, std::uint32_t occurrence) {
+    constexpr std::uint64_t latest = std::numeric_limits<std::uint64_t>::max();
+    const std::uint64_t room = latest - spec.start_at_ms;
+    return spec.interval_ms > 0 && occurrence > room / spec.interval_ms
+        ? latest
+        : spec.start_at_ms + occurrence * spec.interval_ms;
+}
+
 std::uint64_t due_time_ms(const wire::JobT& job, std::uint32_t occurrence,
     const wire::JobQueueT& queue) {
     const std::uint64_t begin = begin_time_ms(job, occurrence);
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -204,6 +204,11 @@
     std::vector<used_place> used_places_;
 };
 
+/// \brief When an occurrence of a job with a schedule is due, in log time.
+/// \returns milliseconds since 1970; the largest value if it exceeds the range.
+std::uint64_t start_time_ms(
+    const wire::JobSpecT& spec, std::uint32_t occurrence);
+
 /// \brief When an occurrence of a job should be complete, in log time.
 /// \returns milliseconds since 1970.
 std::uint64_t due_time_ms(const wire::JobT& job, std::uint32_t occurrence,
--- /dev/null
+++ b/tests/jobs/odd_input_test.cpp
@@ -0,0 +1,69 @@
+// Tests what one odd entry among those of the endpoints, VMs and jobs does to
+// the others: numbers too large, and names of nothing that exists.
+#include "tests/jobs/vm_orders.hpp"
+
+namespace dragonflymount::jobs::test {
+namespace {
+
+constexpr std::uint32_t most_32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t most_64 = std::numeric_limits<std::uint64_t>::max();
+
+std::size_t stored_tasks(const wire::JobT& job) {
+    std::size_t tasks = 0;
+    for (const auto& occurrence : job.occurrences) {
+        for (const auto& group : occurrence->steps) {
+            tasks += group->tasks.size();
+        }
+    }
+    return tasks;
+}
+
+class odd_input : public vm_orders {
+protected:
+    void commit(std::size_t batches) {
+        for (std::size_t k = 0; k < batches; ++k) {
+            auto batch = engine_.take_batch(now_, jobs_.time_ms);
+            if (batch) {
+                jobs_.apply(std::move(*batch));
+                engine_.batch_done(true, now_);
+            }
+        }
+    }
+    void start_job_on_e1() {
+        vm_orders::report("e1");
+        jobs_.submit(job_builder(7).step(1).build());
+        engine_.tick(now_);
+        commit_batches();
+        ASSERT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
+    }
+};
+
+// Four billion occurrences that are due at once; the memory of a leader holds
+// the tasks of some thousands.
+TEST_F(odd_input, schedule_without_interval_is_stored_in_part) {
+    jobs_.submit(
+        job_builder(7).step(5000, 1000).repeats(most_32, 0, 0).build());
+    commit(50);
+    const wire::JobT& job = *jobs_.agreed.find_job(job_id(7));
+    EXPECT_GT(stored_tasks(job), 0U);
+    EXPECT_LE(stored_tasks(job), 20'000U);
+}
+
+TEST_F(odd_input, occurrences_of_one_job_are_bounded) {
+    jobs_.submit(job_builder(7).step(1, 1000).repeats(most_32, 0, 0).build());
+    commit(1500);
+    EXPECT_EQ(jobs_.agreed.find_job(job_id(7))->occurrences.size(), 1000U);
+}
+
+TEST_F(odd_input, occurrence_beyond_all_times_never_begins) {
+    const std::uint64_t begin = first_time_ms;
+    jobs_.submit(
+        job_builder(7).step(1, 1000).repeats(3, begin, most_64).build());
+    jobs_.submit(job_builder(8).step(1, 1000).repeats(3, most_64, 1).build());
+    commit(10);
+    EXPECT_EQ(jobs_.agreed.find_job(job_id(7))->occurrences.size(), 1U);
+    EXPECT_EQ(jobs_.agreed.find_job(job_id(8))->occurrences.size(), 0U);
+}
+
+} // namespace
+} // namespace dragonflymount::jobs::test
