Bound the demand of a pool before VMs are divided

One job whose tasks ask for amounts near 2^32 gave its pool a demand beyond 64 bits. The products of demands and VMs then wrapped around, and the division wrote behind the end of its list: the test of divide_vms ended with a segmentation fault (status 139), and the demand of the job in the VM manager was 26,843,558,094 VMs. Ruled out: sums of capacities and usages; they are of 32 bits each in 64. Demands are bounded at a million VMs, in the count and in the division. The least number of VMs for an anti-affinity near 2^32 no longer wraps.

--- a/dragonflymount/src/Jobs/Allocation.cpp
+++ b/dragonflymount/src/Jobs/Allocation.cpp
@@ -12,6 +12,10 @@
 // take many VMs for a moment.
 constexpr double catch_up_ms = 800;
 
+// Bounds the products and sums of demands. A single job may ask for any number
+// of tasks' worth of any amount.
+constexpr std::size_t max_demand_vms = 1'000'000;
+
 std::size_t sum_of(const std::vector<std::size_t>& amounts) {
     return std::accumulate(amounts.begin(), amounts.end(), std::size_t{0});
 }
@@ -80,7 +84,8 @@
     for (const auto wanted : classes) {
         std::vector<std::size_t> lacking;
         for (std::size_t k = 0; k < demands.size(); ++k) {
-            const std::size_t most = demands[k].*wanted;
+            const std::size_t most =
+                std::min(demands[k].*wanted, max_demand_vms);
             lacking.push_back(most > given[k] ? most - given[k] : 0);
         }
         if (sum_of(lacking) > vms) {
--- a/dragonflymount/src/Jobs/VmManagerDemand.cpp
+++ b/dragonflymount/src/Jobs/VmManagerDemand.cpp
@@ -15,6 +15,10 @@
 // With fewer VMs a pool could not absorb the loss of one.
 constexpr std::size_t min_pool_size = 3;
 
+// A larger need, of tasks that ask for more than any VM has, exceeds the range
+// of the count.
+constexpr double max_demand_vms = 1'000'000;
+
 // Time from a VM's arrival in a pool until it takes tasks: its first report, a
 // placement round and its commit.
 constexpr duration join_time = std::chrono::milliseconds(500);
@@ -104,8 +108,9 @@
         for (std::size_t k = 0; k < occurrence->steps.size(); ++k) {
             const wire::JobStepT& step = *job.spec->steps[k];
             if (step.long_running && step.anti_affinity > 0) {
+                const std::uint32_t rest = step.count % step.anti_affinity;
                 pool.least = std::max(pool.least,
-                    (step.count + step.anti_affinity - 1) / step.anti_affinity);
+                    step.count / step.anti_affinity + (rest > 0 ? 1 : 0));
             }
         }
         measure_occurrence(job, *occurrence, *queue, need);
@@ -209,7 +214,8 @@
     const double padding =
         1.0 + static_cast<double>(options_.headroom_percent) / 100.0;
     const auto whole_vms = [padding](double vms) {
-        return static_cast<std::size_t>(std::ceil(vms * padding));
+        return static_cast<std::size_t>(
+            std::min(std::ceil(vms * padding), max_demand_vms));
     };
     pool_demand demand;
     demand.least = std::max<std::size_t>(min_pool_size, pool.least);
--- a/tests/jobs/odd_input_test.cpp
+++ b/tests/jobs/odd_input_test.cpp
@@ -65,5 +65,31 @@
     EXPECT_EQ(jobs_.agreed.find_job(job_id(8))->occurrences.size(), 0U);
 }
 
+TEST_F(odd_input, demand_of_a_job_without_bounds_is_bounded) {
+    list_vms(names("e", 4), names("s", 4));
+    auto job = job_builder(7).step(20'000, most_32).build();
+    job->spec->steps[0]->memory_mb = most_32;
+    job->spec->steps[0]->gpus = most_32;
+    job->spec->steps[0]->estimate_ms = most_32;
+    job->spec->steps[0]->anti_affinity = most_32;
+    jobs_.submit(std::move(job));
+    run_for(1000, names("e", 4));
+    ASSERT_FALSE(manager_.pools().empty());
+    for (const pool_summary& pool : manager_.pools()) {
+        EXPECT_LE(pool.wanted, 8U) << pool.pool;
+        EXPECT_LE(pool.demand.all, 1'000'000U) << pool.pool;
+    }
+}
+
+TEST(divide_vms, gives_no_more_than_there_are_for_any_demand) {
+    constexpr std::size_t most = std::numeric_limits<std::size_t>::max();
+    using counts = std::vector<std::size_t>;
+    EXPECT_EQ(divide_vms({{3, most, most}}, 100), counts{100});
+    EXPECT_EQ(
+        divide_vms({{3, most, most}, {3, most, most}}, 100), (counts{50, 50}));
+    EXPECT_EQ(
+        divide_vms({{3, most / 2, most}, {3, 3, 3}}, 100), (counts{97, 3}));
+}
+
 } // namespace
 } // namespace dragonflymount::jobs::test
