--- /dev/null
+++ b/tests/platform/odd_input_test.cpp
@@ -0,0 +1,170 @@
+// Tests the decoders of the platform adapter with documents that another
+// writer may have left: deeply nested, with numbers out of range, with
+// unusable names, or with bytes that are no text.
+#include "platform/endpoint_api.hpp"
+#include "platform/job_api.hpp"
+#include "platform/operator_api.hpp"
+#include "platform/vm_service.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <sys/resource.h>
+
+#include <cstdlib>
+#include <random>
+
+namespace dragonflymount::platform {
+namespace {
+
+constexpr std::size_t control_body_bytes = 4U << 20U;
+
+nlohmann::json make_heartbeat() {
+    return {{"service", "s1"}, {"address", "10.0.0.1:80"}, {"zone", "z"},
+        {"state", "ready"}, {"born", 1700000000000}, {"sequence", 4},
+        {"machine", "m-1"}, {"labels", {"a", "r1"}}, {"clock_ms", 482113},
+        {"capacity", {{"cpu", 16000}, {"mem_mb", 32768}, {"gpu", 0}}},
+        {"running", {{"5c0e7a21d94b36f8.0.1.17", 2, "saved", 41, 12.5}}},
+        {"ended", {{58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""}}}};
+}
+
+nlohmann::json make_configuration() {
+    return {{"version", 7},
+        {"routes",
+            {{{"name", "r1"}, {"host", "h"}, {"path_prefix", "/a/"},
+                {"timeout_ms", 3000}, {"target_latency_ms", 3600},
+                {"service", "s1"}, {"max_attempts", 2}, {"stretch", 1.6},
+                {"advice",
+                    {{"decide_ms", 5}, {"each_ms", 1}, {"valid_ms", 9}}}}}},
+        {"services", {{{"name", "s1"}, {"admission_check", true}}}},
+        {"tenants",
+            {{{"name", "t1"}, {"api_keys", {"k1", "k2"}}, {"weight", 2},
+                {"cap", {{"cpu", 100}, {"mem_mb", 200}, {"gpu", 0}}}}}}};
+}
+
+nlohmann::json make_job() {
+    return {{"spec", "text"}, {"repeats", 2}, {"start_at_ms", 5},
+        {"interval_ms", 7},
+        {"steps",
+            {{{"count", 4}, {"cpu", 500}, {"mem_mb", 9}, {"estimate_ms", 900}},
+                {{"count", 2}, {"depends_on", {0}}, {"gang", true}}}}};
+}
+
+nlohmann::json make_vm(const std::string& name) {
+    return {{"machine", name}, {"pool", "s1"}, {"state", "up"}, {"zone", "z"},
+        {"labels", {"a", "r1"}}, {"id", "i-" + name},
+        {"capacity", {{"cpu", 16000}, {"mem_mb", 32768}, {"gpu", 0}}}};
+}
+
+nlohmann::json make_list() {
+    return {
+        {"machines", {make_vm("m-1"), make_vm("m-2")}}, {"next_token", "n"}};
+}
+
+nlohmann::json make_wave() {
+    return {{"wave", 1}, {"machines", {"m-1", "m-2"}}, {"duration_s", 20},
+        {"cap", 1}};
+}
+
+runtime::http_request make_submission(std::string body) {
+    runtime::http_request request;
+    request.method = "POST";
+    request.target = "/a/5c0e7a21d94b36f8";
+    request.headers = {{"Host", "h:80"}};
+    request.body = std::move(body);
+    return request;
+}
+
+void decode_all(const std::string& text) {
+    decode_report("i-1", text);
+    decode_catalogue(text);
+    decode_wave(text);
+    decode_vm_page(text);
+    decode_verdict({409, {}, text});
+    decode_call(make_submission(text));
+}
+
+std::vector<std::string> valid_documents() {
+    return {make_heartbeat().dump(), make_configuration().dump(),
+        make_job().dump(), make_list().dump(), make_wave().dump(),
+        R"({"reason":"fence"})"};
+}
+
+std::string repeat(const std::string& part, std::size_t bytes) {
+    std::string text;
+    while (text.size() + part.size() <= bytes) {
+        text += part;
+    }
+    return text;
+}
+
+/// \returns the peak of this process's memory so far, in bytes.
+std::size_t peak_memory() {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return static_cast<std::size_t>(usage.ru_maxrss) << 10U;
+}
+
+// The child's memory may grow by 15 times the body, an eighth of what the
+// platform gives a process with some bodies at once.
+void expect_bounded_memory(const std::string& text) {
+    constexpr std::size_t most_growth = 60U << 20U;
+    EXPECT_EXIT(
+        {
+            const std::size_t before = peak_memory();
+            decode_all(text);
+            const std::size_t growth = peak_memory() - before;
+            std::cerr << "grew by " << (growth >> 20U) << " MB";
+            std::exit(growth < most_growth ? 0 : 1);
+        },
+        testing::ExitedWithCode(0), "")
+        << text.substr(0, 20);
+}
+
+TEST(nesting, of_100_000_levels_is_refused_everywhere) {
+    const std::string lists =
+        std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string objects =
+        repeat("{\"a\":", 500'000) + "1" + std::string(100'000, '}');
+    for (const std::string& deep : {lists, objects}) {
+        decode_all(deep);
+        for (const std::string& valid : valid_documents()) {
+            const std::string text = "{\"x\":" + deep + "," + valid.substr(1);
+            decode_all(text);
+            EXPECT_FALSE(decode_report("i-1", text));
+            EXPECT_FALSE(decode_catalogue(text));
+            EXPECT_FALSE(decode_wave(text));
+            EXPECT_FALSE(decode_vm_page(text));
+            EXPECT_FALSE(decode_call(make_submission(text)));
+        }
+    }
+}
+
+TEST(nesting, of_a_whole_body_does_not_use_up_the_memory) {
+    expect_bounded_memory(std::string(control_body_bytes, '['));
+    expect_bounded_memory(repeat("{\"\":", control_body_bytes));
+}
+
+TEST(many_values, in_a_body_do_not_use_up_the_memory) {
+    for (const char* part : {"[],", "{},", "{\"\":0},", "0,"}) {
+        expect_bounded_memory(
+            "{\"x\":[" + repeat(part, control_body_bytes - 20) + "0]}");
+        expect_bounded_memory(
+            "{\"machines\":[" + repeat(part, control_body_bytes - 20) + "0]}");
+    }
+}
+
+TEST(many_values, of_a_long_heartbeat_are_read) {
+    auto document = make_heartbeat();
+    for (int k = 0; k < 50'000; ++k) {
+        document["ended"].push_back(
+            {k + 59, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""});
+    }
+    ASSERT_LT(document.dump().size(), control_body_bytes);
+    const auto read = decode_report("i-1", document.dump());
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->ended.size(), 50'001U);
+}
+
+} // namespace
+} // namespace dragonflymount::platform
