Compare numbers of 64 bits exactly

The test failed for these members before; numbers of 32 bits, negative ones, fractions, 1e20 and 1e999 were refused before as well.

--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -166,5 +166,69 @@
     EXPECT_EQ(read->ended.size(), 50'001U);
 }
 
+/// Replaces the value of a member, wherever the member stands in the text.
+std::string with_value(
+    const nlohmann::json& document, const std::string& path, const char* text) {
+    nlohmann::json changed = document;
+    changed[nlohmann::json::json_pointer(path)] = "PLACE";
+    std::string made = changed.dump();
+    const std::string place = "\"PLACE\"";
+    return made.replace(made.find(place), place.size(), text);
+}
+
+// No unsigned number of 64 bits; the first two are the nearest above them.
+const std::vector<const char*> numbers_too_large = {"18446744073709551616.0",
+    "18446744073709551616", "1e20", "1e300", "1e999", "-1", "-1e300", "0.5"};
+
+TEST(numbers, out_of_range_are_refused) {
+    for (const char* number : numbers_too_large) {
+        for (const char* path : {"/born", "/sequence", "/clock_ms",
+                 "/ended/0/0", "/ended/0/2", "/running/0/1", "/capacity/cpu",
+                 "/drain_remaining_ms", "/warmup_left_ms"}) {
+            EXPECT_FALSE(decode_report(
+                "i-1", with_value(make_heartbeat(), path, number)))
+                << path << ' ' << number;
+        }
+        for (const char* path :
+            {"/version", "/routes/0/timeout_ms", "/routes/0/max_attempts",
+                "/routes/0/advice/each_ms", "/tenants/0/cap/cpu"}) {
+            EXPECT_FALSE(decode_catalogue(
+                with_value(make_configuration(), path, number)))
+                << path << ' ' << number;
+        }
+        for (const char* path : {"/repeats", "/start_at_ms", "/interval_ms",
+                 "/steps/0/count", "/steps/0/cpu", "/steps/1/depends_on/0",
+                 "/steps/0/anti_affinity", "/steps/0/target_ms"}) {
+            EXPECT_FALSE(decode_call(
+                make_submission(with_value(make_job(), path, number))))
+                << path << ' ' << number;
+        }
+        EXPECT_FALSE(decode_wave(with_value(make_wave(), "/wave", number)))
+            << number;
+        EXPECT_FALSE(decode_wave(with_value(make_wave(), "/cap", number)))
+            << number;
+    }
+    EXPECT_FALSE(decode_wave(with_value(make_wave(), "/duration_s", "1e300")));
+}
+
+TEST(numbers, of_32_bits_are_compared_exactly) {
+    const auto read = decode_report(
+        "i-1", with_value(make_heartbeat(), "/ended/0/2", "4294967295.0"));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->ended[0].run.run, 4294967295U);
+    EXPECT_FALSE(decode_report(
+        "i-1", with_value(make_heartbeat(), "/ended/0/2", "4294967296")));
+    EXPECT_FALSE(decode_report(
+        "i-1", with_value(make_heartbeat(), "/ended/0/2", "4294967296.0")));
+}
+
+// The limits are compared with signed amounts.
+TEST(configuration, with_the_highest_cap_has_no_negative_limit) {
+    const auto read = decode_catalogue(with_value(
+        make_configuration(), "/tenants/0/cap/cpu", "18446744073709551615"));
+    ASSERT_TRUE(read);
+    EXPECT_GT(static_cast<std::int64_t>(read->teams[0]->cpu_limit), 0);
+}
+
 } // namespace
 } // namespace dragonflymount::platform
