--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -222,6 +222,17 @@
         "i-1", with_value(make_heartbeat(), "/ended/0/2", "4294967296.0")));
 }
 
+TEST(configuration, with_a_fraction_out_of_range_is_refused) {
+    for (const char* number : {"-1", "1e300", "18446744073709551615"}) {
+        EXPECT_FALSE(decode_catalogue(
+            with_value(make_configuration(), "/routes/0/stretch", number)))
+            << number;
+        EXPECT_FALSE(decode_catalogue(
+            with_value(make_configuration(), "/tenants/0/weight", number)))
+            << number;
+    }
+}
+
 // The limits are compared with signed amounts.
 TEST(configuration, with_the_highest_cap_has_no_negative_limit) {
     const auto read = decode_catalogue(with_value(
@@ -230,5 +241,24 @@
     EXPECT_GT(static_cast<std::int64_t>(read->teams[0]->cpu_limit), 0);
 }
 
+TEST(job, with_more_tasks_than_memory_is_refused) {
+    for (const char* count : {"20001", "4294967295"}) {
+        EXPECT_FALSE(decode_call(
+            make_submission(with_value(make_job(), "/steps/0/count", count))));
+    }
+    auto many_steps = make_job();
+    for (int k = 0; k < 3; ++k) {
+        many_steps["steps"].push_back({{"count", 9'999}});
+    }
+    EXPECT_FALSE(decode_call(make_submission(many_steps.dump())));
+}
+
+TEST(job, that_depends_on_itself_or_a_later_step_is_refused) {
+    for (const char* step : {"1", "2", "4294967295"}) {
+        EXPECT_FALSE(decode_call(make_submission(
+            with_value(make_job(), "/steps/1/depends_on/0", step))));
+    }
+}
+
 } // namespace
 } // namespace dragonflymount::platform
