--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -260,5 +260,44 @@
     }
 }
 
+TEST(heartbeat, without_a_usable_address_is_refused) {
+    for (const char* address : {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0",
+             "10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:-1",
+             "10.0.0.1:8x", ":80", "10.0.0.1\n:80"}) {
+        auto document = make_heartbeat();
+        document["address"] = address;
+        EXPECT_FALSE(decode_report("i-1", document.dump())) << address;
+    }
+    auto document = make_heartbeat();
+    document["address"] = "10.0.0.1:65535";
+    EXPECT_TRUE(decode_report("i-1", document.dump()));
+}
+
+TEST(heartbeat, with_an_unusable_name_is_refused) {
+    const std::vector<std::string> names = {
+        "", "a\nE999 forged", std::string("a\0b", 3), std::string(5000, 'x')};
+    for (const std::string& name : names) {
+        EXPECT_FALSE(decode_report(name, make_heartbeat().dump())) << name;
+        for (const char* member : {"service", "zone", "machine"}) {
+            if (name.empty() && member != std::string("service")) {
+                continue;
+            }
+            auto document = make_heartbeat();
+            document[member] = name;
+            EXPECT_FALSE(decode_report("i-1", document.dump()))
+                << member << ' ' << name;
+        }
+    }
+}
+
+TEST(heartbeat, with_more_than_any_machine_has_is_refused) {
+    for (const char* path :
+        {"/capacity/cpu", "/capacity/mem_mb", "/capacity/gpu"}) {
+        EXPECT_FALSE(decode_report(
+            "i-1", with_value(make_heartbeat(), path, "4294967295")))
+            << path;
+    }
+}
+
 } // namespace
 } // namespace dragonflymount::platform
