--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -3,6 +3,7 @@
 // unusable names, or with bytes that are no text.
 #include "platform/endpoint_api.hpp"
 #include "platform/job_api.hpp"
+#include "platform/log_text.hpp"
 #include "platform/operator_api.hpp"
 #include "platform/vm_service.hpp"
 
@@ -299,5 +300,35 @@
     }
 }
 
+// Bytes that are no UTF-8 must not get into a document that is encoded again:
+// the encoder throws on them.
+TEST(bytes, that_are_no_text_are_refused_everywhere) {
+    for (const std::string& valid : valid_documents()) {
+        for (const char* bytes : {"\xff", "\xc3", "\xed\xa0\x80", "\xc0\x80"}) {
+            const std::string text =
+                "{\"x\":\"" + std::string(bytes) + "\"," + valid.substr(1);
+            decode_all(text);
+            EXPECT_FALSE(decode_report("i-1", text));
+            EXPECT_FALSE(decode_catalogue(text));
+            EXPECT_FALSE(decode_call(make_submission(text)));
+        }
+    }
+}
+
+TEST(bytes, of_an_error_are_encoded) {
+    wire::JobReplyT reply;
+    reply.status = wire::job_status::malformed;
+    reply.detail = "\xff";
+    EXPECT_NO_THROW(encode_reply(reply));
+    jobs::endpoint_orders orders;
+    orders.starts.push_back({{}, "\xff", "\xc3", "\xfe"});
+    EXPECT_NO_THROW(encode_orders(orders, ""));
+}
+
+TEST(log_text, text_stays_on_one_line) {
+    EXPECT_EQ(log_text("a\"b\\c\nE999 forged"), R"("a\"b\\c\x0aE999 forged")");
+    EXPECT_LT(log_text(std::string(100'000, 'x')).size(), 400U);
+}
+
 } // namespace
 } // namespace dragonflymount::platform
