Read the VM list though an entry is odd

One entry that is no object, has no name, a number too large, bytes that are no text or too many levels made the whole list unreadable: no VM was moved or maintained any more while it stood there. An entry of an unknown pool made a new leader move standby VMs to that pool. Ruled out: to check each entry after the parse; a number such as 1e999 or a wrong byte fails the parse of the whole text. An entry of which only the name can be read keeps its VM listed, in an unknown condition, so that a wave doesn't take it as gone and no life is ended on the word of that list; it hides no good entry of the VM.

--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -69,6 +69,10 @@
 void vm_manager::end_unlisted_lives(instant requested, instant now) {
     std::set<std::string> up_endpoints;
     for (const auto& [vm, record] : list_) {
+        if (record.condition == vm_condition::unknown) {
+            // The life may be the one of this VM.
+            return;
+        }
         if (record.condition == vm_condition::up) {
             up_endpoints.insert(record.endpoint);
         }
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -13,7 +13,14 @@
 
 namespace dragonflymount::jobs {
 
-enum class vm_condition : std::uint8_t { up, moving, maintained, down };
+enum class vm_condition : std::uint8_t {
+    up,
+    moving,
+    maintained,
+    down,
+    /// The VM is listed, but the rest of its entry could not be read.
+    unknown
+};
 
 /// \brief A VM as the VM service lists it.
 struct vm_record {
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -162,6 +162,7 @@
     }
     for (const auto& [vm, record] : list_) {
         if (record.condition == vm_condition::up && find_vm(vm) == nullptr &&
+            jobs_.agreed().find_pool(record.pool.str()) != nullptr &&
             !move_targets_.contains(vm) && !chosen_for_wave_.contains(vm)) {
             ++pools_[record.pool.str()].unheard;
         }
--- a/tests/jobs/odd_input_test.cpp
+++ b/tests/jobs/odd_input_test.cpp
@@ -65,6 +65,30 @@
     EXPECT_EQ(jobs_.agreed.find_job(job_id(8))->occurrences.size(), 0U);
 }
 
+// The life may be the one on the VM whose entry can't be read.
+TEST_F(odd_input, list_with_an_unknown_condition_ends_no_life) {
+    start_job_on_e1();
+    run_for(4000, {});
+    manager_.update_list(
+        {{vm_id("vm-e1"), pool_id(""), vm_condition::unknown, "", {}}}, now_,
+        now_);
+    commit_batches();
+    EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
+}
+
+TEST_F(odd_input, listed_pool_that_is_unknown_gets_no_vm) {
+    std::vector<vm_record> list = {{vm_id("x"), pool_id("nowhere"),
+        vm_condition::up, "i-x", {4000, 4000, 0}}};
+    for (const std::string& vm : names("s", 9)) {
+        list.push_back({vm_id(vm), pool_id("standby"), vm_condition::up, "",
+            {4000, 4000, 0}});
+    }
+    manager_.update_list(std::move(list), now_, now_);
+    for (const vm_order& order : run_for(2000, names("e", 4))) {
+        EXPECT_NE(order.pool, pool_id("nowhere"));
+    }
+}
+
 TEST_F(odd_input, demand_of_a_job_without_bounds_is_bounded) {
     list_vms(names("e", 4), names("s", 4));
     auto job = job_builder(7).step(20'000, most_32).build();
--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -325,6 +325,60 @@
     EXPECT_NO_THROW(encode_orders(orders, ""));
 }
 
+/// Entries that name no VM to use.
+std::vector<std::string> odd_entries() {
+    const std::string deep =
+        std::string(100'000, '[') + std::string(100'000, ']');
+    return {"7", "null", "\"text\"", "[]", "{}", R"({"machine":7})",
+        R"({"machine":""})", R"({"machine":"a\nb"})", "{\"machine\":\"\xff\"}",
+        R"({"machine":"x","capacity":{"cpu":1e999}})", deep,
+        R"({"machine":"x","labels":)" + deep + "}",
+        "{\"machine\":\"" + std::string(5000, 'x') + "\"}",
+        R"({"machine":"x","next_token":{"machines":[)" + deep + "]}}"};
+}
+
+TEST(vm_list, with_an_odd_entry_is_read) {
+    const std::string first = make_vm("m-1").dump();
+    const std::string last = make_vm("m-2").dump();
+    for (const std::string& odd : odd_entries()) {
+        std::string text = "{ \"machines\" : [";
+        text += first;
+        text += " , ";
+        text += odd;
+        text += ',';
+        text += last;
+        text += R"(],"next_token":"n"})";
+        const auto page = decode_vm_page(text);
+        ASSERT_TRUE(page) << odd.substr(0, 80);
+        ASSERT_EQ(page->vms.size(), 2U) << odd.substr(0, 80);
+        EXPECT_EQ(page->vms[0].vm, vm_id("m-1"));
+        EXPECT_EQ(page->vms[1].vm, vm_id("m-2"));
+        EXPECT_EQ(page->next, "n");
+    }
+}
+
+TEST(vm_list, without_entries_is_read) {
+    for (const char* text : {"{}", R"({"machines":[]})", R"({"machines": [ ]})",
+             R"({"machines":null})", R"({"next_token":""})"}) {
+        const auto page = decode_vm_page(text);
+        ASSERT_TRUE(page) << text;
+        EXPECT_TRUE(page->vms.empty()) << text;
+    }
+    for (const char* text :
+        {"", "[", "{", R"({"machines":[)", R"({"machines":[{})",
+            R"({"machines":[}]})", R"({"machines":7})"}) {
+        EXPECT_FALSE(decode_vm_page(text)) << text;
+    }
+}
+
+TEST(vm_list, with_an_unreadable_token_is_refused) {
+    for (const char* token : {"7", "[]", "\"a b\\r\\nHost: x\""}) {
+        EXPECT_FALSE(decode_vm_page(
+            R"({"machines":[],"next_token":)" + std::string(token) + "}"))
+            << token;
+    }
+}
+
 TEST(log_text, text_stays_on_one_line) {
     EXPECT_EQ(log_text("a\"b\\c\nE999 forged"), R"("a\"b\\c\x0aE999 forged")");
     EXPECT_LT(log_text(std::string(100'000, 'x')).size(), 400U);
