--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -6,6 +6,10 @@
 namespace dragonflymount::jobs {
 namespace {
 
+// A report whose number is further ahead isn't one of this life: the life sends
+// a few reports a second. It must not make the life's own reports outdated.
+constexpr std::uint64_t max_sequence_step = std::uint64_t{1} << 40U;
+
 template <class Map, class Key>
 std::uint64_t newest_in(const Map& map, const Key& key) {
     const auto found = map.find(key);
@@ -33,7 +37,8 @@
     }
     const auto found = views_.find(report.life.endpoint);
     return found != views_.end() && found->second.life == report.life &&
-        report.sequence <= found->second.sequence;
+        (report.sequence <= found->second.sequence ||
+            report.sequence - found->second.sequence > max_sequence_step);
 }
 
 void endpoint_table::note_newer_life(const endpoint_report& report) {
--- a/tests/jobs/odd_input_test.cpp
+++ b/tests/jobs/odd_input_test.cpp
@@ -65,6 +65,21 @@
     EXPECT_EQ(jobs_.agreed.find_job(job_id(8))->occurrences.size(), 0U);
 }
 
+// One report under the name of a sound endpoint, with a number too large.
+TEST_F(odd_input, report_far_ahead_leaves_the_sound_endpoint_in_use) {
+    vm_orders::report("e1");
+    engine_.report(
+        make_report("e1", most_64), [](const auto&) {}, now_);
+    now_ += std::chrono::seconds(1);
+    std::optional<endpoint_orders> orders;
+    engine_.report(
+        make_report("e1", 7), [&](const auto& sent) { orders = sent; }, now_);
+    now_ += std::chrono::seconds(1);
+    engine_.tick(now_);
+    ASSERT_TRUE(orders);
+    EXPECT_TRUE(orders->lease);
+}
+
 // The life may be the one on the VM whose entry can't be read.
 TEST_F(odd_input, list_with_an_unknown_condition_ends_no_life) {
     start_job_on_e1();
