--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -5,7 +5,9 @@
 #include "platform/job_api.hpp"
 #include "platform/log_text.hpp"
 #include "platform/operator_api.hpp"
+#include "platform/settings.hpp"
 #include "platform/vm_service.hpp"
+#include "programs/scheduler/settings.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -379,10 +381,96 @@
     }
 }
 
+class mutation {
+public:
+    explicit mutation(std::uint32_t seed) : random_(seed) {}
+
+    std::string apply(std::string text) {
+        const std::size_t changes = 1 + random_() % 4;
+        for (std::size_t k = 0; k < changes && !text.empty(); ++k) {
+            change(text);
+        }
+        return text;
+    }
+
+private:
+    void change(std::string& text) {
+        static const std::vector<std::string> parts = {"[", "]", "{", "}", ",",
+            ":", "\"", "\\", "null", "-1", "1e999", "18446744073709551616.0",
+            "18446744073709551615", "4294967295", "\xff", "\\u0000", "\n",
+            "65536", "0", "\"\"", std::string(200, '[')};
+        const std::size_t place = random_() % text.size();
+        const std::size_t size = random_() % 12;
+        switch (random_() % 4) {
+        case 0:
+            text[place] = static_cast<char>(random_());
+            break;
+        case 1:
+            text.erase(place, size);
+            break;
+        case 2:
+            text.insert(place, text.substr(random_() % text.size(), size));
+            break;
+        default:
+            replace_value(text, place, parts[random_() % parts.size()]);
+        }
+    }
+    // Replaces what stands between two separators, so that the document often
+    // stays valid.
+    static void replace_value(
+        std::string& text, std::size_t place, const std::string& part) {
+        constexpr const char* separators = ",:[]{}";
+        const std::size_t begin = text.find_first_of(separators, place);
+        if (begin == std::string::npos) {
+            return;
+        }
+        const std::size_t end = text.find_first_of(separators, begin + 1);
+        text.replace(begin + 1, end - begin - 1, part);
+    }
+
+    std::mt19937 random_;
+};
+
 TEST(log_text, text_stays_on_one_line) {
     EXPECT_EQ(log_text("a\"b\\c\nE999 forged"), R"("a\"b\\c\x0aE999 forged")");
     EXPECT_LT(log_text(std::string(100'000, 'x')).size(), 400U);
 }
 
+TEST(mutated_documents, end_no_decoder) {
+    const char* chosen = std::getenv("DFM_DECODER_SEED");
+    const auto seed = chosen == nullptr
+        ? 1U
+        : static_cast<std::uint32_t>(std::strtoul(chosen, nullptr, 10));
+    SCOPED_TRACE(seed);
+    mutation mutate(seed);
+    const auto documents = valid_documents();
+    for (int round = 0; round < 4'000; ++round) {
+        for (const std::string& valid : documents) {
+            decode_all(mutate.apply(valid));
+        }
+    }
+}
+
+// The settings file may change while the process runs.
+TEST(mutated_settings, end_no_reader) {
+    const std::string valid =
+        "[scheduler]\ncontrol = 127.0.0.1:1\npeer-port = 2\n"
+        "metrics = 127.0.0.1:3\nseeds = 127.0.0.1:1,127.0.0.1:4\ndata = /tmp\n"
+        "new-site = false\nlost-disks = 1\nlongest-lease = 9000ms\n"
+        "[vm-service]\naddress = 127.0.0.1:5\nholder = h\n"
+        "move-time = 1.5s\norders-per-second = 64\n";
+    ASSERT_TRUE(settings::read_text(valid, "test", scheduler_schema()).ok());
+    mutation mutate(1);
+    for (int round = 0; round < 1'000; ++round) {
+        const std::string text = mutate.apply(valid);
+        const auto read = settings::read_text(text, "test", scheduler_schema());
+        if (read.ok()) {
+            scheduler_program::make_scheduler_settings(read.settings);
+            make_vm_settings(read.settings);
+        }
+        settings::read_text(text, "test", gateway_schema());
+    }
+}
+
 } // namespace
 } // namespace dragonflymount::platform
