--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -5,6 +5,7 @@
 #include <absl/container/inlined_vector.h>
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace dragonflymount::jobs {
@@ -56,9 +57,8 @@
 }
 
 std::uint64_t begin_time_ms(const wire::JobT& job, std::uint32_t occurrence) {
-    return job.spec->repeats > 0
-        ? job.spec->start_at_ms + occurrence * job.spec->interval_ms
-        : job.accepted_ms;
+    return job.spec->repeats > 0 ? start_time_ms(*job.spec, occurrence)
+                                 : job.accepted_ms;
 }
 
 } // namespace
@@ -69,6 +69,15 @@
     });
 }
 
+std::uint64_t start_time_ms(
+    const wire::JobSpecT& spec, std::uint32_t occurrence) {
+    constexpr std::uint64_t latest = std::numeric_limits<std::uint64_t>::max();
+    const std::uint64_t room = latest - spec.start_at_ms;
+    return spec.interval_ms > 0 && occurrence > room / spec.interval_ms
+        ? latest
+        : spec.start_at_ms + occurrence * spec.interval_ms;
+}
+
 // In a burst that exceeds the pool's capacity, an order by due time alone would
 // start each job just too late, and all jobs would be late. Therefore jobs that
 // can still be on time are served before jobs that can't.
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -207,6 +207,11 @@
     std::vector<used_place> used_places_;
 };
 
+/// \brief When an occurrence of a job with a schedule is due, in log time.
+/// \returns milliseconds since 1970; the largest value if it exceeds the range.
+std::uint64_t start_time_ms(
+    const wire::JobSpecT& spec, std::uint32_t occurrence);
+
 /// \brief The times of an occurrence that decide about its order of service.
 struct occurrence_times {
     /// When it should be complete, in milliseconds since 1970 of log time.
