Promote a replacement before a silent voter is removed

Operators would see, with four replicas and three voters: one voter is silent for over 3 s, it is removed, and until its replacement is promoted two voters are left. If the disk of one of them fills then, no change is committed until it has room and an election has ended, although all other disks are sound; if the disk is lost then, no quorum is left for good, not even with the silent voter back, although one disk was lost and one loss is tolerated.

Cause: plan_change removed the silent voter first. The reason given, that one voter more needs every replica that still answers, holds for two voters too.

Now the replacement is promoted first, then the silent voter removed. An even number of voters above the target is always brought back to an odd one: by removing the silent voter, or, if it is back, by admitting the newest voter again as a learner. With more voters than the target from the start the number stays odd as well.

--- a/dragonflymount/src/Agreement/MemberPlan.cpp
+++ b/dragonflymount/src/Agreement/MemberPlan.cpp
@@ -20,28 +20,39 @@
 
 } // namespace
 
-// A silent voter is removed before its replacement is promoted. In the opposite
-// order the group would have one more voter for a short time, and with three
-// voters a quorum would need every replica that still answers.
+// A replacement is promoted before the silent voter is removed. In the opposite
+// order two voters of three would remain for a short time: if the disk of one
+// of them were lost then, no quorum would be left, not even with the silent
+// voter back. Afterwards the number of voters is odd again: one voter more
+// needs a larger quorum and tolerates no further loss.
 std::optional<member_change> plan_change(
     const std::vector<member_status>& members, const replica_id& self,
     const member_policy& policy) {
     const auto voting = static_cast<std::size_t>(std::count_if(members.begin(),
         members.end(), [](const auto& peer) { return peer.subject.voter; }));
-    const member_status* ready = find_member(members, [&](const auto& peer) {
-        return !peer.subject.voter && peer.caught_up &&
-            peer.silent_for < policy.replace_after;
-    });
-    if (ready != nullptr && voting < policy.voters) {
-        return make_change(wire::replica_change::promote, *ready);
-    }
+    const bool excess = voting > policy.voters && voting % 2 == 0;
     const member_status* lost = find_member(members, [&](const auto& peer) {
         return peer.subject.voter && peer.subject.id != self &&
             peer.silent_for >= policy.replace_after;
     });
-    if (ready != nullptr && lost != nullptr) {
+    if (excess && lost != nullptr) {
         return make_change(wire::replica_change::remove, *lost);
     }
+    if (excess) {
+        // The silent voter is back. The newest voter becomes a learner again.
+        const auto newest =
+            std::find_if(members.rbegin(), members.rend(), [&](const auto& it) {
+                return it.subject.voter && it.subject.id != self;
+            });
+        return make_change(wire::replica_change::admit, *newest);
+    }
+    const member_status* ready = find_member(members, [&](const auto& peer) {
+        return !peer.subject.voter && peer.caught_up &&
+            peer.silent_for < policy.replace_after;
+    });
+    if (ready != nullptr && (voting < policy.voters || lost != nullptr)) {
+        return make_change(wire::replica_change::promote, *ready);
+    }
     const member_status* gone = find_member(members, [&](const auto& peer) {
         return !peer.subject.voter && peer.subject.id != self &&
             peer.silent_for >= policy.remove_after;
--- a/tests/agreement/cluster.cpp
+++ b/tests/agreement/cluster.cpp
@@ -26,10 +26,18 @@
 
 } // namespace
 
-cluster::cluster(std::size_t count, std::uint64_t seed) : random_(seed) {
+cluster::cluster(std::size_t count, std::uint64_t seed)
+    : cluster(count, seed, count) {
+    voters_ = 0;
+    tail_ = tail_policy::refuse_damage;
+}
+
+cluster::cluster(std::size_t count, std::uint64_t seed, std::size_t voters)
+    : random_(seed), voters_(voters), tail_(tail_policy::cut_torn_writes),
+      last_progress_(now_) {
     for (std::size_t k = 0; k < count; ++k) {
         members_.push_back({replica_id("c" + std::to_string(k)), "",
-            availability_zone_id("z"), initial_identity, true});
+            availability_zone_id("z"), initial_identity, k < voters});
     }
     nodes_.resize(count);
     for (std::size_t k = 0; k < count; ++k) {
@@ -41,10 +49,15 @@
 
 void cluster::start(std::size_t k) {
     node& at = nodes_[k];
-    at.store = std::make_unique<store_type>(at.disk);
+    at.core.reset();
+    at.store = std::make_unique<store_type>(at.disk, tail_);
     auto opened = at.store->open();
     if (!opened) {
-        expect(false, "open " + at.id.str() + ": " + opened.error().message());
+        const bool later = at.reopens &&
+            opened.error().code != make_error_code(errc::damaged_log);
+        expect(later, "open " + at.id.str() + ": " + opened.error().message());
+        at.state = condition::refused;
+        at.down_until = now_ + reopen_interval;
         return;
     }
     replica_options options;
@@ -63,6 +76,7 @@
     while (now_ < end && violation_.empty()) {
         now_ += tick_length;
         ++ticks_;
+        end_full_disks();
         restart_due();
         deliver_due();
         if (ticks_ % ticks_per_command == 0) {
@@ -74,14 +88,19 @@
         for (std::size_t k = 0; k < nodes_.size(); ++k) {
             advance(k);
         }
+        note_progress();
     }
 }
 
 void cluster::restart_due() {
     for (std::size_t k = 0; k < nodes_.size(); ++k) {
-        if (nodes_[k].state == condition::down &&
-            now_ >= nodes_[k].down_until) {
-            add_trace_line("restart " + nodes_[k].id.str());
+        const node& at = nodes_[k];
+        const bool stopped =
+            at.state == condition::down || at.state == condition::refused;
+        if (stopped && now_ >= at.down_until) {
+            add_trace_line(
+                (at.state == condition::down ? "restart " : "reopen ") +
+                at.id.str());
             start(k);
         }
     }
@@ -112,7 +131,13 @@
         }
         check(k);
     } else if (!actions && at.state == condition::running) {
-        crash(k, fault::crash, seconds(1));
+        if (at.reopens) {
+            add_trace_line(at.id.str() + " failed to write");
+            at.state = condition::refused;
+            at.down_until = now_ + reopen_interval;
+        } else {
+            crash(k, fault::crash, seconds(1));
+        }
     }
     if (at.state == condition::crashing) {
         stop_node(k);
@@ -252,13 +277,30 @@
     }
 }
 
-// Admits replicas that lost their disks and promotes learners that caught up.
+// Admits replicas that lost their disks or were removed, and promotes learners
+// that caught up.
 void cluster::readmit_replicas() {
     const auto found = leader();
     if (!found) {
         return;
     }
     node& at = nodes_[*found];
+    admit_replicas(at);
+    if (voters_ != 0) {
+        change_members(at);
+        return;
+    }
+    const member_list members = at.core->members();
+    for (const member& peer : members) {
+        if (!peer.voter &&
+            at.core->change(
+                wire::replica_change::promote, peer, clock_of(at))) {
+            add_trace_line("promote " + peer.id.str());
+        }
+    }
+}
+
+void cluster::admit_replicas(node& at) {
     const auto unadmitted_replicas = at.core->unadmitted();
     for (const auto& [id, identity] : unadmitted_replicas) {
         if (!lost_.contains({id, identity})) {
@@ -271,14 +313,6 @@
             }
         }
     }
-    const member_list members = at.core->members();
-    for (const member& peer : members) {
-        if (!peer.voter &&
-            at.core->change(
-                wire::replica_change::promote, peer, clock_of(at))) {
-            add_trace_line("promote " + peer.id.str());
-        }
-    }
 }
 
 bool cluster::converge(duration limit) {
@@ -300,10 +334,7 @@
                     at.core->is_failed() == false && at.applied > before;
             });
         const auto leads = leader();
-        if (all && leads &&
-            std::all_of(nodes_[*leads].core->members().begin(),
-                nodes_[*leads].core->members().end(),
-                [](const member& peer) { return peer.voter; })) {
+        if (all && leads && has_all_voters(nodes_[*leads].core->members())) {
             return violation_.empty();
         }
     }
--- a/tests/agreement/cluster.hpp
+++ b/tests/agreement/cluster.hpp
@@ -4,11 +4,13 @@
 #define DRAGONFLYMOUNT_TESTS_CLUSTER_HPP
 
 #include "dragonflymount/agreement.hpp"
+#include "dragonflymount/src/Agreement/MemberPlan.hpp"
 #include "tests/agreement/memory_disk.hpp"
 
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -61,9 +63,16 @@
     bool on_leader = false;
 };
 
+/// \brief What a full disk refuses: appended bytes, or every call that changes
+/// or syncs a file or the folder.
+enum class refusal : std::uint8_t { of_bytes, of_calls };
+
 class cluster {
 public:
     cluster(std::size_t count, std::uint64_t seed);
+    /// \brief A group whose first \p voters replicas vote; the others are
+    /// learners. The leader changes members by \c plan_change.
+    cluster(std::size_t count, std::uint64_t seed, std::size_t voters);
 
     void run(duration span);
     /// \brief Plans \p faults. Each is injected the next time that its step
@@ -79,6 +88,24 @@
     /// \brief Causes the step of the next planned fault if it is an election, a
     /// snapshot installation or a change of members.
     void trigger_step();
+    /// \brief Lets the disk of replica \p k refuse writes for \p span, which
+    /// begins after a few bytes or calls. A replica whose write fails stops,
+    /// and opens its folder again every \c reopen_interval, without a restart.
+    void fill_disk(std::size_t k, duration span, refusal how);
+    /// \brief Kills the process of replica \p k, which starts again after
+    /// \p down. Its disk stays as it is, also a full one.
+    void kill(std::size_t k, duration down);
+    /// \brief Cuts the power of all replicas; they start again within a
+    /// second. Full disks stay full.
+    void lose_power();
+    /// \returns the replica that leads and has committed in its term.
+    std::optional<std::size_t> leader() const;
+    /// \returns whether no disk was lost, and the loss of any one would leave
+    /// a quorum of voters with intact disks in each replica's member list.
+    bool can_lose_any_disk() const;
+    /// \returns the longest time without a newly committed record since the
+    /// last call.
+    duration take_longest_pause();
 
     std::size_t injected() const { return injected_; }
     /// \returns a description of the first violated invariant, empty if none.
@@ -88,7 +115,14 @@
 private:
     using store_type = file_store<memory_disk>;
 
-    enum class condition : std::uint8_t { running, crashing, down };
+    static constexpr duration reopen_interval = std::chrono::milliseconds(400);
+    // Most bytes of an unsynced write that a loss leaves or a disk still takes.
+    static constexpr std::uint64_t longest_tear = 60;
+    // Fewer calls than this succeed on a disk that begins to refuse them.
+    static constexpr std::uint64_t most_calls = 12;
+
+    // A replica is refused while its store has failed and isn't open again.
+    enum class condition : std::uint8_t { running, crashing, down, refused };
 
     struct node {
         replica_id id;
@@ -99,6 +133,12 @@
         condition state = condition::running;
         fault cause = fault::crash;
         instant down_until{};
+        // The default instant unless the disk is full.
+        instant full_until{};
+        refusal refused = refusal::of_bytes;
+        // Set once the disk was full: the replica then opens a failed store
+        // again instead of ending its process.
+        bool reopens = false;
         instant frozen_until{};
         instant outgoing_cut_until{};
         instant incoming_cut_until{};
@@ -135,6 +175,9 @@
 
     void start(std::size_t k);
     void restart_due();
+    void refuse_writes(node& at, std::uint64_t room);
+    void end_full_disks();
+    void note_progress();
     void advance(std::size_t k);
     void apply(std::size_t k, const ready_actions& actions);
     void send(std::size_t k, outbound message);
@@ -145,6 +188,10 @@
     void crash(std::size_t k, fault cause, duration down);
     void stop_node(std::size_t k);
     void readmit_replicas();
+    void admit_replicas(node& at);
+    const node* find_applicant(const node& leader) const;
+    void change_members(node& at);
+    bool has_all_voters(const member_list& members) const;
     void propose();
     void save_snapshot(std::size_t k);
     void check(std::size_t k);
@@ -153,7 +200,6 @@
         std::size_t k, const replica_id& to, const wire::message& content);
     void expect(bool holds, const std::string& what);
     void add_trace_line(const std::string& what);
-    std::optional<std::size_t> leader() const;
     bool can_lose_disk(std::size_t k) const;
     bool is_frozen(const node& at) const { return now_ < at.frozen_until; }
     instant clock_of(const node& at) const { return now_ + at.clock_ahead; }
@@ -181,6 +227,13 @@
     std::set<std::pair<replica_id, replica_identity>> admitted_;
     std::map<log_term, instant> quorums_;
     bool clocks_jumped_ = false;
+    // The number of voters that plan_change keeps; zero if it isn't used.
+    std::size_t voters_ = 0;
+    tail_policy tail_ = tail_policy::refuse_damage;
+    // When a record was last committed, and how many there were.
+    instant last_progress_{};
+    std::size_t progress_ = 0;
+    duration longest_pause_{};
 };
 
 } // namespace dragonflymount::agreement
--- a/tests/agreement/cluster_faults.cpp
+++ b/tests/agreement/cluster_faults.cpp
@@ -12,7 +12,6 @@
 constexpr duration jump_length = seconds(30);
 const duration election_timeout = replica_options{}.election_timeout;
 constexpr duration tick_slack = milliseconds(20);
-constexpr std::uint64_t longest_tear = 60;
 
 } // namespace
 
