Count a member's silence from its last change

Operators would see, with a leader of more than a minute: a replica that joins, but doesn't answer its first message within 200 ms, for instance because its disk is slow, full or stalled, is removed at once, asks again, and so on. A voter that was just promoted could be taken for the silent one in the same way and be removed in place of it.

Cause: a change of members discards what the leader knows of the member. The instant of its last answer then fell back to the beginning of the leader's term, so the member counted as silent for the whole term.

Now it falls back to the first message after the change. The quorum of the leader still rests on answers alone.

replica.silence_of_a_changed_member_begins_with_the_change failed before, for an admission and for a promotion.

--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -186,7 +186,7 @@
     const auto found = peers_.find(peer);
     return found == peers_.end()
         ? leader_since_
-        : std::max(leader_since_, found->second.acknowledged);
+        : std::max(found->second.begun, found->second.acknowledged);
 }
 
 } // namespace dragonflymount::agreement
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -146,7 +146,8 @@
     /// leader's; zero if unknown.
     log_index match_index(const replica_id& peer) const;
     /// \returns the send time of the newest round that \p peer has answered, or
-    /// the instant at which this replica became leader if that is later.
+    /// the instant at which this leader sent it its first message if that is
+    /// later.
     instant acknowledged(const replica_id& peer) const;
 
 private:
@@ -156,6 +157,9 @@
         // Send time of the newest round that this peer has answered. A round is
         // one append or snapshot message; its number comes back in the answer.
         instant acknowledged{};
+        // When the first message was sent to this peer; also the first one
+        // after a change of members that concerned it.
+        instant begun{};
         // Send times of recent rounds by round number. They are stored per
         // peer, so that the rounds of a fast peer don't evict rounds that a
         // slow peer hasn't answered yet.
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -156,6 +156,7 @@
         progress& state = found->second;
         if (inserted) {
             state.next = log_.last_index().next();
+            state.begun = now;
         }
         const bool awaits_reply = state.in_flight && now < state.retry_at;
         if (!awaits_reply && state.next <= log_.last_index()) {
--- a/tests/agreement/replica_test.cpp
+++ b/tests/agreement/replica_test.cpp
@@ -311,6 +311,32 @@
     expect_accepted_command();
 }
 
+// Guards against the removal of a replica at once after its admission, and of a
+// voter at once after its promotion: its silence must not count from the
+// beginning of the leader's term.
+TEST(replica, silence_of_a_changed_member_begins_with_the_change) {
+    replica_group group(3);
+    group.run(std::chrono::seconds(70));
+    const std::size_t leader = group.leader().value();
+    const std::size_t changed = (leader + 1) % 3;
+    const replica_id id = group.node(changed).self();
+    group.isolate(changed, true);
+    for (const auto kind :
+        {wire::replica_change::admit, wire::replica_change::promote}) {
+        const member subject{id, "", availability_zone_id("z"),
+            group.node(changed).identity(), false};
+        ASSERT_TRUE(group.node(leader).change(kind, subject, group.now()));
+        const instant begun = group.now();
+        EXPECT_EQ(group.node(leader).acknowledged(id), begun);
+        group.run(std::chrono::milliseconds(500));
+        EXPECT_EQ(group.node(leader).acknowledged(id), begun);
+        group.isolate(changed, false);
+        group.run(std::chrono::seconds(2));
+        EXPECT_GT(group.node(leader).acknowledged(id), begun);
+        group.isolate(changed, true);
+    }
+}
+
 TEST(replica, frozen_leader_steps_down_when_it_resumes) {
     replica_group group(3);
     group.run(std::chrono::seconds(5));
