Use a failed disk again only once it takes writes

Operators saw, in simulated groups whose disks fill one after another: no change was committed for up to 7.6 s, although a quorum of replicas had room. The log said disk_regained (210) and disk_failed (206) every 400 ms.

Cause: a full disk can be read and synced, so the folder was opened again at once. Such a replica granted pre-votes, which need no write, but could save no vote; it stood for election and failed when it had won; it answered heartbeats, so the leader counted it. Elections of the sound replicas were held up by it.

folder_that_refuses_writes.is_not_reopened_while_its_disk_is_full failed before. The other new tests passed before: hosts with real files whose disks fill in turn, or that of each leader, answer proposals, recover in the process and hold all accepted commands after a restart; a replica that starts with an empty folder on a full disk gets its identity once there is room.

--- a/dragonflymount/agreement.hpp
+++ b/dragonflymount/agreement.hpp
@@ -3,6 +3,7 @@
 #ifndef DRAGONFLYMOUNT_AGREEMENT_HPP
 #define DRAGONFLYMOUNT_AGREEMENT_HPP
 
+#include "dragonflymount/src/Agreement/DiskProbe.hpp"
 #include "dragonflymount/src/Agreement/FileStore.hpp"
 #include "dragonflymount/src/Agreement/Log.hpp"
 #include "dragonflymount/src/Agreement/MemberPlan.hpp"
--- a/dragonflymount/src/Hosting/DataFolder.cpp
+++ b/dragonflymount/src/Hosting/DataFolder.cpp
@@ -55,6 +55,10 @@
 }
 
 result<agreement::recovered_state> data_folder::reopen() {
+    const result<done> writable = agreement::probe_disk(files_);
+    if (!writable) {
+        return writable.error();
+    }
     store_ = agreement::file_store<runtime::folder>(files_, tail_);
     auto recovered = read({});
     if (recovered && !recovered->damaged) {
--- a/dragonflymount/src/Hosting/DataFolder.hpp
+++ b/dragonflymount/src/Hosting/DataFolder.hpp
@@ -45,7 +45,7 @@
     /// \brief Opens the folder again in the same process after a failed call,
     /// and recovers the state from the files alone. May be called repeatedly
     /// while \c state is \c disk_state::failed.
-    /// \returns as \c open.
+    /// \returns as \c open; fails if the disk still refuses writes.
     result<agreement::recovered_state> reopen();
 
     agreement::file_store<runtime::folder>& store() { return store_; }
--- a/tests/agreement/cluster.cpp
+++ b/tests/agreement/cluster.cpp
@@ -49,6 +49,10 @@
 
 void cluster::start(std::size_t k) {
     node& at = nodes_[k];
+    if (at.state == condition::refused && !probe_disk(at.disk)) {
+        at.down_until = now_ + reopen_interval;
+        return;
+    }
     at.core.reset();
     at.store = std::make_unique<store_type>(at.disk, tail_);
     auto opened = at.store->open();
--- a/tests/hosting/data_folder_test.cpp
+++ b/tests/hosting/data_folder_test.cpp
@@ -1,6 +1,7 @@
 // Tests data folders without an identity, which an interrupted start or a wrong
 // path in the settings causes, and the reopening of folders that failed.
 #include "dragonflymount/hosting.hpp"
+#include "tests/hosting/full_disk.hpp"
 
 #include <gtest/gtest.h>
 
@@ -60,6 +61,47 @@
     EXPECT_TRUE(std::filesystem::exists(path_ / "snapshot-0"));
 }
 
+// A replica starts on a full disk: the start fails, however far it got, and a
+// later one must not take the folder for that of another replica.
+class folder_on_full_disk : public folder_without_identity,
+                            public testing::WithParamInterface<rlim_t> {
+protected:
+    /// Starts once without room and once with room, each in a process of its
+    /// own, and returns the identity.
+    agreement::replica_identity start_twice(
+        const agreement::member_list& members) {
+        {
+            const full_disk full(GetParam());
+            data_folder folder(path_.string());
+            EXPECT_FALSE(folder.open(members));
+        }
+        // The lock on a folder lasts until the process ends.
+        const std::filesystem::path copy(path_.string() + "-again");
+        std::filesystem::remove_all(copy);
+        std::filesystem::copy(path_, copy);
+        std::filesystem::remove_all(path_);
+        path_ = copy;
+        data_folder folder(path_.string());
+        const auto opened = folder.open(members);
+        EXPECT_TRUE(opened) << opened.error().message();
+        EXPECT_FALSE(opened->damaged) << folder.error();
+        return opened->identity;
+    }
+};
+
+TEST_P(folder_on_full_disk, gets_the_initial_identity_once_there_is_room) {
+    agreement::member self;
+    self.id = replica_id("c1");
+    EXPECT_EQ(start_twice({self}), agreement::initial_identity);
+}
+
+TEST_P(folder_on_full_disk, gets_a_new_identity_once_there_is_room) {
+    EXPECT_GT(start_twice({}), agreement::initial_identity);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    largest_files, folder_on_full_disk, testing::Values(0, 10, 20, 30, 40));
+
 // Simulates a disk that refuses writes: a directory with the name of a
 // temporary file of the store can't be removed or overwritten as a file.
 class folder_that_refuses_writes : public folder_without_identity {
@@ -95,6 +137,20 @@
     expect_reopens();
 }
 
+// Guards against a replica that votes, answers its leader and stands for
+// election on a disk that can't hold any of it.
+TEST_F(folder_that_refuses_writes, is_not_reopened_while_its_disk_is_full) {
+    std::filesystem::remove(path_ / "hard.new");
+    folder_.note_failure({make_error_code(errc::disk_failed), "sync", {}, {}});
+    for (const rlim_t room : {0U, 100U}) {
+        const full_disk full(room);
+        EXPECT_FALSE(folder_.reopen());
+        expect_failed();
+    }
+    expect_reopens();
+    EXPECT_FALSE(std::filesystem::exists(path_ / agreement::probe_file));
+}
+
 TEST_F(folder_that_refuses_writes, is_reopened_after_a_failed_start) {
     const auto opened = folder_.reopen();
     EXPECT_TRUE(!opened || opened->damaged);
