Keep a promoted learner's last answer

Cause: a promotion discarded the leader's view of the member. Of four voters one was silent and one had never answered, so the leader lacked a quorum.

A promoted learner keeps its identity and its log, so what the leader knows of both still holds. Only an admission and a removal discard it now.

--- a/dragonflymount/src/Agreement/Membership.cpp
+++ b/dragonflymount/src/Agreement/Membership.cpp
@@ -63,7 +63,11 @@
     }
     const log_index index = log_.last_index().next();
     append({hard_.term, index, record_kind::members, encode_members(members)});
-    peers_.erase(subject.id);
+    // A promoted learner has the same identity and log as before. Without its
+    // last answer the leader would lack a quorum while another voter is silent.
+    if (change != wire::replica_change::promote) {
+        peers_.erase(subject.id);
+    }
     unadmitted_.erase(subject.id);
     broadcast(now, true);
     return index;
--- a/tests/agreement/full_disks_test.cpp
+++ b/tests/agreement/full_disks_test.cpp
@@ -188,6 +188,23 @@
     }
 }
 
+// Guards against a leader that steps down because it counts the promoted
+// replica as a voter that never answered, besides the silent one.
+TEST(silent_voters, are_replaced_without_an_election) {
+    for (std::uint64_t seed = fixed_seed; seed < fixed_seed + 10; ++seed) {
+        cluster group(4, seed, 3);
+        group.run(seconds(4));
+        const std::size_t leads = group.leader().value_or(0);
+        group.kill((leads + 1) % 3, seconds(6));
+        group.take_longest_pause();
+        group.run(seconds(8));
+        EXPECT_EQ(group.leader(), leads) << group.trace();
+        EXPECT_LT(group.take_longest_pause(), milliseconds(500))
+            << "seed " << seed << '\n'
+            << group.trace();
+    }
+}
+
 // The same with a disk that is lost in this moment.
 TEST(silent_voters, are_replaced_while_another_voter_loses_its_disk) {
     for (std::uint64_t seed = fixed_seed; seed < fixed_seed + 10; ++seed) {
