--- a/tests/agreement/replica_test.cpp
+++ b/tests/agreement/replica_test.cpp
@@ -311,6 +311,34 @@
     expect_accepted_command();
 }
 
+// Guards against the removal of a replica at once after its admission, and of a
+// voter at once after its promotion: its silence must not count from the
+// beginning of the leader's term.
+TEST(replica, silence_of_a_changed_member_begins_with_the_change) {
+    replica_group group(3);
+    group.run(std::chrono::seconds(70));
+    const std::size_t leader = group.leader().value();
+    const std::size_t changed = (leader + 1) % 3;
+    const replica_id id = group.node(changed).self();
+    const member subject{id, "", availability_zone_id("z"),
+        group.node(changed).identity(), false};
+    group.isolate(changed, true);
+    ASSERT_TRUE(group.node(leader).change(
+        wire::replica_change::admit, subject, group.now()));
+    const instant admitted = group.now();
+    EXPECT_EQ(group.node(leader).acknowledged(id), admitted);
+    group.run(std::chrono::milliseconds(500));
+    EXPECT_EQ(group.node(leader).acknowledged(id), admitted);
+    group.isolate(changed, false);
+    group.run(std::chrono::seconds(2));
+    const instant answered = group.node(leader).acknowledged(id);
+    EXPECT_GT(answered, admitted + std::chrono::seconds(1));
+    group.isolate(changed, true);
+    ASSERT_TRUE(group.node(leader).change(
+        wire::replica_change::promote, subject, group.now()));
+    EXPECT_EQ(group.node(leader).acknowledged(id), answered);
+}
+
 TEST(replica, frozen_leader_steps_down_when_it_resumes) {
     replica_group group(3);
     group.run(std::chrono::seconds(5));
