Give up a task that crashes the endpoints that start it

Cause: the end of a life was never counted against the tasks on it, so the task was placed again at once, where the most room was.

The leader now tells a crash from an announced or ordered end and from a lease that expired, grades each run of the lost life, and the replicated state counts it for each task, so that a change of leader or an image keeps the count. Old images and logs load with counts of 0. A suspect starts alone until a report lists it. The task is given up after two crashes at its start if it was alone the last time, after three otherwise, after five of any kind.

--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -14,12 +14,20 @@
 
 } // namespace
 
+duration observed_time(const endpoint_view& view, const run_ref& run) {
+    const auto found = view.running.find(run);
+    return found == view.running.end()
+        ? duration::zero()
+        : view.observation_time - found->second.first_seen;
+}
+
 void endpoint_table::reset(instant now) {
     views_.clear();
     newest_at_address_.clear();
     newest_of_endpoint_.clear();
     newest_of_vm_.clear();
     last_ended_life_.clear();
+    crashed_.clear();
     unknown_leases_end_ = lease_end(now, options_.longest_lease);
 }
 
@@ -53,10 +61,53 @@
         }
     }
     for (const std::string& endpoint : replaced) {
+        note_crash(views_.at(endpoint));
         remove(endpoint);
     }
 }
 
+// A draining endpoint may exit although its announcement was never answered.
+void endpoint_table::note_crash(endpoint_view view) {
+    const endpoint_life life = view.life;
+    if (view.draining) {
+        std::uint64_t& last_ended = last_ended_life_[life.endpoint];
+        last_ended = std::max(last_ended, life.number);
+        return;
+    }
+    crashed_.insert_or_assign(life, std::move(view));
+}
+
+void endpoint_table::excuse_crashes(const std::set<vm_id>& reserved) {
+    std::erase_if(crashed_, [&](const auto& entry) {
+        const auto& [life, view] = entry;
+        if (!reserved.contains(view.vm)) {
+            return false;
+        }
+        std::uint64_t& last_ended = last_ended_life_[life.endpoint];
+        last_ended = std::max(last_ended, life.number);
+        return true;
+    });
+}
+
+life_end endpoint_table::how_ended(const endpoint_life& life) const {
+    if (crashed_.contains(life)) {
+        return life_end::crashed;
+    }
+    if (life.number <= newest_in(last_ended_life_, life.endpoint)) {
+        return life_end::planned;
+    }
+    // A later life has reported, and this leader never heard this one.
+    return life.number < newest_in(newest_of_endpoint_, life.endpoint)
+        ? life_end::crashed
+        : life_end::lease_expired;
+}
+
+const endpoint_view* endpoint_table::find_crashed(
+    const endpoint_life& life) const {
+    const auto found = crashed_.find(life);
+    return found == crashed_.end() ? nullptr : &found->second;
+}
+
 endpoint_view* endpoint_table::apply_report(
     const endpoint_report& report, instant now) {
     if (is_outdated(report)) {
@@ -64,6 +115,9 @@
     }
     const auto known = views_.find(report.life.endpoint);
     if (known == views_.end() || known->second.life != report.life) {
+        if (known != views_.end()) {
+            note_crash(std::move(known->second));
+        }
         note_newer_life(report);
         views_[report.life.endpoint] = endpoint_view{};
     }
@@ -164,7 +218,12 @@
     last_ended = std::max(last_ended, life.number);
     const auto found = views_.find(life.endpoint);
     if (found != views_.end() && found->second.life == life) {
+        note_crash(std::move(found->second));
         views_.erase(found);
+    } else if (!crashed_.contains(life)) {
+        endpoint_view unheard;
+        unheard.life = life;
+        note_crash(std::move(unheard));
     }
 }
 
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -107,6 +107,15 @@
     std::uint32_t quarantines = 0;
 };
 
+/// \brief How a life of an endpoint ended, as far as the leader knows.
+enum class life_end : std::uint8_t {
+    /// Silent until its lease had expired; it may have been cut off.
+    lease_expired,
+    /// It had announced its end, or a move or maintenance ended it.
+    planned,
+    crashed,
+};
+
 /// \brief Leases of endpoints and the exclusion of silent or faulty ones.
 struct endpoint_options {
     /// Lease granted by the reply to a report.
@@ -147,6 +156,13 @@
         lease_margin;
 }
 
+/// \returns for how long reports have listed the run as running.
+duration observed_time(const endpoint_view& view, const run_ref& run);
+/// \brief Whether a report has listed the run, so it has survived its start.
+inline bool has_survived_start(const endpoint_view& view, const run_ref& run) {
+    return view.running.contains(run) || view.ended.contains(run);
+}
+
 class endpoint_table {
 public:
     using view_map = std::map<std::string, endpoint_view>;
@@ -167,11 +183,23 @@
     static void set_report_due(endpoint_view& view, instant due);
     /// \brief Removes an endpoint that has shut down or was replaced.
     void remove(const std::string& endpoint);
-    /// \brief Records that a life has ended, as reported by the VM service.
+    /// \brief Records that a life has ended, as reported by the VM service: a
+    /// crash, unless the endpoint was draining.
     void end_life(const endpoint_life& life);
     /// \brief Whether nothing can still be running in \p life.
     bool is_over(const endpoint_life& life, instant now) const;
 
+    /// \brief How \p life ended, given that it is over.
+    life_end how_ended(const endpoint_life& life) const;
+    /// \returns the last view of a crashed life, or null if none was heard.
+    const endpoint_view* find_crashed(const endpoint_life& life) const;
+    /// \brief Drops what is known of crashed lives; called once their runs are
+    /// declared ended.
+    void forget_crashes() { crashed_.clear(); }
+    /// \brief Regards the crashes of these VMs as planned: they were about to
+    /// move or to be maintained.
+    void excuse_crashes(const std::set<vm_id>& reserved);
+
     /// \brief Records how a run ended, as evidence about its endpoint.
     void note_end(const endpoint_life& life, const run_ref& run,
         wire::run_end how, instant now);
@@ -201,6 +229,7 @@
 private:
     bool is_outdated(const endpoint_report& report) const;
     void note_newer_life(const endpoint_report& report);
+    void note_crash(endpoint_view view);
     static void advance_observation(endpoint_view& view, instant now);
     static void measure_delay(
         endpoint_view& view, const endpoint_report& report, instant now);
@@ -215,6 +244,9 @@
     std::map<vm_id, std::uint64_t> newest_of_vm_;
     // Newest life that is known to have ended, by the endpoint's name.
     std::map<std::string, std::uint64_t> last_ended_life_;
+    // Lives that ended without an announcement since forget_crashes, with their
+    // last view.
+    std::map<endpoint_life, endpoint_view> crashed_;
     std::uint64_t ended_lives_ = 0;
     // Latest end of the leases that earlier leaders can have granted.
     instant unknown_leases_end_{};
--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -67,6 +67,7 @@
     submits_in_flight_.clear();
     cancels_in_flight_.clear();
     collected_ends_.clear();
+    unsent_starts_.clear();
     stop_requests_.clear();
     avoided_.clear();
     reserved_.clear();
@@ -331,20 +332,23 @@
 
 void engine::collect_lapsed(wire::JobBatchT& batch, instant now) {
     ++lapse_checks_;
+    endpoints_.excuse_crashes(reserved_);
     for (const auto& [life, load] : agreed_.loads()) {
         if (!endpoints_.is_over(life, now)) {
             continue;
         }
         const endpoint_view* view = endpoints_.find_life(life);
-        for (const run_ref& run : load.runs) {
+        for (const auto& [run, crash] : evidence_of(life, load)) {
             declared_ended_.insert(run);
             add_end(batch, run, life, wire::run_end::lapsed);
+            batch.ended.back()->crash = crash;
             if (view != nullptr && view->running.contains(run)) {
                 batch.ended.back()->checkpoint =
                     view->running.at(run).checkpoint;
             }
         }
     }
+    endpoints_.forget_crashes();
 }
 
 void engine::collect_due(wire::JobBatchT& batch, std::uint64_t wall_ms) const {
@@ -371,6 +375,7 @@
         order->run = placed.run.run;
         order->endpoint = placed.life.endpoint;
         order->life = placed.life.number;
+        unsent_starts_.insert(placed.run);
         batch.started.push_back(std::move(order));
     }
     short_pools_ = round.short_pools();
@@ -477,9 +482,14 @@
         const task_place place = agreed_.find_task(entry.first);
         return !place || place.task->done;
     });
-    std::erase_if(stop_requests_, [this](const run_ref& run) {
+    const auto has_ended = [this](const run_ref& run) {
         return agreed_.find_run(run) == nullptr;
-    });
+    };
+    std::erase_if(stop_requests_, has_ended);
+    // Starts in flight aren't part of the state yet.
+    if (!batch_in_flight_) {
+        std::erase_if(unsent_starts_, has_ended);
+    }
 }
 
 } // namespace dragonflymount::jobs
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -117,8 +117,9 @@
     const endpoint_table& endpoints() const { return endpoints_; }
     endpoint_table& endpoints() { return endpoints_; }
     const state& agreed() const { return agreed_; }
-    /// \brief Sets the VMs on which no new task is placed.
-    void set_reserved_vms(std::set<vm_id> vms) { reserved_ = std::move(vms); }
+    /// \brief Sets the VMs on which no new task is placed. Their lives end by
+    /// an order, so the end of one is no crash.
+    void set_reserved_vms(std::set<vm_id> vms);
     /// \brief Whether the last placement round found no room in the pool for a
     /// task that is within its team's limit.
     bool is_short_of_room(const std::string& pool) const {
@@ -161,6 +162,14 @@
     void collect_ends(const endpoint_report& report);
     void collect_ended(wire::JobBatchT& batch, instant now);
     void collect_lapsed(wire::JobBatchT& batch, instant now);
+    struct run_evidence {
+        run_ref run;
+        wire::crash_evidence crash = wire::crash_evidence::none;
+    };
+    std::vector<run_evidence> evidence_of(
+        const endpoint_life& life, const endpoint_load& load) const;
+    wire::crash_evidence evidence_of(
+        const run_ref& run, const endpoint_view* view) const;
     void collect_due(wire::JobBatchT& batch, std::uint64_t wall_ms) const;
     void collect_starts(wire::JobBatchT& batch, instant now);
     void add_end(wire::JobBatchT& batch, const run_ref& run,
@@ -252,6 +261,9 @@
     instant next_cleanup_{};
     // Highest number of an ended run that was collected, for each life.
     std::map<endpoint_life, std::uint64_t> collected_ends_;
+    // Runs whose start this leader has put into a batch but into no reply yet.
+    // Their endpoint can't have begun them.
+    std::set<run_ref> unsent_starts_;
     // Runs to be stopped although their task still has to be done.
     std::set<run_ref> stop_requests_;
     avoided_endpoints avoided_;
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -178,6 +178,9 @@
         return;
     }
     endpoint_orders orders = orders_for(*view);
+    for (const start_order& order : orders.starts) {
+        unsent_starts_.erase(order.run);
+    }
     endpoints_.extend_lease(*view, held.received);
     endpoint_table::set_report_due(*view, held.reply_by + orders.retry);
     held.handler(orders);
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -107,6 +107,7 @@
     }
     group_endpoints();
     find_awaiting_maintenance();
+    find_trials();
     for (const open_step& open : steps_) {
         if (placed_.size() >= most) {
             break;
@@ -162,7 +163,8 @@
             loaded ? view->capacity - load->used : view->capacity;
         made.by_room.insert({room.cpu_milli, made.candidates.size()});
         made.candidates.push_back(
-            {view, room, loaded && load->long_running_runs > 0});
+            {view, room, loaded && load->long_running_runs > 0,
+                trial_endpoints_.contains(view->life.endpoint)});
     }
     return made;
 }
@@ -247,7 +249,7 @@
             return;
         }
         if (is_waiting(*tasks[k]) && !place_task(open, k, spread) &&
-            !avoids_any(open)) {
+            !avoids_any(open) && !is_suspect(*tasks[k])) {
             return;
         }
     }
@@ -330,19 +332,20 @@
         job_id(open.job->id), open.occurrence->number, open.step, index};
     pool_room& pool = room_of_pool(open.queue->pool);
     const auto chosen = choose_candidate(open, name, spread, pool);
-    if (!chosen) {
+    const auto& task = *open.occurrence->steps[open.step]->tasks[index];
+    if (!chosen && !is_suspect(task)) {
         note_refusal(open, spread.members + 1, pool);
         short_pools_.insert(open.queue->pool);
+    }
+    if (!chosen) {
         return false;
     }
     take_room(pool, *chosen, room_of(*open.spec));
     candidate& place = pool.candidates[*chosen];
-    place.holds_long_running =
-        place.holds_long_running || open.spec->long_running;
+    note_start(place, open, task);
     team_usage_[open.job->team] += usage_of(*open.spec);
     ++spread.at_endpoint[place.view->life.endpoint];
     spread.racks.insert(place.view->rack);
-    const auto& task = *open.occurrence->steps[open.step]->tasks[index];
     placed_.push_back({{name, task.last_run + 1}, place.view->life});
     used_places_.push_back({&pool, *chosen});
     return true;
@@ -352,7 +355,8 @@
     const step_spread& spread, const candidate& place) const {
     const wire::JobStepT& step = *open.spec;
     const endpoint_view& view = *place.view;
-    if (!room_of(step).fits(place.room)) {
+    if (!room_of(step).fits(place.room) ||
+        !may_start_at(open, name.index, place)) {
         return false;
     }
     if (!step.required_label.empty() && !has_label(view, step.required_label)) {
@@ -387,6 +391,10 @@
     const endpoint_view& view = *place.view;
     place_cost cost;
     cost.avoided = last_bad_run(name, view.life.endpoint).has_value();
+    const bool suspect =
+        is_suspect(*open.occurrence->steps[open.step]->tasks[name.index]);
+    cost.beside_start = place.on_trial || (suspect && has_new_starts(place));
+    cost.endangers_long_running = suspect && place.holds_long_running;
     cost.other_rack = step.rack_local && !spread.racks.empty() &&
         !spread.racks.contains(view.rack);
     cost.off_preferred_rack =
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -65,6 +65,11 @@
         resources room;
         // Whether a long-running task is placed there.
         bool holds_long_running = false;
+        // Whether a strong suspect has been started there that hasn't survived
+        // its start yet.
+        bool on_trial = false;
+        // Whether this round has placed a run there.
+        bool started_now = false;
     };
     // Position of a candidate in the order of room: most free processor time
     // first, then by name of the endpoint.
@@ -102,6 +107,10 @@
     struct place_cost {
         // A run of the task was bad there.
         bool avoided = false;
+        // A suspect and another task would start there at the same time.
+        bool beside_start = false;
+        // The task is a suspect, and long-running tasks are there.
+        bool endangers_long_running = false;
         bool other_rack = false;
         bool off_preferred_rack = false;
         // Runs of any job were bad there since the last run that was done.
@@ -116,9 +125,10 @@
         std::uint32_t same_step_runs = 0;
 
         auto fields() const {
-            return std::tie(avoided, other_rack, off_preferred_rack,
-                has_bad_runs, warming_up, crowded, awaits_maintenance,
-                without_long_running, same_step_runs);
+            return std::tie(avoided, beside_start, endangers_long_running,
+                other_rack, off_preferred_rack, has_bad_runs, warming_up,
+                crowded, awaits_maintenance, without_long_running,
+                same_step_runs);
         }
         friend bool operator<(const place_cost& one, const place_cost& other) {
             return one.fields() < other.fields();
@@ -160,6 +170,12 @@
     void collect_steps();
     void collect_steps(const wire::JobT& job);
     void find_awaiting_maintenance();
+    void find_trials();
+    bool may_start_at(const open_step& open, std::uint32_t index,
+        const candidate& place) const;
+    bool has_new_starts(const candidate& place) const;
+    static void note_start(
+        candidate& place, const open_step& open, const wire::JobTaskT& task);
     void place_step(const open_step& open, std::size_t most);
     void place_gang(const open_step& open);
     bool place_task(
@@ -197,6 +213,9 @@
     // VMs of waves whose maintenance hasn't been ordered; empty unless the
     // round has a long-running step.
     std::set<std::string> awaiting_maintenance_;
+    // Endpoints at which a strong suspect has been started that hasn't survived
+    // its start yet.
+    std::set<std::string> trial_endpoints_;
     std::map<std::string, resources> team_usage_;
     std::set<std::string> short_pools_;
     std::vector<placed_run> placed_;
--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -276,6 +276,7 @@
     record->number = order.run;
     record->endpoint = order.endpoint;
     record->life = order.life;
+    record->started_ms = time_ms_;
     place.task->last_run = order.run;
     if (!place.job->begun) {
         place.job->begun = true;
@@ -341,7 +342,7 @@
             place.task->checkpoint = ended.checkpoint;
         }
     }
-    if (place.step->long_running) {
+    if (count_crash(place, ended) || place.step->long_running) {
         return;
     }
     if (ended.how == wire::run_end::done) {
@@ -351,6 +352,37 @@
     }
 }
 
+// The count is part of the replicated state, so that a change of leader doesn't
+// begin it anew.
+bool state::count_crash(const task_place& place, const wire::RunEndT& ended) {
+    wire::JobTaskT& task = *place.task;
+    switch (ended.crash) {
+    case wire::crash_evidence::none:
+        return false;
+    case wire::crash_evidence::worked_long:
+        task.crashes = 0;
+        task.start_crashes = 0;
+        suspects_.erase(from_wire(*ended.task));
+        return false;
+    case wire::crash_evidence::at_start:
+    case wire::crash_evidence::alone_at_start:
+        ++task.start_crashes;
+        break;
+    case wire::crash_evidence::at_work:
+        break;
+    }
+    ++task.crashes;
+    suspects_.insert(from_wire(*ended.task));
+    const bool is_clear = ended.crash == wire::crash_evidence::alone_at_start &&
+        task.start_crashes >= most_clear_start_crashes;
+    if (!is_clear && task.start_crashes < most_start_crashes &&
+        task.crashes < most_crashes) {
+        return false;
+    }
+    finish_job(*place.job, wire::job_phase::failed);
+    return true;
+}
+
 void state::count_failure(const task_place& place, const wire::RunEndT& ended) {
     std::uint32_t failures = 0;
     if (place.step->gang) {
@@ -380,6 +412,7 @@
         place.task->done = true;
         ++place.group->done;
     }
+    clear_suspects(*place.job);
     if (!is_done(*place.occurrence)) {
         return;
     }
@@ -396,6 +429,7 @@
 void state::finish_job(wire::JobT& job, wire::job_phase phase) {
     unindex_active(job);
     job.phase = phase;
+    clear_suspects(job);
     job.ended_ms = time_ms_;
     ended_.emplace_back(time_ms_, job_id(job.id));
     remove_idle_occurrences(job);
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -51,6 +51,26 @@
     return !task.done && task.runs.empty();
 }
 
+/// \brief Whether endpoints crashed while the task ran there, so that it may be
+/// the cause.
+inline bool is_suspect(const wire::JobTaskT& task) {
+    return task.crashes > 0;
+}
+
+/// \brief Whether endpoints crashed soon after the task's start.
+inline bool is_strong_suspect(const wire::JobTaskT& task) {
+    return task.start_crashes > 0;
+}
+
+/// Number of crashes under a task after which it is given up, whatever else ran
+/// on the endpoints: the users' platform allows two further starts after the
+/// third crash. Less would end tasks that only ran beside the cause.
+inline constexpr std::uint32_t most_crashes = 5;
+/// Number of crashes soon after the task's start after which it is given up.
+inline constexpr std::uint32_t most_start_crashes = 3;
+/// The same if nothing else had been started there shortly before the last one.
+inline constexpr std::uint32_t most_clear_start_crashes = 2;
+
 /// \brief Whether every VM of the wave has returned from maintenance or is
 /// no longer listed by the VM service.
 bool is_complete(const wire::MaintenanceWaveT& wave);
@@ -106,6 +126,8 @@
     const std::set<job_id>& startable_jobs() const { return startable_; }
     /// \returns the active jobs that have occurrences still to begin.
     const std::set<job_id>& repeating_jobs() const { return repeating_; }
+    /// \returns the tasks of active jobs for which \c is_suspect holds.
+    const std::set<task_name>& suspects() const { return suspects_; }
     /// \returns the number of active jobs in a queue of which no task has ever
     /// been started.
     std::uint32_t pending_in(const std::string& queue) const;
@@ -143,6 +165,9 @@
     void start(const wire::RunStartT& order);
     void end(const wire::RunEndT& end);
     void record_outcome(const task_place& place, const wire::RunEndT& end);
+    /// \returns whether the task was given up, which ends its job.
+    bool count_crash(const task_place& place, const wire::RunEndT& end);
+    void clear_suspects(const wire::JobT& job);
     void count_failure(const task_place& place, const wire::RunEndT& end);
     void finish_task(const task_place& place);
     void finish_job(wire::JobT& job, wire::job_phase phase);
@@ -155,6 +180,8 @@
     void remove_run(const run_ref& run, const wire::TaskRunT& record,
         const wire::JobT& job, const wire::JobStepT& step);
     void rebuild_indexes();
+    void index_suspect(const task_name& name, const wire::JobT& job,
+        const wire::JobTaskT& task);
     void index_startable(const wire::JobT& job);
     void index_active(const wire::JobT& job);
     void unindex_active(const wire::JobT& job);
@@ -179,6 +206,9 @@
     std::set<job_id> startable_;
     // Invariant: exactly the active jobs with occurrences still to begin.
     std::set<job_id> repeating_;
+    // Invariant: exactly the tasks of active jobs that aren't done and for
+    // which is_suspect holds.
+    std::set<task_name> suspects_;
     // The number of active jobs that haven't begun, by queue name.
     std::map<std::string, std::uint32_t> pending_;
     // Invariant: exactly the runs in jobs_, by the life that executes them.
--- a/dragonflymount/src/Jobs/StateIndexes.cpp
+++ b/dragonflymount/src/Jobs/StateIndexes.cpp
@@ -27,6 +27,7 @@
     active_.clear();
     startable_.clear();
     repeating_.clear();
+    suspects_.clear();
     pending_.clear();
     loads_.clear();
     team_usage_.clear();
@@ -41,6 +42,8 @@
             for (std::uint32_t s = 0; s < occurrence->steps.size(); ++s) {
                 const auto& tasks = occurrence->steps[s]->tasks;
                 for (std::uint32_t k = 0; k < tasks.size(); ++k) {
+                    index_suspect({job_id(id), occurrence->number, s, k}, *job,
+                        *tasks[k]);
                     for (const auto& record : tasks[k]->runs) {
                         add_run({{job_id(id), occurrence->number, s, k},
                                     record->number},
@@ -53,6 +56,27 @@
     std::sort(ended_.begin(), ended_.end());
 }
 
+void state::index_suspect(
+    const task_name& name, const wire::JobT& job, const wire::JobTaskT& task) {
+    if (job.phase == wire::job_phase::active && !task.done &&
+        is_suspect(task)) {
+        suspects_.insert(name);
+    }
+}
+
+// Removes the suspects of a job that are done, or all of them if the job has
+// ended.
+void state::clear_suspects(const wire::JobT& job) {
+    const auto begin = suspects_.lower_bound({job_id(job.id), 0, 0, 0});
+    for (auto each = begin;
+         each != suspects_.end() && each->job == job_id(job.id);) {
+        const task_place place = find_task(*each);
+        const bool stays =
+            job.phase == wire::job_phase::active && place && !place.task->done;
+        each = stays ? std::next(each) : suspects_.erase(each);
+    }
+}
+
 void state::index_active(const wire::JobT& job) {
     active_.insert(job_id(job.id));
     if (!job.begun) {
--- a/dragonflymount/src/Wire/messages_generated.h
+++ b/dragonflymount/src/Wire/messages_generated.h
@@ -541,6 +541,45 @@
   return EnumNamesrun_end()[index];
 }
 
+enum class crash_evidence : uint8_t {
+  none = 0,
+  at_work = 1,
+  at_start = 2,
+  alone_at_start = 3,
+  worked_long = 4,
+  MIN = none,
+  MAX = worked_long
+};
+
+inline const crash_evidence (&EnumValuescrash_evidence())[5] {
+  static const crash_evidence values[] = {
+    crash_evidence::none,
+    crash_evidence::at_work,
+    crash_evidence::at_start,
+    crash_evidence::alone_at_start,
+    crash_evidence::worked_long
+  };
+  return values;
+}
+
+inline const char * const *EnumNamescrash_evidence() {
+  static const char * const names[6] = {
+    "none",
+    "at_work",
+    "at_start",
+    "alone_at_start",
+    "worked_long",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamecrash_evidence(crash_evidence e) {
+  if (flatbuffers::IsOutRange(e, crash_evidence::none, crash_evidence::worked_long)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamescrash_evidence()[index];
+}
+
 enum class maintenance_phase : uint8_t {
   waiting = 0,
   ordered = 1,
@@ -8197,6 +8236,7 @@
   uint32_t number = 0;
   std::string endpoint{};
   uint64_t life = 0;
+  uint64_t started_ms = 0;
 };
 
 struct TaskRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -8206,7 +8246,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
     VT_ENDPOINT = 6,
-    VT_LIFE = 8
+    VT_LIFE = 8,
+    VT_STARTED_MS = 10
   };
   uint32_t number() const {
     return GetField<uint32_t>(VT_NUMBER, 0);
@@ -8217,12 +8258,16 @@
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
   }
+  uint64_t started_ms() const {
+    return GetField<uint64_t>(VT_STARTED_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_NUMBER, 4) &&
            VerifyOffset(verifier, VT_ENDPOINT) &&
            verifier.VerifyString(endpoint()) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_MS, 8) &&
            verifier.EndTable();
   }
   TaskRunT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8243,6 +8288,9 @@
   void add_life(uint64_t life) {
     fbb_.AddElement<uint64_t>(TaskRun::VT_LIFE, life, 0);
   }
+  void add_started_ms(uint64_t started_ms) {
+    fbb_.AddElement<uint64_t>(TaskRun::VT_STARTED_MS, started_ms, 0);
+  }
   explicit TaskRunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8258,8 +8306,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t number = 0,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
-    uint64_t life = 0) {
+    uint64_t life = 0,
+    uint64_t started_ms = 0) {
   TaskRunBuilder builder_(_fbb);
+  builder_.add_started_ms(started_ms);
   builder_.add_life(life);
   builder_.add_endpoint(endpoint);
   builder_.add_number(number);
@@ -8275,13 +8325,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t number = 0,
     const char *endpoint = nullptr,
-    uint64_t life = 0) {
+    uint64_t life = 0,
+    uint64_t started_ms = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return dragonflymount::wire::CreateTaskRun(
       _fbb,
       number,
       endpoint__,
-      life);
+      life,
+      started_ms);
 }
 
 flatbuffers::Offset<TaskRun> CreateTaskRun(flatbuffers::FlatBufferBuilder &_fbb, const TaskRunT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8293,6 +8345,8 @@
   uint32_t last_run = 0;
   std::string checkpoint{};
   std::vector<std::unique_ptr<dragonflymount::wire::TaskRunT>> runs{};
+  uint32_t crashes = 0;
+  uint32_t start_crashes = 0;
   JobTaskT() = default;
   JobTaskT(const JobTaskT &o);
   JobTaskT(JobTaskT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -8308,7 +8362,9 @@
     VT_FAILURES = 6,
     VT_LAST_RUN = 8,
     VT_CHECKPOINT = 10,
-    VT_RUNS = 12
+    VT_RUNS = 12,
+    VT_CRASHES = 14,
+    VT_START_CRASHES = 16
   };
   bool done() const {
     return GetField<uint8_t>(VT_DONE, 0) != 0;
@@ -8325,6 +8381,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>> *runs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>> *>(VT_RUNS);
   }
+  uint32_t crashes() const {
+    return GetField<uint32_t>(VT_CRASHES, 0);
+  }
+  uint32_t start_crashes() const {
+    return GetField<uint32_t>(VT_START_CRASHES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_DONE, 1) &&
@@ -8335,6 +8397,8 @@
            VerifyOffset(verifier, VT_RUNS) &&
            verifier.VerifyVector(runs()) &&
            verifier.VerifyVectorOfTables(runs()) &&
+           VerifyField<uint32_t>(verifier, VT_CRASHES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_START_CRASHES, 4) &&
            verifier.EndTable();
   }
   JobTaskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8361,6 +8425,12 @@
   void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>>> runs) {
     fbb_.AddOffset(JobTask::VT_RUNS, runs);
   }
+  void add_crashes(uint32_t crashes) {
+    fbb_.AddElement<uint32_t>(JobTask::VT_CRASHES, crashes, 0);
+  }
+  void add_start_crashes(uint32_t start_crashes) {
+    fbb_.AddElement<uint32_t>(JobTask::VT_START_CRASHES, start_crashes, 0);
+  }
   explicit JobTaskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8378,8 +8448,12 @@
     uint32_t failures = 0,
     uint32_t last_run = 0,
     flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>>> runs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>>> runs = 0,
+    uint32_t crashes = 0,
+    uint32_t start_crashes = 0) {
   JobTaskBuilder builder_(_fbb);
+  builder_.add_start_crashes(start_crashes);
+  builder_.add_crashes(crashes);
   builder_.add_runs(runs);
   builder_.add_checkpoint(checkpoint);
   builder_.add_last_run(last_run);
@@ -8399,7 +8473,9 @@
     uint32_t failures = 0,
     uint32_t last_run = 0,
     const char *checkpoint = nullptr,
-    const std::vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>> *runs = nullptr) {
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::TaskRun>> *runs = nullptr,
+    uint32_t crashes = 0,
+    uint32_t start_crashes = 0) {
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::TaskRun>>(*runs) : 0;
   return dragonflymount::wire::CreateJobTask(
@@ -8408,7 +8484,9 @@
       failures,
       last_run,
       checkpoint__,
-      runs__);
+      runs__,
+      crashes,
+      start_crashes);
 }
 
 flatbuffers::Offset<JobTask> CreateJobTask(flatbuffers::FlatBufferBuilder &_fbb, const JobTaskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9698,6 +9776,7 @@
   std::string endpoint{};
   uint64_t life = 0;
   uint64_t number = 0;
+  dragonflymount::wire::crash_evidence crash = dragonflymount::wire::crash_evidence::none;
   RunEndT() = default;
   RunEndT(const RunEndT &o);
   RunEndT(RunEndT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -9715,7 +9794,8 @@
     VT_CHECKPOINT = 10,
     VT_ENDPOINT = 12,
     VT_LIFE = 14,
-    VT_NUMBER = 16
+    VT_NUMBER = 16,
+    VT_CRASH = 18
   };
   const dragonflymount::wire::TaskName *task() const {
     return GetPointer<const dragonflymount::wire::TaskName *>(VT_TASK);
@@ -9738,6 +9818,9 @@
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
+  dragonflymount::wire::crash_evidence crash() const {
+    return static_cast<dragonflymount::wire::crash_evidence>(GetField<uint8_t>(VT_CRASH, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TASK) &&
@@ -9750,6 +9833,7 @@
            verifier.VerifyString(endpoint()) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CRASH, 1) &&
            verifier.EndTable();
   }
   RunEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -9782,6 +9866,9 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(RunEnd::VT_NUMBER, number, 0);
   }
+  void add_crash(dragonflymount::wire::crash_evidence crash) {
+    fbb_.AddElement<uint8_t>(RunEnd::VT_CRASH, static_cast<uint8_t>(crash), 0);
+  }
   explicit RunEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -9801,7 +9888,8 @@
     flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
     uint64_t life = 0,
-    uint64_t number = 0) {
+    uint64_t number = 0,
+    dragonflymount::wire::crash_evidence crash = dragonflymount::wire::crash_evidence::none) {
   RunEndBuilder builder_(_fbb);
   builder_.add_number(number);
   builder_.add_life(life);
@@ -9809,6 +9897,7 @@
   builder_.add_checkpoint(checkpoint);
   builder_.add_run(run);
   builder_.add_task(task);
+  builder_.add_crash(crash);
   builder_.add_how(how);
   return builder_.Finish();
 }
@@ -9826,7 +9915,8 @@
     const char *checkpoint = nullptr,
     const char *endpoint = nullptr,
     uint64_t life = 0,
-    uint64_t number = 0) {
+    uint64_t number = 0,
+    dragonflymount::wire::crash_evidence crash = dragonflymount::wire::crash_evidence::none) {
   auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return dragonflymount::wire::CreateRunEnd(
@@ -9837,7 +9927,8 @@
       checkpoint__,
       endpoint__,
       life,
-      number);
+      number,
+      crash);
 }
 
 flatbuffers::Offset<RunEnd> CreateRunEnd(flatbuffers::FlatBufferBuilder &_fbb, const RunEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -15531,6 +15622,7 @@
   { auto _e = number(); _o->number = _e; }
   { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
   { auto _e = life(); _o->life = _e; }
+  { auto _e = started_ms(); _o->started_ms = _e; }
 }
 
 inline flatbuffers::Offset<TaskRun> TaskRun::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRunT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -15544,18 +15636,22 @@
   auto _number = _o->number;
   auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
   auto _life = _o->life;
+  auto _started_ms = _o->started_ms;
   return dragonflymount::wire::CreateTaskRun(
       _fbb,
       _number,
       _endpoint,
-      _life);
+      _life,
+      _started_ms);
 }
 
 inline JobTaskT::JobTaskT(const JobTaskT &o)
       : done(o.done),
         failures(o.failures),
         last_run(o.last_run),
-        checkpoint(o.checkpoint) {
+        checkpoint(o.checkpoint),
+        crashes(o.crashes),
+        start_crashes(o.start_crashes) {
   runs.reserve(o.runs.size());
   for (const auto &runs_ : o.runs) { runs.emplace_back((runs_) ? new dragonflymount::wire::TaskRunT(*runs_) : nullptr); }
 }
@@ -15566,6 +15662,8 @@
   std::swap(last_run, o.last_run);
   std::swap(checkpoint, o.checkpoint);
   std::swap(runs, o.runs);
+  std::swap(crashes, o.crashes);
+  std::swap(start_crashes, o.start_crashes);
   return *this;
 }
 
@@ -15583,6 +15681,8 @@
   { auto _e = last_run(); _o->last_run = _e; }
   { auto _e = checkpoint(); if (_e) _o->checkpoint = _e->str(); }
   { auto _e = runs(); if (_e) { _o->runs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->runs[_i] = std::unique_ptr<dragonflymount::wire::TaskRunT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = crashes(); _o->crashes = _e; }
+  { auto _e = start_crashes(); _o->start_crashes = _e; }
 }
 
 inline flatbuffers::Offset<JobTask> JobTask::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobTaskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -15598,13 +15698,17 @@
   auto _last_run = _o->last_run;
   auto _checkpoint = _o->checkpoint.empty() ? 0 : _fbb.CreateString(_o->checkpoint);
   auto _runs = _o->runs.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::TaskRun>> (_o->runs.size(), [](size_t i, _VectorArgs *__va) { return CreateTaskRun(*__va->__fbb, __va->__o->runs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _crashes = _o->crashes;
+  auto _start_crashes = _o->start_crashes;
   return dragonflymount::wire::CreateJobTask(
       _fbb,
       _done,
       _failures,
       _last_run,
       _checkpoint,
-      _runs);
+      _runs,
+      _crashes,
+      _start_crashes);
 }
 
 inline StepTasksT::StepTasksT(const StepTasksT &o)
@@ -16126,7 +16230,8 @@
         checkpoint(o.checkpoint),
         endpoint(o.endpoint),
         life(o.life),
-        number(o.number) {
+        number(o.number),
+        crash(o.crash) {
 }
 
 inline RunEndT &RunEndT::operator=(RunEndT o) FLATBUFFERS_NOEXCEPT {
@@ -16137,6 +16242,7 @@
   std::swap(endpoint, o.endpoint);
   std::swap(life, o.life);
   std::swap(number, o.number);
+  std::swap(crash, o.crash);
   return *this;
 }
 
@@ -16156,6 +16262,7 @@
   { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
   { auto _e = life(); _o->life = _e; }
   { auto _e = number(); _o->number = _e; }
+  { auto _e = crash(); _o->crash = _e; }
 }
 
 inline flatbuffers::Offset<RunEnd> RunEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -16173,6 +16280,7 @@
   auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
   auto _life = _o->life;
   auto _number = _o->number;
+  auto _crash = _o->crash;
   return dragonflymount::wire::CreateRunEnd(
       _fbb,
       _task,
@@ -16181,7 +16289,8 @@
       _checkpoint,
       _endpoint,
       _life,
-      _number);
+      _number,
+      _crash);
 }
 
 inline JobCancelT *JobCancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/programs/scheduler/decision_log.cpp
+++ b/programs/scheduler/decision_log.cpp
@@ -54,6 +54,22 @@
     }
 }
 
+void decision_log::write_crash(
+    const wire::RunEndT& ended, const wire::JobT* job) {
+    const jobs::task_place place =
+        agreed_.find_task(jobs::from_wire(*ended.task));
+    LOG(INFO) << event::task_suspected << "task=" << describe(*ended.task)
+              << " run=" << ended.run << " endpoint=" << ended.endpoint
+              << " life=" << ended.life
+              << " evidence=" << wire::EnumNamecrash_evidence(ended.crash)
+              << " crashes=" << (place ? place.task->crashes : 0)
+              << " start_crashes=" << (place ? place.task->start_crashes : 0)
+              << " job_phase="
+              << (job == nullptr ? "unknown"
+                                 : wire::EnumNamejob_phase(job->phase))
+              << " term=" << term_;
+}
+
 void decision_log::write_runs(const wire::JobBatchT& batch) {
     for (const auto& ended : batch.ended) {
         ++counts_.ended[ended->how];
@@ -69,6 +85,9 @@
                   << (job == nullptr ? "unknown"
                                      : wire::EnumNamejob_phase(job->phase))
                   << " term=" << term_;
+        if (ended->crash != wire::crash_evidence::none && budget_.spend(now_)) {
+            write_crash(*ended, job);
+        }
     }
     for (const auto& order : batch.started) {
         ++counts_.started;
--- a/programs/scheduler/decision_log.hpp
+++ b/programs/scheduler/decision_log.hpp
@@ -35,6 +35,7 @@
 private:
     void write_jobs(const wire::JobBatchT& batch);
     void write_runs(const wire::JobBatchT& batch);
+    void write_crash(const wire::RunEndT& ended, const wire::JobT* job);
 
     const jobs::state& agreed_;
     runtime::log_budget budget_{max_lines_per_second};
--- a/tests/jobs/job_builder.hpp
+++ b/tests/jobs/job_builder.hpp
@@ -144,6 +144,20 @@
         batch.ended.push_back(std::move(ended));
         apply(std::move(batch));
     }
+    /// \brief Ends the run because its endpoint crashed.
+    void crash(const task_name& task, std::uint32_t run,
+        wire::crash_evidence evidence, const endpoint_life& life = {"e1", 1}) {
+        wire::JobBatchT batch;
+        auto ended = std::make_unique<wire::RunEndT>();
+        ended->task = std::make_unique<wire::TaskNameT>(to_wire(task));
+        ended->run = run;
+        ended->how = wire::run_end::lapsed;
+        ended->endpoint = life.endpoint;
+        ended->life = life.number;
+        ended->crash = evidence;
+        batch.ended.push_back(std::move(ended));
+        apply(std::move(batch));
+    }
     void cancel(std::uint64_t job) {
         wire::JobBatchT batch;
         auto order = std::make_unique<wire::JobCancelT>();
