Send no start that no longer fits a VM that has shrunk

An endpoint's capacity may shrink while it runs.

The reply now carries only starts that fit beside what the last report lists. If the agreed runs exceed the capacity, an unlisted start that doesn't fit ends `lost` and its task is placed anew. Capacity that grows again triggers a placement round. Placement itself was sound: negative room takes no task.

With the check taken out, crashing_pool.sends_no_start_that_no_longer_fits and places_nothing_on_a_vm_that_shrank_below_its_load fail; keeps_within_a_capacity_that_changes_all_the_time passes either way.

--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -176,6 +176,11 @@
         const endpoint_life& life, wire::run_end how) const;
     bool is_unlisted(const endpoint_view& view, const run_ref& run) const;
     void note_unneeded_starts(endpoint_view& view);
+    void note_unfitting_starts(
+        const endpoint_view& view, const endpoint_load& load);
+    std::set<run_ref> fitting_starts(
+        const endpoint_view& view, const endpoint_load& load) const;
+    resources room_of_run(const run_ref& run) const;
     void note_changed_endpoints(const wire::JobBatchT& batch);
     void mark_endpoints_of(const wire::JobT& job);
     void mark_endpoints_of_changed_jobs();
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -21,8 +21,10 @@
     const endpoint_report& report, report_handler on_orders, instant now) {
     std::vector<run_ref> ran_before;
     bool could_take_tasks = false;
+    resources capacity_before;
     if (const auto* view = endpoints_.find_life(report.life)) {
         could_take_tasks = endpoints_.can_take_tasks(*view, now);
+        capacity_before = view->capacity;
         for (const auto& [run, progress] : view->running) {
             ran_before.push_back(run);
         }
@@ -36,8 +38,8 @@
         on_orders(outdated);
         return;
     }
-    const bool gains_capacity =
-        !could_take_tasks && endpoints_.can_take_tasks(*view, now);
+    const bool gains_capacity = endpoints_.can_take_tasks(*view, now) &&
+        (!could_take_tasks || !view->capacity.fits(capacity_before));
     placement_due_ = placement_due_ || (gains_capacity && may_trigger_round());
     collect_ends(report);
     for (const run_ref& run : ran_before) {
@@ -97,6 +99,50 @@
             vanished_.insert(run);
         }
     }
+    if (!load->used.fits(view.capacity)) {
+        note_unfitting_starts(view, *load);
+    }
+}
+
+// The VM's capacity has shrunk since these starts were placed, so their tasks
+// are placed anew.
+void engine::note_unfitting_starts(
+    const endpoint_view& view, const endpoint_load& load) {
+    const std::set<run_ref> fitting = fitting_starts(view, load);
+    for (const run_ref& run : load.runs) {
+        if (is_unlisted(view, run) && !fitting.contains(run)) {
+            vanished_.insert(run);
+        }
+    }
+}
+
+resources engine::room_of_run(const run_ref& run) const {
+    const task_place place = agreed_.find_task(run.task);
+    return place ? room_of(*place.step) : resources{};
+}
+
+// Returns the starts that the endpoint hasn't listed and that fit into the
+// capacity that it states now, beside all that it still lists as running.
+std::set<run_ref> engine::fitting_starts(
+    const endpoint_view& view, const endpoint_load& load) const {
+    std::set<run_ref> fitting;
+    if (std::none_of(load.runs.begin(), load.runs.end(),
+            [&](const run_ref& run) { return is_unlisted(view, run); })) {
+        return fitting;
+    }
+    resources room = view.capacity;
+    for (const auto& [run, progress] : view.running) {
+        room -= room_of_run(run);
+    }
+    for (const run_ref& run : load.runs) {
+        const resources needed = room_of_run(run);
+        if (is_unlisted(view, run) && !vanished_.contains(run) &&
+            needed.fits(room)) {
+            room -= needed;
+            fitting.insert(run);
+        }
+    }
+    return fitting;
 }
 
 void engine::remove_endpoint(const std::string& endpoint) {
@@ -144,14 +190,14 @@
     const endpoint_load* load = agreed_.load_of(view.life);
     std::set<run_ref> kept;
     if (load != nullptr) {
+        const std::set<run_ref> fitting = fitting_starts(view, *load);
         for (const run_ref& run : load->runs) {
             const bool wanted = agreed_.is_wanted(run) &&
                 !stop_requests_.contains(run) && !declared_ended_.contains(run);
             if (wanted) {
                 kept.insert(run);
             }
-            if (!wanted || view.draining || !is_unlisted(view, run) ||
-                vanished_.contains(run)) {
+            if (!wanted || view.draining || !fitting.contains(run)) {
                 continue;
             }
             const task_place place = agreed_.find_task(run.task);
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -1,6 +1,6 @@
 // Tests of tasks that crash each endpoint that starts them: how often they are
 // started, what is given up, and that innocent tasks beside them aren't. The
-// endpoints of these tests crash and return.
+// endpoints of these tests crash, return and shrink.
 #include "tests/jobs/job_builder.hpp"
 
 #include <gtest/gtest.h>
@@ -27,6 +27,8 @@
         std::uint64_t sequence = 0;
         std::uint64_t ends = 0;
         resources capacity{4000, 4000, 0};
+        // As its last report stated it.
+        resources reported;
         // What runs there, and how long it still takes.
         std::map<run_ref, std::int64_t> running;
         std::vector<ended_task> ended;
@@ -100,6 +102,9 @@
         }
         ++starts_[order.run.task];
         place.running[order.run] = run_ms_(order.run.task);
+        EXPECT_LE(place.running.size() * 1000,
+            static_cast<std::size_t>(place.reported.cpu_milli))
+            << place.name << " " << now_ms_;
         if (is_deadly_(order.run.task)) {
             death_of_[place.name] = {now_ms_ + deadly_after_ms_, place.life};
         }
@@ -108,6 +113,7 @@
         endpoint_report made = make_report(place.name, ++place.sequence);
         made.life.number = place.life;
         made.capacity = place.capacity;
+        place.reported = place.capacity;
         for (const auto& [run, left] : place.running) {
             const std::int64_t total =
                 std::max<std::int64_t>(run_ms_(run.task), 1);
@@ -415,5 +421,57 @@
     EXPECT_EQ(starts_.size(), 9U);
 }
 
+// ---- Capacity that changes -------------------------------------------------
+
+// The start was agreed, and the endpoint's capacity shrank before the reply.
+TEST_F(crashing_pool, sends_no_start_that_no_longer_fits) {
+    jobs_.submit(job_builder(7).step(1, 3000).build());
+    jobs_.start(task(7), 1, {"e1", 1});
+    add_endpoints(1);
+    endpoints_[0].capacity = {2000, 4000, 0};
+    advance(1'000);
+    EXPECT_EQ(starts_of(task(7)), 0U);
+    EXPECT_EQ(jobs_.agreed.find_run({task(7), 1}), nullptr);
+    endpoints_[0].capacity = {4000, 4000, 0};
+    advance(500);
+    EXPECT_EQ(starts_of(task(7)), 1U);
+}
+
+TEST_F(crashing_pool, places_nothing_on_a_vm_that_shrank_below_its_load) {
+    add_endpoints(1);
+    run_ms_ = [](const task_name&) { return 4'000; };
+    jobs_.submit(job_builder(7).step(3).build());
+    advance(500);
+    EXPECT_EQ(endpoints_[0].running.size(), 3U);
+    endpoints_[0].capacity = {1500, 4000, 0};
+    jobs_.submit(job_builder(8).step(2).build());
+    advance(2'000);
+    EXPECT_EQ(starts_of(task(8, 0, 0)), 0U);
+    EXPECT_EQ(endpoints_[0].running.size(), 3U);
+    endpoints_[0].capacity = {5000, 4000, 0};
+    advance(500);
+    EXPECT_EQ(endpoints_[0].running.size(), 5U);
+}
+
+// begin() checks each start against the capacity that the last report stated.
+TEST_F(crashing_pool, keeps_within_a_capacity_that_changes_all_the_time) {
+    add_endpoints(3);
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        jobs_.submit(job_builder(id).step(4).build());
+    }
+    for (int k = 0; k < 300; ++k) {
+        endpoint& changed = endpoints_[static_cast<std::size_t>(k) % 3];
+        changed.capacity = {500 + (k * 7919) % 4500, 4000, 0};
+        advance(100);
+    }
+    for (endpoint& place : endpoints_) {
+        place.capacity = {4000, 4000, 0};
+    }
+    advance(30'000);
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        EXPECT_EQ(jobs_.phase(id), job_phase::complete) << id;
+    }
+}
+
 } // namespace
 } // namespace dragonflymount::jobs::test
