--- a/tests/runtime/accept_test.cpp
+++ b/tests/runtime/accept_test.cpp
@@ -128,7 +128,8 @@
         const int lowest_free = ::dup(STDIN_FILENO);
         ::close(lowest_free);
         rlimit reduced = before_;
-        reduced.rlim_cur = static_cast<rlim_t>(lowest_free + count);
+        reduced.rlim_cur =
+            static_cast<rlim_t>(lowest_free) + static_cast<rlim_t>(count);
         ::setrlimit(RLIMIT_NOFILE, &reduced);
     }
     ~descriptor_limit() { ::setrlimit(RLIMIT_NOFILE, &before_); }
