--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -11,11 +11,17 @@
 using namespace dragonflymount::review;
 
 const char* const queue_name = "picking";
-constexpr std::size_t worker_count = 8;
+// The machines of this queue's service are part of both waves. With those of
+// the other services they are a share of 0.47.
+constexpr std::size_t wave_count = 8;
+constexpr std::size_t worker_count = 17;
+constexpr std::size_t workers_elsewhere = 3;
+const std::vector<queue> queues{
+    {queue_name}, {"returns"}, {"audit"}, {"manifest"}};
 constexpr int task_cpu = 2300;
 constexpr int task_memory_mb = 256;
-constexpr std::int64_t work_ms = 700;
-constexpr std::int64_t between_jobs_ms = 150;
+constexpr std::int64_t work_ms = 1300;
+constexpr std::int64_t between_jobs_ms = 250;
 constexpr std::int64_t wave_s = 24;
 constexpr std::size_t cap = 4;
 constexpr std::int64_t between_waves_ms = 1000;
@@ -26,7 +32,7 @@
 
 bool send_wave(record& log, small_site& all, std::uint64_t wave) {
     nlohmann::json machines = nlohmann::json::array();
-    for (std::size_t k = 0; k < worker_count; ++k) {
+    for (std::size_t k = 0; k < wave_count; ++k) {
         machines.push_back(all.at(k).machine());
         all.platform().add_to_wave(wave, all.at(k).machine());
     }
@@ -49,20 +55,20 @@
     log.line("operator GET wave-get/" + std::to_string(wave) + " -> " +
         std::to_string(got.status) + ' ' + got.body + ", upkeep begun on " +
         std::to_string(all.platform().maintained(wave).size()) + " of " +
-        std::to_string(worker_count));
+        std::to_string(wave_count));
 }
 
 // A machine's worker ends with the order, and a new life begins after it.
 void follow_platform(small_site& all) {
     all.platform().on_change(
-        [&all](const std::string& machine, const std::string&, bool up) {
+        [&all](const std::string& machine, const std::string& pool, bool up) {
             for (std::size_t k = 0; k < worker_count; ++k) {
                 worker& owner = all.at(k);
                 if (owner.machine() != machine) {
                     continue;
                 }
                 if (up) {
-                    owner.start();
+                    owner.start(pool);
                     all.platform().set_id(machine, owner.id());
                 } else {
                     owner.crash("ends for its upkeep");
@@ -75,7 +81,7 @@
     return "r1-" + std::to_string(k + 1);
 }
 
-/// The day's usual jobs: three tasks each, that any worker may run.
+/// The usual jobs: three tasks each, that any worker of the service may run.
 std::thread hand_in_jobs(
     record& log, small_site& all, const std::atomic<bool>& stop) {
     return std::thread([&] {
@@ -89,12 +95,12 @@
     });
 }
 
-/// Hands in one job for each rack and waits for it.
+/// Hands in one job for each machine of the waves and waits for it.
 /// \returns the number of jobs of which no task has been started.
 std::size_t count_stuck(record& log, small_site& all) {
     client caller(log, all.system().gateways(), "key-a");
     constexpr std::uint64_t first_id = 1'000'000;
-    for (std::size_t k = 0; k < worker_count; ++k) {
+    for (std::size_t k = 0; k < wave_count; ++k) {
         nlohmann::json step = make_step(1, task_cpu, task_memory_mb, work_ms);
         step["required_label"] = rack_of(k);
         if (caller.submit(queue_name, make_id(first_id + k), make_job({step}),
@@ -104,14 +110,17 @@
     }
     sleep_ms(finish_ms);
     std::size_t stuck = 0;
-    for (std::size_t k = 0; k < worker_count; ++k) {
+    for (std::size_t k = 0; k < wave_count; ++k) {
         const std::string id = make_id(first_id + k);
         std::string state;
         caller.read(queue_name, id, state, 1000);
         const auto runs = all.runs().events();
         const bool begun = std::any_of(runs.begin(), runs.end(),
             [&](const run_event& run) { return run.task.rfind(id, 0) == 0; });
-        if (state != "complete" && !begun && all.at(k).heard()) {
+        // A machine that has moved to another service can't run it.
+        const bool can_run =
+            all.at(k).heard() && all.at(k).service() == queue_name;
+        if (state != "complete" && !begun && can_run) {
             std::string line = "LOST: job " + id;
             line += " is " + state;
             line += ", nothing has run for " + std::to_string(finish_ms);
@@ -126,18 +135,22 @@
 
 int play(record& log) {
     small_site all(log);
-    if (!all.start({queue_name}, {{"team-a", "key-a", 0}})) {
+    if (!all.start(queues, {{"team-a", "key-a", 0}})) {
         return exit_not_run;
     }
     worker_settings settings;
-    settings.service = queue_name;
     settings.work_ms = [](const std::string&) { return work_ms; };
     settings.cpu_of = [](const std::string&) { return task_cpu; };
     for (std::size_t k = 0; k < worker_count; ++k) {
+        settings.service = k < wave_count
+            ? queue_name
+            : queues[1 + (k - wave_count) / workers_elsewhere].name;
         settings.rack = rack_of(k);
         all.add_worker(settings);
     }
     follow_platform(all);
+    // Each service has machines of its own kind.
+    all.platform().refuse_moves();
     std::atomic<bool> stop = false;
     std::thread clients = hand_in_jobs(log, all, stop);
     sleep_ms(2000);
@@ -160,7 +173,7 @@
         return exit_not_run;
     }
     const std::size_t stuck = count_stuck(log, all);
-    std::cout << "jobs that nothing runs of " << stuck << " of " << worker_count
+    std::cout << "jobs that nothing runs of " << stuck << " of " << wave_count
               << '\n';
     return stuck > 0 ? exit_broken : exit_held;
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -10,6 +10,9 @@
 using namespace dragonflymount::review;
 using review_caller = dragonflymount::review::caller;
 
+// One of them is cut off: a share of 0.125.
+constexpr std::size_t worker_count = 8;
+constexpr int task_count = 40;
 constexpr int task_cpu = 2300;
 constexpr int task_memory_mb = 256;
 constexpr std::int64_t work_ms = 6000;
@@ -23,7 +26,7 @@
 
 int play(record& log) {
     small_site all(log);
-    if (!all.start({"picking"}, {{"team-a", "key-a", 0}})) {
+    if (!all.start({{"picking"}}, {{"team-a", "key-a", 0}})) {
         return exit_not_run;
     }
     worker_settings settings;
@@ -31,8 +34,9 @@
     settings.work_ms = [](const std::string&) { return work_ms; };
     settings.cpu_of = [](const std::string&) { return task_cpu; };
     worker& leaving = all.add_worker(settings);
-    all.add_worker(settings);
-    all.add_worker(settings);
+    for (std::size_t k = 1; k < worker_count; ++k) {
+        all.add_worker(settings);
+    }
     client caller(log, all.system().gateways(), "key-a");
     sleep_ms(1500);
 
@@ -72,7 +76,8 @@
     }
     const std::string id = make_id(1);
     if (caller.submit("picking", id,
-            make_job({make_step(30, task_cpu, task_memory_mb, work_ms)}),
+            make_job(
+                {make_step(task_count, task_cpu, task_memory_mb, work_ms)}),
             start_limit_ms) != 200 ||
         !wait_for(log, run_limit_ms, [&] { return leaving.running() > 0; })) {
         return exit_not_run;
--- a/review/standin/cloud.cpp
+++ b/review/standin/cloud.cpp
@@ -149,6 +149,10 @@
         if (moves && each.listed.pool == pool) {
             return answer(200, "{}");
         }
+        if (moves && !moves_allowed_) {
+            // The pool is one of other machines.
+            return answer(400, "{}");
+        }
         if (!moves && maintained_[wave].contains(machine)) {
             return answer(200, "{}");
         }
--- a/review/standin/cloud.hpp
+++ b/review/standin/cloud.hpp
@@ -48,6 +48,8 @@
     void set_id(const std::string& machine, const std::string& id);
     /// \brief How long after its content was read each list is answered.
     void answer_lists_after(std::int64_t span) { list_delay_ms_ = span; }
+    /// \brief Lets each pool be one of other machines.
+    void refuse_moves() { moves_allowed_ = false; }
     /// \brief Makes a machine part of a wave.
     void add_to_wave(std::uint64_t wave, const std::string& machine);
     /// \returns the machines whose upkeep for the wave has begun.
@@ -79,6 +81,7 @@
     std::thread returning_;
     std::atomic<bool> stopped_ = false;
     std::atomic<std::int64_t> list_delay_ms_ = 0;
+    std::atomic<bool> moves_allowed_ = true;
     std::atomic<int> open_lists_ = 0;
     std::atomic<std::size_t> lists_ = 0;
     hook changed_;
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -82,10 +82,13 @@
     }
 }
 
-void worker::start() {
+void worker::start(const std::string& service) {
     if (thread_.joinable()) {
         thread_.join();
     }
+    if (!service.empty()) {
+        settings_.service = service;
+    }
     born_ = unix_ms();
     sequence_ = 0;
     next_end_ = 1;
