Tell in the log by which evidence a task was given up

What the log told: task_suspected with counts of 0 for the crash that decided, because the job's records are removed with its last run; and no line at all for an earlier crash, because that event shared the limit of 300 lines a second with the ends of runs, of which a lost VM causes many.

The decision log now notes the counts when the batch is proposed and adds the crash by the same function as the replicated state (CrashCounts.hpp, which also holds the limits, taken out of State). The keys and the event stay as they were.

--- a/dragonflymount/jobs.hpp
+++ b/dragonflymount/jobs.hpp
@@ -4,6 +4,7 @@
 #define DRAGONFLYMOUNT_JOBS_HPP
 
 #include "dragonflymount/src/Jobs/Allocation.hpp"
+#include "dragonflymount/src/Jobs/CrashCounts.hpp"
 #include "dragonflymount/src/Jobs/Endpoints.hpp"
 #include "dragonflymount/src/Jobs/Engine.hpp"
 #include "dragonflymount/src/Jobs/Placement.hpp"
--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -360,28 +360,20 @@
 // The count is part of the replicated state, so that a change of leader doesn't
 // begin it anew.
 bool state::count_crash(const task_place& place, const wire::RunEndT& ended) {
-    wire::JobTaskT& task = *place.task;
-    switch (ended.crash) {
-    case wire::crash_evidence::none:
+    if (ended.crash == wire::crash_evidence::none) {
         return false;
-    case wire::crash_evidence::worked_long:
-        task.crashes = 0;
-        task.start_crashes = 0;
+    }
+    wire::JobTaskT& task = *place.task;
+    const crash_counts counts =
+        jobs::count_crash(crash_counts_of(task), ended.crash);
+    task.crashes = counts.crashes;
+    task.start_crashes = counts.start_crashes;
+    if (!is_suspect(task)) {
         suspects_.erase(from_wire(*ended.task));
         return false;
-    case wire::crash_evidence::at_start:
-    case wire::crash_evidence::alone_at_start:
-        ++task.start_crashes;
-        break;
-    case wire::crash_evidence::at_work:
-        break;
-    }
-    ++task.crashes;
+    }
     suspects_.insert(from_wire(*ended.task));
-    const bool is_clear = ended.crash == wire::crash_evidence::alone_at_start &&
-        task.start_crashes >= most_clear_start_crashes;
-    if (!is_clear && task.start_crashes < most_start_crashes &&
-        task.crashes < most_crashes) {
+    if (!is_given_up(counts, ended.crash)) {
         return false;
     }
     finish_job(*place.job, wire::job_phase::failed);
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -8,6 +8,7 @@
 #ifndef DRAGONFLYMOUNT_JOBS_STATE_HPP
 #define DRAGONFLYMOUNT_JOBS_STATE_HPP
 
+#include "dragonflymount/src/Jobs/CrashCounts.hpp"
 #include "dragonflymount/src/Jobs/RouteTable.hpp"
 #include "dragonflymount/src/Jobs/Types.hpp"
 
@@ -67,15 +68,6 @@
     return task.start_crashes > 0;
 }
 
-/// Number of crashes under a task after which it is given up, whatever else ran
-/// on the endpoints: the users' platform allows two further starts after the
-/// third crash. Less would end tasks that only ran beside the cause.
-inline constexpr std::uint32_t most_crashes = 5;
-/// Number of crashes soon after the task's start after which it is given up.
-inline constexpr std::uint32_t most_start_crashes = 3;
-/// The same if nothing else had been started there shortly before the last one.
-inline constexpr std::uint32_t most_clear_start_crashes = 2;
-
 /// \returns the VMs of the wave that have returned from maintenance or are no
 /// longer listed by the VM service. The names are those in \p wave.
 absl::flat_hash_set<std::string_view> finished_vms(
--- a/programs/scheduler/decision_log.cpp
+++ b/programs/scheduler/decision_log.cpp
@@ -16,6 +16,19 @@
 
 } // namespace
 
+void decision_log::note_proposed(const wire::JobBatchT& batch) {
+    counts_before_.clear();
+    for (const auto& ended : batch.ended) {
+        if (!ended->task || ended->crash == wire::crash_evidence::none) {
+            continue;
+        }
+        const jobs::task_name name = jobs::from_wire(*ended->task);
+        if (const jobs::task_place place = agreed_.find_task(name)) {
+            counts_before_[name] = jobs::crash_counts_of(*place.task);
+        }
+    }
+}
+
 void decision_log::write(const wire::JobBatchT& batch, log_term term,
     duration agreement_time, instant now) {
     term_ = term;
@@ -24,7 +37,8 @@
     write_jobs(batch);
     write_runs(batch);
     if (budget_.spend(now)) {
-        const std::uint64_t left_out = budget_.take_left_out();
+        const std::uint64_t left_out =
+            budget_.take_left_out() + crash_budget_.take_left_out();
         if (left_out > 0) {
             LOG(WARNING) << event::log_lines_left_out << "lines=" << left_out;
         }
@@ -56,15 +70,17 @@
 
 void decision_log::write_crash(
     const wire::RunEndT& ended, const wire::JobT* job) {
-    const jobs::task_place place =
-        agreed_.find_task(jobs::from_wire(*ended.task));
+    if (!crash_budget_.spend(now_)) {
+        return;
+    }
+    jobs::crash_counts& counts = counts_before_[jobs::from_wire(*ended.task)];
+    counts = jobs::count_crash(counts, ended.crash);
     LOG(INFO) << event::task_suspected << "task=" << describe(*ended.task)
               << " run=" << ended.run << " endpoint=" << ended.endpoint
               << " life=" << ended.life
               << " evidence=" << wire::EnumNamecrash_evidence(ended.crash)
-              << " crashes=" << (place ? place.task->crashes : 0)
-              << " start_crashes=" << (place ? place.task->start_crashes : 0)
-              << " job_phase="
+              << " crashes=" << counts.crashes
+              << " start_crashes=" << counts.start_crashes << " job_phase="
               << (job == nullptr ? "unknown"
                                  : wire::EnumNamejob_phase(job->phase))
               << " term=" << term_;
@@ -73,11 +89,17 @@
 void decision_log::write_runs(const wire::JobBatchT& batch) {
     for (const auto& ended : batch.ended) {
         ++counts_.ended[ended->how];
-        if (!ended->task || !budget_.spend(now_)) {
+        if (!ended->task) {
             continue;
         }
         const wire::JobT* job =
             agreed_.find_job(jobs::job_id(ended->task->job));
+        if (ended->crash != wire::crash_evidence::none) {
+            write_crash(*ended, job);
+        }
+        if (!budget_.spend(now_)) {
+            continue;
+        }
         LOG(INFO) << event::run_ended << "task=" << describe(*ended->task)
                   << " run=" << ended->run << " how=" << name_of(ended->how)
                   << " endpoint=" << ended->endpoint << " life=" << ended->life
@@ -85,9 +107,6 @@
                   << (job == nullptr ? "unknown"
                                      : wire::EnumNamejob_phase(job->phase))
                   << " term=" << term_;
-        if (ended->crash != wire::crash_evidence::none && budget_.spend(now_)) {
-            write_crash(*ended, job);
-        }
     }
     for (const auto& order : batch.started) {
         ++counts_.started;
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -83,6 +83,7 @@
         // Encoding consumes the batch; this copy is logged once it is agreed.
         const auto logged_batch = std::make_shared<wire::JobBatchT>(*batch);
         const log_term term = replica_.replica().term();
+        decisions_.note_proposed(*logged_batch);
         replica_.propose(wire::encode_command(std::move(*batch)),
             [this, logged_batch, term, proposed](
                 const wire::ProposeReplyT& reply) {
--- a/tests/runtime/log_recorder.hpp
+++ b/tests/runtime/log_recorder.hpp
@@ -28,6 +28,9 @@
         head << number;
         return lines_.find(head.str()) != std::string::npos;
     }
+    bool contains(const std::string& text) const {
+        return lines_.find(text) != std::string::npos;
+    }
 
 private:
     std::string lines_;
