Count a start as begun only if it answered a fresh report

Two endpoints lose power in turn, and the task's start goes to each of them after it is gone.

Cause: the reply to an idle endpoint's report is delayed by up to 0.6 s, and a start that becomes due goes out with it. Evidence against a task was that its start had been sent and that no report had listed the run; an endpoint that lost power while its report was held looks the same. Ruled out: a start that was never sent (the set of unsent starts works), and the end of a lease (both ends came from the VM service or from the next life).

The endpoint's view now holds the starts of the last reply and the age of the report when it was sent. Up to 50 ms of age the evidence is at_start, as before; beyond, it is unclear_start: the task is a suspect, and only five crashes of any kind give it up. The start of a suspect is sent only in reply to a fresh report: an older one is answered without it and asks for the next report at once, so a task that does crash its endpoints is found out from its second start on. A run that the next report doesn't list has not begun, which makes the set of unsent starts needless.

--- a/dragonflymount/src/Jobs/CrashCounts.cpp
+++ b/dragonflymount/src/Jobs/CrashCounts.cpp
@@ -25,6 +25,7 @@
     case wire::crash_evidence::alone_at_start:
         return {before.crashes + 1, before.start_crashes + 1};
     case wire::crash_evidence::at_work:
+    case wire::crash_evidence::unclear_start:
         break;
     }
     return {before.crashes + 1, before.start_crashes};
--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -110,7 +110,9 @@
 const endpoint_view* endpoint_table::find_crashed(
     const endpoint_life& life) const {
     const auto found = crashed_.find(life);
-    return found == crashed_.end() ? nullptr : &found->second;
+    const bool was_heard =
+        found != crashed_.end() && found->second.heard != instant{};
+    return was_heard ? &found->second : nullptr;
 }
 
 endpoint_view* endpoint_table::apply_report(
@@ -197,6 +199,7 @@
         running.emplace(listed.run, std::move(progress));
     }
     view.running = std::move(running);
+    view.sent_starts.clear();
     view.ended.clear();
     for (const ended_task& listed : report.ended) {
         view.ended.insert(listed.run);
@@ -208,6 +211,12 @@
         std::max(view.lease_ends, lease_end(reported, options_.lease));
 }
 
+void endpoint_table::note_reply(
+    endpoint_view& view, std::set<run_ref> starts, duration waited) {
+    view.sent_starts = std::move(starts);
+    view.reply_age = waited + view.report_delay;
+}
+
 void endpoint_table::remove(const std::string& endpoint) {
     const auto found = views_.find(endpoint);
     if (found == views_.end()) {
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -100,6 +100,13 @@
     std::map<run_ref, run_progress> running;
     // Runs that the last report listed as ended.
     std::set<run_ref> ended;
+    /// Runs whose start was sent in the reply to the last report. Whatever was
+    /// sent before and isn't listed has not begun and never will, because the
+    /// endpoint applies orders in the order of its reports.
+    std::set<run_ref> sent_starts;
+    /// Age of the last report when that reply was sent. The endpoint may have
+    /// crashed in that time, and then never got the reply.
+    duration reply_age{};
     // Jobs with a bad run (failed, stalled or too slow) at this endpoint since
     // the last run that was done here.
     std::set<job_id> jobs_with_bad_runs;
@@ -140,6 +147,8 @@
 inline constexpr std::int64_t endpoint_drift_per_mille = 20;
 /// Time added to a lease, in which an endpoint ends its tasks after expiry.
 inline constexpr duration lease_margin = std::chrono::milliseconds(500);
+/// Age of a report up to which it shows that its endpoint is still there.
+inline constexpr duration fresh_report_age = std::chrono::milliseconds(50);
 /// Number of jobs with bad runs, without a run done in between, after which an
 /// endpoint is quarantined.
 inline constexpr std::size_t jobs_to_quarantine = 2;
@@ -179,6 +188,10 @@
     /// \brief Extends the lease of \p view, counted from the arrival of the
     /// report at \p reported.
     void extend_lease(endpoint_view& view, instant reported);
+    /// \brief Records the starts in the reply to the last report.
+    /// \param waited from the arrival of the report until the reply.
+    static void note_reply(
+        endpoint_view& view, std::set<run_ref> starts, duration waited);
     /// \brief Sets when the next report of the endpoint is due to be sent.
     static void set_report_due(endpoint_view& view, instant due);
     /// \brief Removes an endpoint that has shut down or was replaced.
--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -79,7 +79,6 @@
     submits_in_flight_.clear();
     cancels_in_flight_.clear();
     collected_ends_.clear();
-    unsent_starts_.clear();
     stop_requests_.clear();
     unconfirmed_.clear();
     avoided_.clear();
@@ -144,7 +143,7 @@
         batch.started.empty() && batch.waves.empty() &&
         batch.maintained.empty() && committers_.empty();
     if (empty) {
-        reply_to_acknowledged();
+        reply_to_acknowledged(now);
         return std::nullopt;
     }
     note_changed_endpoints(batch);
@@ -239,7 +238,6 @@
         order->run = placed.run.run;
         order->endpoint = placed.life.endpoint;
         order->life = placed.life.number;
-        unsent_starts_.insert(placed.run);
         batch.started.push_back(std::move(order));
     }
     short_pools_ = round.short_pools();
@@ -292,7 +290,7 @@
     changed_in_flight_.clear();
     mark_endpoints_of_changed_jobs();
     changed_endpoints_.insert(held_with_ends_.begin(), held_with_ends_.end());
-    reply_to_changed_endpoints();
+    reply_to_changed_endpoints(now);
 }
 
 // ---- Effects of a batch ----------------------------------------------------
@@ -352,10 +350,6 @@
         return agreed_.find_run(run) == nullptr;
     };
     std::erase_if(stop_requests_, has_ended);
-    // Starts in flight aren't part of the state yet.
-    if (!batch_in_flight_) {
-        std::erase_if(unsent_starts_, has_ended);
-    }
 }
 
 } // namespace dragonflymount::jobs
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -170,6 +170,8 @@
         const endpoint_life& life, const endpoint_load& load) const;
     wire::crash_evidence evidence_of(
         const run_ref& run, const endpoint_view* view) const;
+    wire::crash_evidence evidence_of_unheard(
+        const wire::TaskRunT& record) const;
     void collect_due(wire::JobBatchT& batch, std::uint64_t wall_ms) const;
     void collect_starts(wire::JobBatchT& batch, instant now);
     void add_end(wire::JobBatchT& batch, const run_ref& run,
@@ -197,14 +199,16 @@
     void reset_scan_limits();
     bool has_ending_tasks(const endpoint_view& view) const;
     duration busy_retry() const;
-    endpoint_orders orders_for(const endpoint_view& view) const;
-    void reply(const std::string& endpoint);
+    endpoint_orders orders_for(
+        const endpoint_view& view, duration waited) const;
+    bool has_suspect_start(const endpoint_view& view) const;
+    void reply(const std::string& endpoint, instant now);
     bool is_acknowledged(
         const endpoint_view& view, const held_report& held) const;
     bool is_ready(const std::string& endpoint, const held_report& held) const;
-    void reply_if_ready(const std::string& endpoint);
-    void reply_to_changed_endpoints();
-    void reply_to_acknowledged();
+    void reply_if_ready(const std::string& endpoint, instant now);
+    void reply_to_changed_endpoints(instant now);
+    void reply_to_acknowledged(instant now);
     void reply_overdue(instant now);
 
     const state& agreed_;
@@ -269,9 +273,6 @@
     instant next_cleanup_{};
     // Highest number of an ended run that was collected, for each life.
     std::map<endpoint_life, std::uint64_t> collected_ends_;
-    // Runs whose start this leader has put into a batch but into no reply yet.
-    // Their endpoint can't have begun them.
-    std::set<run_ref> unsent_starts_;
     // Runs to be stopped although their task still has to be done.
     std::set<run_ref> stop_requests_;
     avoided_endpoints avoided_;
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -64,15 +64,16 @@
         held.handler(endpoint_orders{});
     }
     held = {std::move(on_orders), now, now, 0, agreed_batches_};
-    if (!report.ended.empty()) {
+    const bool may_wait = !has_suspect_start(*view);
+    if (may_wait && !report.ended.empty()) {
         held.last_end = report.ended.back().number;
         held.reply_by = now + time_to_hold(options_.ends_hold, *view);
         held_with_ends_.insert(report.life.endpoint);
-    } else if (!has_ending_tasks(*view)) {
+    } else if (may_wait && !has_ending_tasks(*view)) {
         held.reply_by = now + time_to_hold(options_.idle_hold, *view);
-        reply_if_ready(report.life.endpoint);
+        reply_if_ready(report.life.endpoint, now);
     } else {
-        reply(report.life.endpoint);
+        reply(report.life.endpoint, now);
     }
 }
 
@@ -199,7 +200,23 @@
     return load != nullptr && load->finite_runs() > 0;
 }
 
-endpoint_orders engine::orders_for(const endpoint_view& view) const {
+bool engine::has_suspect_start(const endpoint_view& view) const {
+    const endpoint_load* load = agreed_.load_of(view.life);
+    if (load == nullptr || agreed_.suspects().empty()) {
+        return false;
+    }
+    return std::any_of(
+        load->runs.begin(), load->runs.end(), [&](const run_ref& run) {
+            return is_unlisted(view, run) &&
+                agreed_.suspects().contains(run.task);
+        });
+}
+
+// The start of a suspect waits for a fresh report, which is requested at once.
+//
+// \param waited from the arrival of the report until the reply.
+endpoint_orders engine::orders_for(
+    const endpoint_view& view, duration waited) const {
     endpoint_orders orders;
     orders.lease = options_.endpoints.lease;
     orders.acknowledged = agreed_.acknowledged(view.life);
@@ -220,6 +237,10 @@
             if (!wanted || view.draining || !fitting.contains(run)) {
                 continue;
             }
+            if (is_suspect(*place.task) && waited > fresh_report_age) {
+                orders.retry = std::min(orders.retry, options_.idle_retry);
+                continue;
+            }
             orders.starts.push_back(
                 {run, place.job->spec->payload, place.task->checkpoint, {}});
         }
@@ -233,7 +254,7 @@
     return orders;
 }
 
-void engine::reply(const std::string& endpoint) {
+void engine::reply(const std::string& endpoint, instant now) {
     const auto found = held_.find(endpoint);
     held_report held = std::move(found->second);
     held_.erase(found);
@@ -243,10 +264,13 @@
         held.handler(endpoint_orders{});
         return;
     }
-    endpoint_orders orders = orders_for(*view);
+    const duration waited = now - held.received;
+    const endpoint_orders orders = orders_for(*view, waited);
+    std::set<run_ref> starts;
     for (const start_order& order : orders.starts) {
-        unsent_starts_.erase(order.run);
+        starts.insert(order.run);
     }
+    endpoint_table::note_reply(*view, std::move(starts), waited);
     endpoints_.extend_lease(*view, held.received);
     endpoint_table::set_report_due(*view, held.reply_by + orders.retry);
     held.handler(orders);
@@ -267,32 +291,33 @@
         return is_acknowledged(*view, held) &&
             agreed_batches_ - held.batches_before >= batches_to_refill;
     }
-    const endpoint_orders orders = orders_for(*view);
+    // A start that must wait for a fresh report is due as well.
+    const endpoint_orders orders = orders_for(*view, duration::zero());
     return !orders.starts.empty() || !orders.stops.empty();
 }
 
-void engine::reply_if_ready(const std::string& endpoint) {
+void engine::reply_if_ready(const std::string& endpoint, instant now) {
     const auto held = held_.find(endpoint);
     if (held != held_.end() && is_ready(endpoint, held->second)) {
-        reply(endpoint);
+        reply(endpoint, now);
     }
 }
 
-void engine::reply_to_changed_endpoints() {
+void engine::reply_to_changed_endpoints(instant now) {
     for (const std::string& endpoint : std::exchange(changed_endpoints_, {})) {
-        reply_if_ready(endpoint);
+        reply_if_ready(endpoint, now);
     }
 }
 
 // Called if there is no batch to commit, so the freed capacity allows no
 // further start and the reports with committed ends need not be held any
 // longer.
-void engine::reply_to_acknowledged() {
+void engine::reply_to_acknowledged(instant now) {
     const std::set<std::string> waiting = held_with_ends_;
     for (const std::string& endpoint : waiting) {
         const endpoint_view* view = endpoints_.find(endpoint);
         if (view == nullptr || is_acknowledged(*view, held_.at(endpoint))) {
-            reply(endpoint);
+            reply(endpoint, now);
         }
     }
 }
@@ -305,7 +330,7 @@
         }
     }
     for (const std::string& endpoint : overdue) {
-        reply(endpoint);
+        reply(endpoint, now);
     }
 }
 
@@ -317,7 +342,7 @@
     reset_scan_limits();
     endpoints_.end_shared_quarantines(now);
     erase_settled_tasks(now);
-    reply_to_changed_endpoints();
+    reply_to_changed_endpoints(now);
     reply_overdue(now);
 }
 
--- a/dragonflymount/src/Wire/messages_generated.h
+++ b/dragonflymount/src/Wire/messages_generated.h
@@ -547,35 +547,38 @@
   at_start = 2,
   alone_at_start = 3,
   worked_long = 4,
+  unclear_start = 5,
   MIN = none,
-  MAX = worked_long
+  MAX = unclear_start
 };
 
-inline const crash_evidence (&EnumValuescrash_evidence())[5] {
+inline const crash_evidence (&EnumValuescrash_evidence())[6] {
   static const crash_evidence values[] = {
     crash_evidence::none,
     crash_evidence::at_work,
     crash_evidence::at_start,
     crash_evidence::alone_at_start,
-    crash_evidence::worked_long
+    crash_evidence::worked_long,
+    crash_evidence::unclear_start
   };
   return values;
 }
 
 inline const char * const *EnumNamescrash_evidence() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "none",
     "at_work",
     "at_start",
     "alone_at_start",
     "worked_long",
+    "unclear_start",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamecrash_evidence(crash_evidence e) {
-  if (flatbuffers::IsOutRange(e, crash_evidence::none, crash_evidence::worked_long)) return "";
+  if (flatbuffers::IsOutRange(e, crash_evidence::none, crash_evidence::unclear_start)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamescrash_evidence()[index];
 }
--- a/tests/jobs/state_test.cpp
+++ b/tests/jobs/state_test.cpp
@@ -68,6 +68,7 @@
     };
     EXPECT_EQ(crashes_until_failed(crash_evidence::alone_at_start), 2U);
     EXPECT_EQ(crashes_until_failed(crash_evidence::at_start), 3U);
+    EXPECT_EQ(crashes_until_failed(crash_evidence::unclear_start), 5U);
     EXPECT_EQ(crashes_until_failed(crash_evidence::at_work), 5U);
     EXPECT_EQ(crashes_until_failed(crash_evidence::worked_long), 100U);
     EXPECT_EQ(crashes_until_failed(crash_evidence::none), 100U);
