Keep the state of a maintenance order for each wave

Cause: the VM manager kept the state of an order by VM. A wave also chose VMs that were about to go down for another one, so its order replaced the state of the first one's in the round that sent that. The confirmation and the note of the return then counted for whichever step came first; the other step stayed ordered for ever, its VM reserved and counted against the limit. Ruled out: the replicated state, which keeps steps by wave and VM, and the VM service, which carried out each order that it got.

The state now belongs to a wave and a VM, and a VM whose maintenance is ordered isn't chosen by another wave until it has returned. It counts as down for both, as before.

--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -158,8 +158,9 @@
 void vm_manager::order_done(
     const vm_order& order, vm_verdict verdict, instant now) {
     const bool maintains = order.what == vm_order::kind::maintain;
-    order_state& order_record =
-        maintains ? maintenance_orders_[order.vm] : move_orders_[order.vm];
+    order_state& order_record = maintains
+        ? maintenance_orders_[{order.wave, order.vm}]
+        : move_orders_[order.vm];
     order_record.in_flight = false;
     order_record.next_attempt = now + options_.retry_interval;
     switch (verdict) {
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -193,6 +193,8 @@
     };
 
     void decide_waves(std::vector<vm_order>& orders, instant now);
+    void note_ordered(const wire::MaintenanceStepT& step);
+    void note_settled(const wire::MaintenanceStepT& step);
     void decide_wave(const wire::MaintenanceWaveT& wave,
         std::vector<vm_order>& orders, instant now);
     /// The steps of a wave by the name of their VM.
@@ -310,16 +312,20 @@
     instant list_taken_{};
     instant next_list_{};
     std::map<vm_id, vm_record> list_;
-    std::map<vm_id, order_state> maintenance_orders_;
+    // A VM may be part of several waves, and each of them maintains it.
+    using wave_step = std::pair<std::uint64_t, vm_id>;
+    std::map<wave_step, order_state> maintenance_orders_;
     std::map<vm_id, order_state> move_orders_;
     std::map<vm_id, pool_id> move_targets_;
     // Reserved VMs, which take no new task: those chosen for maintenance, and
     // those chosen to move.
     std::set<vm_id> chosen_for_wave_;
     std::set<vm_id> chosen_for_move_;
-    // VMs whose maintenance was ordered and that haven't returned yet. Their
-    // tasks count as unavailable even while reports still list them.
-    std::set<vm_id> maintenance_ordered_;
+    // VMs whose maintenance was ordered for some wave and that haven't returned
+    // yet. Their tasks count as unavailable even while reports still list them,
+    // and no other wave orders their maintenance meanwhile. The value is the
+    // number of the wave.
+    std::map<vm_id, std::uint64_t> maintenance_ordered_;
     // When each VM of the two sets above was reserved.
     std::map<vm_id, instant> reserved_since_;
     absl::flat_hash_map<vm_id, std::string, std::hash<vm_id>> endpoint_of_;
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -32,17 +32,32 @@
                                        : jobs_.endpoints().find(found->second);
 }
 
+// Keeps the VM out of other waves until it has returned.
+void vm_manager::note_ordered(const wire::MaintenanceStepT& step) {
+    const vm_id vm(step.vm);
+    const auto order = maintenance_orders_.find({step.wave, vm});
+    if (order == maintenance_orders_.end() || !order->second.finished) {
+        maintenance_ordered_.try_emplace(vm, step.wave);
+    }
+}
+
+// The VM has returned from the maintenance of this step, or was removed from
+// the list meanwhile.
+void vm_manager::note_settled(const wire::MaintenanceStepT& step) {
+    const auto found = maintenance_ordered_.find(vm_id(step.vm));
+    if (found != maintenance_ordered_.end() && found->second == step.wave) {
+        maintenance_ordered_.erase(found);
+    }
+}
+
 void vm_manager::decide_waves(std::vector<vm_order>& orders, instant now) {
     chosen_for_wave_.clear();
     for (const auto& [number, wave] : jobs_.agreed().waves()) {
         for (const auto& step : wave.steps) {
             if (step->phase == wire::maintenance_phase::ordered) {
-                const vm_id vm(step->vm);
-                const auto order = maintenance_orders_.find(vm);
-                if (order == maintenance_orders_.end() ||
-                    !order->second.finished) {
-                    maintenance_ordered_.insert(vm);
-                }
+                note_ordered(*step);
+            } else {
+                note_settled(*step);
             }
         }
     }
@@ -84,7 +99,7 @@
 
 // A slow commit outlasts several decision rounds. VMs whose maintenance is in
 // an uncommitted batch count as down, too, so that the rounds in between don't
-// exceed the wave's limit.
+// exceed the wave's limit. So do VMs that are down for another wave.
 std::vector<vm_id> vm_manager::uncommitted_vms(
     const wire::MaintenanceWaveT& wave, const step_index& steps) const {
     std::vector<vm_id> uncommitted;
@@ -99,11 +114,12 @@
 
 // Gives the maintenance order of a step until the service confirms it, and then
 // notes the VM's return. A new life without the confirmation isn't enough,
-// since a VM that crashes also returns with a new life.
+// since a VM that crashes also returns with a new life, and so does one that
+// was maintained for another wave.
 void vm_manager::advance_step(const wire::MaintenanceStepT& step,
     std::vector<vm_order>& orders, instant now) {
     const vm_id vm(step.vm);
-    order_state& order = maintenance_orders_[vm];
+    order_state& order = maintenance_orders_[{step.wave, vm}];
     order.life = {step.endpoint, step.life};
     if (order.finished) {
         return;
@@ -127,7 +143,7 @@
         jobs_.note_maintenance(
             with_phase(step, wire::maintenance_phase::returned));
         order.finished = true;
-        maintenance_ordered_.erase(vm);
+        note_settled(step);
     }
 }
 
@@ -245,7 +261,8 @@
         ++unmaintained.vm_count;
         const vm_id vm(name);
         const endpoint_view* view = find_vm(vm);
-        if (now < maintenance_orders_[vm].next_attempt) {
+        if (maintenance_ordered_.contains(vm) ||
+            now < maintenance_orders_[{wave.number, vm}].next_attempt) {
             continue;
         }
         if (view == nullptr) {
@@ -361,9 +378,10 @@
     step.endpoint = life.endpoint;
     step.life = life.number;
     // Keeps the VM from being chosen again before the batch is committed.
-    maintenance_ordered_.insert(vm);
-    maintenance_orders_[vm] = {};
-    maintenance_orders_[vm].next_attempt = now + options_.retry_interval;
+    maintenance_ordered_.try_emplace(vm, wave);
+    order_state& order = maintenance_orders_[{wave, vm}];
+    order = {};
+    order.next_attempt = now + options_.retry_interval;
     jobs_.note_maintenance(step);
 }
 
--- a/tests/jobs/vm_orders.hpp
+++ b/tests/jobs/vm_orders.hpp
@@ -62,9 +62,10 @@
         }
         manager_.update_list(std::move(list), now_, now_);
     }
-    void start_wave(const std::vector<std::string>& vms, std::uint32_t most) {
+    void start_wave(const std::vector<std::string>& vms, std::uint32_t most,
+        std::uint64_t number = 1) {
         wire::MaintenanceWaveT wave;
-        wave.number = 1;
+        wave.number = number;
         wave.vms = vms;
         wave.duration_ms = 20'000;
         wave.most_down = most;
