Ignore a late reply to an earlier order for a VM

The VM service is slow: a VM has arrived in its pool, and is ordered back to standby before the reply to its first move is there. That reply was taken for the second move's: the endpoint counted as ended while it served, its reports as outdated, and the VM gave no capacity until its next life.

Each order has a number, its state keeps the number of the last one sent, and a reply with another number changes nothing.

vm_orders.ignores_a_late_reply_to_an_earlier_move failed without the change (the endpoint was gone after the late reply).

--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -155,12 +155,36 @@
     return orders;
 }
 
+void vm_manager::send(
+    vm_order order, order_state& state, std::vector<vm_order>& orders) {
+    order.number = ++last_order_;
+    state.number = order.number;
+    state.in_flight = true;
+    orders.push_back(std::move(order));
+}
+
+// Returns the state that the order was sent from, or null if a later order has
+// replaced it.
+vm_manager::order_state* vm_manager::find_state(const vm_order& order) {
+    const auto find_in = [&](auto& states, const auto& key) {
+        const auto found = states.find(key);
+        const bool is_current =
+            found != states.end() && found->second.number == order.number;
+        return is_current ? &found->second : nullptr;
+    };
+    return order.what == vm_order::kind::maintain
+        ? find_in(maintenance_orders_, wave_step{order.wave, order.vm})
+        : find_in(move_orders_, order.vm);
+}
+
 void vm_manager::order_done(
     const vm_order& order, vm_verdict verdict, instant now) {
+    order_state* const found = find_state(order);
+    if (found == nullptr) {
+        return;
+    }
+    order_state& order_record = *found;
     const bool maintains = order.what == vm_order::kind::maintain;
-    order_state& order_record = maintains
-        ? maintenance_orders_[{order.wave, order.vm}]
-        : move_orders_[order.vm];
     order_record.in_flight = false;
     order_record.next_attempt = now + options_.retry_interval;
     switch (verdict) {
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -41,6 +41,8 @@
     pool_id pool;
     /// The wave of a maintenance order; 0 for a move.
     std::uint64_t wave = 0;
+    /// Tells the orders of one leader apart; each that is sent has its own.
+    std::uint64_t number = 0;
 };
 
 /// \brief The VM service's reply to an order.
@@ -138,7 +140,8 @@
     /// \returns the orders to send now. \c order_done must be called with the
     /// reply to each.
     std::vector<vm_order> decide(instant now);
-    /// \brief Records the VM service's reply to an order.
+    /// \brief Records the VM service's reply to an order. A reply to an order
+    /// that a later one has replaced changes nothing.
     void order_done(const vm_order& order, vm_verdict verdict, instant now);
 
     /// \returns the sizes that the last \c decide planned for each pool except
@@ -147,6 +150,8 @@
 
 private:
     struct order_state {
+        // The number of the order that was sent last.
+        std::uint64_t number = 0;
         bool in_flight = false;
         instant next_attempt{};
         // When the service last confirmed that the order was carried out.
@@ -192,6 +197,9 @@
         }
     };
 
+    void send(
+        vm_order order, order_state& state, std::vector<vm_order>& orders);
+    order_state* find_state(const vm_order& order);
     void decide_waves(std::vector<vm_order>& orders, instant now);
     void note_ordered(const wire::MaintenanceStepT& step);
     void note_settled(const wire::MaintenanceStepT& step);
@@ -317,6 +325,7 @@
     std::map<wave_step, order_state> maintenance_orders_;
     std::map<vm_id, order_state> move_orders_;
     std::map<vm_id, pool_id> move_targets_;
+    std::uint64_t last_order_ = 0;
     // Reserved VMs, which take no new task: those chosen for maintenance, and
     // those chosen to move.
     std::set<vm_id> chosen_for_wave_;
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -210,10 +210,9 @@
     order_state& order = move_orders_[vm];
     order = {};
     order.life = life;
-    order.in_flight = true;
     move_targets_[vm] = pool_id(pool);
     list_[vm].pool = pool_id(pool);
-    orders.push_back({vm_order::kind::move, vm, pool_id(pool), 0});
+    send({vm_order::kind::move, vm, pool_id(pool)}, order, orders);
 }
 
 // Moves standby VMs to a pool. They run no tasks, so they need not drain.
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -126,9 +126,8 @@
     }
     if (!order.confirmed) {
         if (!order.in_flight && !order.fenced && now >= order.next_attempt) {
-            order.in_flight = true;
-            orders.push_back(
-                {vm_order::kind::maintain, vm, pool_id(), step.wave});
+            send({vm_order::kind::maintain, vm, pool_id(), step.wave}, order,
+                orders);
         }
         return;
     }
--- a/tests/jobs/vm_moves_test.cpp
+++ b/tests/jobs/vm_moves_test.cpp
@@ -179,6 +179,35 @@
     EXPECT_TRUE(run_for(300, endpoints).empty());
 }
 
+// The VM service is slow: a VM has arrived in its pool and is to go back to
+// standby before the reply to its first move is there. That reply counted for
+// the second move, and the endpoint was taken for ended while it still served.
+TEST_F(vm_orders, ignores_a_late_reply_to_an_earlier_move) {
+    auto endpoints = names("e", 3);
+    list_vms(endpoints, {"vm-a1"});
+    run_for(3000, endpoints);
+    jobs_.submit(job_builder(7).step(64, 1000).build());
+    const auto first = run_for(300, endpoints);
+    ASSERT_EQ(first.size(), 1U);
+    endpoints.emplace_back("a1");
+    run_for(200, endpoints);
+    jobs_.cancel(7);
+    const auto loads = jobs_.agreed.loads();
+    for (const auto& [life, load] : loads) {
+        for (const run_ref& run : load.runs) {
+            jobs_.end(run.task, run.run, wire::run_end::stopped, 0, life);
+        }
+    }
+    const auto second = run_for(4000, endpoints);
+    ASSERT_EQ(second.size(), 1U);
+    ASSERT_EQ(second[0].vm, first[0].vm);
+    ASSERT_EQ(second[0].pool, pool_id("standby"));
+    manager_.order_done(first[0], vm_verdict::done, now_);
+    EXPECT_NE(engine_.endpoints().find("a1"), nullptr);
+    manager_.order_done(second[0], vm_verdict::done, now_);
+    EXPECT_EQ(engine_.endpoints().find("a1"), nullptr);
+}
+
 // A burst has left one long task on each VM of a pool that then wants few VMs.
 // If all surplus VMs drained at the same time, they would accept no tasks until
 // their last one ends, and late work would wait beside mostly idle VMs.
