Give a task up after three crashes at its start, not two

Cause: a fresh report narrows the time in which an endpoint may lose power unseen, it doesn't close it: up to 50 ms and the way of the reply remain. With a limit of two, one such start and one true crash gave the task up, and the users' platform allows that only after two true ones.

The limits are now three crashes if nothing else was starting, and four otherwise.

--- a/dragonflymount/src/Jobs/CrashCounts.cpp
+++ b/dragonflymount/src/Jobs/CrashCounts.cpp
@@ -8,10 +8,12 @@
 // on the endpoints: the users' platform allows two further starts after the
 // third crash. Less would end tasks that only ran beside the cause.
 constexpr std::uint32_t most_crashes = 5;
-// Number of crashes soon after the task's start after which it is given up.
-constexpr std::uint32_t most_start_crashes = 3;
+// Number of crashes soon after the task's start after which it is given up. The
+// users' platform allows that after two; one of these starts may have been lost
+// on the way to an endpoint that was just losing power.
+constexpr std::uint32_t most_start_crashes = 4;
 // The same if nothing else had been started there shortly before the last one.
-constexpr std::uint32_t most_clear_start_crashes = 2;
+constexpr std::uint32_t most_clear_start_crashes = 3;
 
 } // namespace
 
--- a/tests/jobs/power_loss_test.cpp
+++ b/tests/jobs/power_loss_test.cpp
@@ -45,6 +45,18 @@
     EXPECT_EQ(orders->starts[0].run.task, task(7));
 }
 
+// LOST on a hunted day of many power losses: one endpoint lost power in the few
+// milliseconds between its report and the start, one later under the task.
+TEST_F(power_loss, keeps_a_task_after_one_crash_and_one_lost_start) {
+    jobs_.submit(job_builder(7).step(1).build());
+    for (const char* endpoint : {"e1", "e2", "e3"}) {
+        EXPECT_EQ(jobs_.phase(7), job_phase::active) << endpoint;
+        ASSERT_TRUE(has_start(report(make_report(endpoint, 1))));
+        lose(endpoint);
+    }
+    EXPECT_EQ(jobs_.phase(7), job_phase::failed);
+}
+
 // Without this, a task that does crash its endpoints would be started once more
 // for each start whose evidence is unclear.
 TEST_F(power_loss, starts_a_suspect_only_in_reply_to_a_fresh_report) {
