Add a case: large jobs that come at once stop the system

The jobs that arrive while a batch is in flight form the next batch, without a limit on its bytes. A batch above 16 MiB fits in no frame, so no follower takes the record, and the leader sends it for ever: nothing is committed any more.

--- /dev/null
+++ b/review/standin-2/deployment.hpp
@@ -0,0 +1,105 @@
+// A small deployment on loopback addresses: the project's programs as separate
+// processes, an operator, and the platform's list of machines.
+#ifndef DRAGONFLYMOUNT_REVIEW_DEPLOYMENT_HPP
+#define DRAGONFLYMOUNT_REVIEW_DEPLOYMENT_HPP
+
+#include "net.hpp"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <sys/types.h>
+
+namespace review {
+
+/// \brief Writes record.txt of a case, each line with the time since its start.
+class record {
+public:
+    explicit record(const std::string& folder);
+    ~record();
+    record(const record&) = delete;
+    record& operator=(const record&) = delete;
+
+    void note(const std::string& text);
+    /// \returns milliseconds since the start.
+    std::int64_t now() const;
+
+private:
+    std::mutex mutex_;
+    std::FILE* file_;
+    steady::time_point begun_;
+};
+
+/// \brief A machine as the platform's list shows it.
+struct listed_machine {
+    std::string machine;
+    std::string pool;
+    std::string worker;
+};
+
+class deployment {
+public:
+    deployment(record& log, std::size_t schedulers, std::size_t gateways);
+    ~deployment();
+    deployment(const deployment&) = delete;
+    deployment& operator=(const deployment&) = delete;
+
+    /// \brief Starts all processes with empty disks.
+    bool start();
+    /// \brief Puts a configuration as an operator does: to each node in turn
+    /// until it is acknowledged.
+    bool put_config(const nlohmann::json& config, milliseconds limit);
+    /// \returns the number of the scheduler that answers reads itself, if any.
+    int find_leader() const;
+    int wait_for_leader(milliseconds limit) const;
+
+    void signal_scheduler(std::size_t number, int signal);
+    void signal_gateway(std::size_t number, int signal);
+    /// \brief Kills the scheduler, empties its disk and starts it again at its
+    /// address, with bootstrap set to false.
+    void lose_disk(std::size_t number);
+
+    void set_machines(std::vector<listed_machine> machines);
+    std::string control(std::size_t number) const;
+    std::vector<std::string> controls() const;
+    std::string frontend(std::size_t number) const;
+    /// \returns the value of a metric of a scheduler, or -1.
+    double metric(std::size_t number, const std::string& name) const;
+    /// \brief The text that the program wrote.
+    std::string output(std::size_t number) const;
+
+private:
+    struct process {
+        std::string name;
+        std::string ip;
+        std::string program;
+        std::string settings;
+        pid_t id = -1;
+    };
+
+    void choose_addresses();
+    void write_settings(const process& node, bool bootstrap) const;
+    void launch(process& node) const;
+    static void finish(process& node, int signal);
+    http_reply serve_platform(const http_call& call);
+    std::string at(const std::string& ip, int offset) const;
+
+    record& log_;
+    std::string folder_;
+    std::vector<process> schedulers_;
+    std::vector<process> gateways_;
+    std::string platform_ip_;
+    int port_ = 0;
+    http_server platform_;
+    std::mutex mutex_;
+    std::vector<listed_machine> machines_;
+};
+
+/// \returns a configuration with one route "/q/" at host "jobs.example" to the
+/// pool "pool-a", and one tenant with the key "key-one".
+nlohmann::json make_config(std::uint64_t version);
+
+void sleep_for(int ms);
+
+} // namespace review
+
+#endif
