Add a case: an end listed just before an upkeep is run again

The platform's answer to an upkeep ends the life of the worker at once; a report that was sent before and arrives after it is dropped with the ends that it lists, and their tasks are started again.

--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -193,6 +193,12 @@
 }
 
 http_reply deployment::serve_platform(const http_call& call) {
+    if (call.target == "/api/machine-upkeep" && upkeep_) {
+        const nlohmann::json order =
+            nlohmann::json::parse(call.body, nullptr, false);
+        upkeep_(order.value("machine", ""));
+        return {200, "{}", {}, false};
+    }
     const std::lock_guard lock(mutex_);
     if (call.method != "GET") {
         return {409, R"({"reason":"busy"})", {}, false};
@@ -211,6 +217,11 @@
     return {200, list.dump(), {}, false};
 }
 
+void deployment::on_upkeep(
+    std::function<void(const std::string& machine)> handler) {
+    upkeep_ = std::move(handler);
+}
+
 void deployment::set_machines(std::vector<listed_machine> machines) {
     const std::lock_guard lock(mutex_);
     machines_ = std::move(machines);
--- a/review/standin-2/deployment.hpp
+++ b/review/standin-2/deployment.hpp
@@ -55,6 +55,9 @@
     void signal_scheduler(std::size_t number, int signal);
     void signal_gateway(std::size_t number, int signal);
 
+    /// \brief Sets what carries out the upkeep of a machine; the order is
+    /// answered with 200 when it returns.
+    void on_upkeep(std::function<void(const std::string& machine)> handler);
     void set_machines(std::vector<listed_machine> machines);
     std::string control(std::size_t number) const;
     std::vector<std::string> controls() const;
@@ -89,6 +92,7 @@
     http_server platform_;
     std::mutex mutex_;
     std::vector<listed_machine> machines_;
+    std::function<void(const std::string&)> upkeep_;
 };
 
 /// \returns a configuration with one route "/q/" at host "jobs.example" to the
--- a/review/standin-2/worker.cpp
+++ b/review/standin-2/worker.cpp
@@ -61,15 +61,35 @@
 }
 
 void worker::stop() {
-    if (stopped_.exchange(true) || !thread_.joinable()) {
-        return;
+    stopped_ = true;
+    if (thread_.joinable()) {
+        thread_.join();
+        lose_machine();
+        log_.note("worker " + id_ + " has ended");
     }
-    thread_.join();
+}
+
+void worker::lose_machine() {
+    stopped_ = true;
     const std::lock_guard lock(mutex_);
     while (!running_.empty()) {
         finish(running_.begin(), "worker ended", log_.now());
     }
-    log_.note("worker " + id_ + " has ended");
+}
+
+std::uint64_t worker::end_task(const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    const auto found = running_.find(name);
+    if (found == running_.end()) {
+        return 0;
+    }
+    finish(found, "done", log_.now());
+    return last_end_;
+}
+
+bool worker::runs(const std::string& name) const {
+    const std::lock_guard lock(mutex_);
+    return running_.contains(name);
 }
 
 std::size_t worker::running() const {
@@ -182,6 +202,10 @@
 bool worker::send_report(std::int64_t& next) {
     const nlohmann::json body = report();
     const std::int64_t sent = log_.now();
+    if (!body["ended"].empty()) {
+        sent_end_ = body["ended"].back()[0].get<std::uint64_t>();
+    }
+    std::this_thread::sleep_for(travel_);
     std::string target = leader();
     target =
         target.empty() ? controls_[next_control_ % controls_.size()] : target;
@@ -208,6 +232,9 @@
         return false;
     }
     const std::lock_guard lock(mutex_);
+    if (stopped_) {
+        return true;
+    }
     leader_ = orders.value("heartbeat_address", leader_);
     ++replies_used_;
     apply(orders, sent);
--- a/review/standin-2/worker.hpp
+++ b/review/standin-2/worker.hpp
@@ -52,6 +52,18 @@
     void start();
     /// \brief Ends the process; its runs end with it.
     void stop();
+    /// \brief Ends all runs and heartbeats at once; what has been sent before
+    /// still arrives.
+    void lose_machine();
+    /// \brief Sets how long a report is on its way to the core.
+    void set_travel_time(std::chrono::microseconds time) { travel_ = time; }
+    /// \brief Ends a run as done, whatever its spec says.
+    /// \returns the number of the end, 0 if the task doesn't run here.
+    std::uint64_t end_task(const std::string& name);
+    /// \returns the highest number of an end in a report that was sent.
+    std::uint64_t sent_end() const { return sent_end_; }
+    bool runs(const std::string& name) const;
+    const std::string& machine() const { return machine_; }
     /// \returns the number of tasks at work.
     std::size_t running() const;
     /// \returns how many replies were used and how many were not.
@@ -91,6 +103,8 @@
     std::vector<std::string> controls_;
     std::uint64_t born_ = 0;
     std::atomic<bool> stopped_{false};
+    std::chrono::microseconds travel_{0};
+    std::atomic<std::uint64_t> sent_end_{0};
     mutable std::mutex mutex_;
     std::map<std::string, task> running_;
     std::map<std::string, std::uint32_t> highest_ended_;
