Add a case: a list older than a wave makes the wave complete

A list of machines that was requested before a wave's machines joined counts them as gone, although their workers report; the wave is said to be complete.

--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -199,21 +199,25 @@
         upkeep_(order.value("machine", ""));
         return {200, "{}", {}, false};
     }
-    const std::lock_guard lock(mutex_);
     if (call.method != "GET") {
         return {409, R"({"reason":"busy"})", {}, false};
     }
     nlohmann::json list =
         nlohmann::json::parse(R"({"machines": [], "next_token": null})");
-    for (const listed_machine& each : machines_) {
-        nlohmann::json row = nlohmann::json::parse(R"({"state": "up",
-            "zone": "zone-a", "labels": ["a", "r1-1"],
-            "capacity": {"cpu": 32000, "mem_mb": 65536, "gpu": 0}})");
-        row["machine"] = each.machine;
-        row["pool"] = each.pool;
-        row["id"] = each.worker;
-        list["machines"].push_back(std::move(row));
+    {
+        const std::lock_guard lock(mutex_);
+        ++lists_read_;
+        for (const listed_machine& each : machines_) {
+            nlohmann::json row = nlohmann::json::parse(R"({"state": "up",
+                "zone": "zone-a", "labels": ["a", "r1-1"],
+                "capacity": {"cpu": 32000, "mem_mb": 65536, "gpu": 0}})");
+            row["machine"] = each.machine;
+            row["pool"] = each.pool;
+            row["id"] = each.worker;
+            list["machines"].push_back(std::move(row));
+        }
     }
+    std::this_thread::sleep_for(list_delay_.load());
     return {200, list.dump(), {}, false};
 }
 
--- a/review/standin-2/deployment.hpp
+++ b/review/standin-2/deployment.hpp
@@ -58,6 +58,11 @@
     /// \brief Sets what carries out the upkeep of a machine; the order is
     /// answered with 200 when it returns.
     void on_upkeep(std::function<void(const std::string& machine)> handler);
+    /// \brief Sets how long the platform takes to answer with its list, which
+    /// is read when the request arrives.
+    void set_list_delay(milliseconds delay) { list_delay_ = delay; }
+    /// \returns how often the list has been read.
+    std::size_t lists_read() const { return lists_read_; }
     void set_machines(std::vector<listed_machine> machines);
     std::string control(std::size_t number) const;
     std::vector<std::string> controls() const;
@@ -92,6 +97,8 @@
     http_server platform_;
     std::mutex mutex_;
     std::vector<listed_machine> machines_;
+    std::atomic<milliseconds> list_delay_{milliseconds(0)};
+    std::atomic<std::size_t> lists_read_{0};
     std::function<void(const std::string&)> upkeep_;
 };
 
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -12,6 +12,7 @@
         {"large-batch", &review::send_large_batch},
         {"large-burst", &review::send_large_jobs_at_once},
         {"end-before-upkeep", &review::end_before_upkeep},
+        {"old-list", &review::list_read_before_wave},
         {"rolling-restart", &review::restart_gateway_and_leader}};
     if (argc != 3 || !scenarios.contains(argv[1])) {
         std::cerr << "usage: review-cases NAME FOLDER\n";
