Answer every call before a gateway ends

The connection was closed without an answer; the 503 that its log notes never left the process.

Cause: the process stopped at a fixed time whatever was open, the deadline of a call didn't depend on the time that the process had left, and the callers' connections were closed before the calls that waited for a leader had failed.

--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -96,17 +96,30 @@
 void leader_client::call(wire::JobCallT call, duration limit,
     reply_handler on_reply, failure_handler on_failure) {
     const instant now = runtime::system_clock::now();
+    if (now >= last_reply_) {
+        on_failure(call_failure::not_sent);
+        return;
+    }
     const std::uint64_t correlation = next_correlation_++;
     pending_call& added = pending_[correlation];
     added.content = wire::make_message(std::move(call), correlation);
     added.on_reply = std::move(on_reply);
     added.on_failure = std::move(on_failure);
     added.started_at = now;
-    added.deadline = now + limit;
-    added.unsent_deadline = now + std::min(limit, settings_.unsent_limit);
+    added.deadline = std::min(now + limit, last_reply_);
+    added.unsent_deadline =
+        std::min(added.deadline, now + settings_.unsent_limit);
     send(added);
 }
 
+void leader_client::end_calls_at(instant last) {
+    last_reply_ = last;
+    for (auto& [correlation, call] : pending_) {
+        call.deadline = std::min(call.deadline, last);
+        call.unsent_deadline = std::min(call.unsent_deadline, last);
+    }
+}
+
 void leader_client::send(pending_call& call) {
     if (link_->send(call.content)) {
         call.sent = true;
--- a/programs/gateway/leader_client.hpp
+++ b/programs/gateway/leader_client.hpp
@@ -53,6 +53,9 @@
     /// the client was stopped.
     void call(wire::JobCallT call, duration limit, reply_handler on_reply,
         failure_handler on_failure);
+    /// \brief Ends all calls by \p last: those that have no reply by then fail,
+    /// and so does each later one at once.
+    void end_calls_at(instant last);
     /// \brief Adds replicas at which the leader may be found.
     /// \param addresses "IP:port" each; known ones are ignored.
     void add_replicas(const std::vector<std::string>& addresses);
@@ -113,6 +116,8 @@
     bool reaches_leader_ = false;
     instant next_probe_{};
     instant leader_lost_at_{};
+    // No call is open after this time.
+    instant last_reply_ = instant::max();
 };
 
 } // namespace dragonflymount::gateway_program
