Take no VM of a wave for gone by a list older than the wave

Cause: vm_manager::update_list noted each VM of a wave that a list lacked as gone, whenever the list had been requested. Ruled out: the decoding of the list, and the replicated state, which did what it was told.

Now a list counts for the VMs of a wave only if it was requested since this leader has known the wave, and for no VM whose endpoint has reported since the request, as a list may be read page by page.

--- a/dragonflymount/src/Jobs/VmManager.cpp
+++ b/dragonflymount/src/Jobs/VmManager.cpp
@@ -31,6 +31,7 @@
     endpoint_of_.clear();
     refused_moves_.clear();
     maintenance_ordered_.clear();
+    wave_known_since_.clear();
     led_since_ = now;
     next_list_ = now;
 }
@@ -45,10 +46,27 @@
         list_[vm] = std::move(record);
     }
     end_unlisted_lives(requested, now);
+    note_gone_vms(requested);
+}
+
+// A list doesn't hold the VMs that joined after it was requested. The VMs of a
+// wave exist when the wave is known, and a VM exists while its endpoint
+// reports.
+bool vm_manager::is_gone(const vm_id& vm, instant requested) const {
+    const endpoint_view* view = find_vm(vm);
+    return !list_.contains(vm) && (view == nullptr || view->heard <= requested);
+}
+
+void vm_manager::note_gone_vms(instant requested) {
+    index_vms();
     for (const auto& [number, wave] : jobs_.agreed().waves()) {
+        const auto known = wave_known_since_.find(number);
+        if (known == wave_known_since_.end() || requested < known->second) {
+            continue;
+        }
         const auto finished = finished_vms(wave);
         for (const std::string& vm : wave.vms) {
-            if (!finished.contains(vm) && !list_.contains(vm_id(vm))) {
+            if (!finished.contains(vm) && is_gone(vm_id(vm), requested)) {
                 wire::MaintenanceStepT step;
                 step.wave = number;
                 step.vm = vm;
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -131,7 +131,8 @@
     bool wants_list(instant now) const { return now >= next_list_; }
     /// \brief Replaces the list of VMs.
     /// \param requested when the request for the list was sent. The list isn't
-    /// evidence about lives that have reported since.
+    /// evidence about lives that have reported since, nor about VMs of waves
+    /// that weren't known then.
     void update_list(
         std::vector<vm_record> list, instant requested, instant now);
     /// \brief Schedules a retry after a failed list request.
@@ -259,6 +260,8 @@
     const endpoint_view* find_vm(const vm_id& vm) const;
     void index_vms();
     void end_unlisted_lives(instant requested, instant now);
+    bool is_gone(const vm_id& vm, instant requested) const;
+    void note_gone_vms(instant requested);
     instant last_heard(const endpoint_life& life) const;
     bool is_silent(const endpoint_life& life, instant now) const;
     void request_list_if_silent(instant now);
@@ -335,6 +338,8 @@
     // and no other wave orders their maintenance meanwhile. The value is the
     // number of the wave.
     std::map<vm_id, std::uint64_t> maintenance_ordered_;
+    // Since when this leader has known each wave.
+    std::map<std::uint64_t, instant> wave_known_since_;
     // When each VM of the two sets above was reserved.
     std::map<vm_id, instant> reserved_since_;
     absl::flat_hash_map<vm_id, std::string, std::hash<vm_id>> endpoint_of_;
--- a/dragonflymount/src/Jobs/VmManagerWaves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerWaves.cpp
@@ -53,6 +53,7 @@
 void vm_manager::decide_waves(std::vector<vm_order>& orders, instant now) {
     chosen_for_wave_.clear();
     for (const auto& [number, wave] : jobs_.agreed().waves()) {
+        wave_known_since_.try_emplace(number, now);
         for (const auto& step : wave.steps) {
             if (step->phase == wire::maintenance_phase::ordered) {
                 note_ordered(*step);
--- a/tests/jobs/vm_manager_test.cpp
+++ b/tests/jobs/vm_manager_test.cpp
@@ -247,6 +247,33 @@
     EXPECT_NE(jobs_.agreed.find_run({task(7), 1}), nullptr);
 }
 
+// MIXED: a list that was requested before VMs joined and became part of a wave
+// counted them as gone, and the wave was complete before their maintenance.
+TEST_F(vm_orders, counts_no_vm_as_gone_by_a_list_requested_before_its_wave) {
+    const instant requested = now_;
+    run_for(300, {"e1", "e2"});
+    start_wave({"vm-e1", "vm-s"}, 1);
+    run_for(300, {"e2"});
+    list_vms({"e2"}, {}, requested);
+    commit_batches();
+    EXPECT_FALSE(is_complete(jobs_.agreed.waves().at(1)));
+    list_vms({"e2"}, {});
+    commit_batches();
+    EXPECT_TRUE(is_complete(jobs_.agreed.waves().at(1)));
+}
+
+// A list may be read page by page while VMs join and leave.
+TEST_F(vm_orders, counts_no_vm_as_gone_whose_endpoint_still_reports) {
+    report("e1");
+    start_wave({"vm-e1"}, 1);
+    run_for(300, {"e1"});
+    const instant requested = now_;
+    run_for(300, {"e1"});
+    list_vms({"e2"}, {}, requested);
+    commit_batches();
+    EXPECT_FALSE(is_complete(jobs_.agreed.waves().at(1)));
+}
+
 TEST_F(vm_orders, gives_no_second_order_while_one_is_in_flight) {
     report("e1");
     start_wave({"vm-e1"}, 1);
--- a/tests/jobs/vm_orders.hpp
+++ b/tests/jobs/vm_orders.hpp
@@ -47,9 +47,11 @@
             built, [](const auto&) {}, now_);
         commit_batches();
     }
-    /// Lists the VMs of \p endpoints in "pool" and \p standby on standby.
+    /// Lists the VMs of \p endpoints in "pool" and \p standby on standby, as a
+    /// list requested just now, or at \p requested, shows them.
     void list_vms(const std::vector<std::string>& endpoints,
-        const std::vector<std::string>& standby) {
+        const std::vector<std::string>& standby,
+        std::optional<instant> requested = std::nullopt) {
         std::vector<vm_record> list;
         list.reserve(endpoints.size() + standby.size());
         for (const std::string& endpoint : endpoints) {
@@ -60,7 +62,7 @@
             list.push_back({vm_id(vm), pool_id("standby"), vm_condition::up, "",
                 {4000, 4000, 0}});
         }
-        manager_.update_list(std::move(list), now_, now_);
+        manager_.update_list(std::move(list), requested.value_or(now_), now_);
     }
     void start_wave(const std::vector<std::string>& vms, std::uint32_t most,
         std::uint64_t number = 1) {
