Keep starts that an endpoint's next life may carry out

Cause: when a new life of an endpoint reported, all runs of the former life were taken as ended and their tasks started elsewhere at once. That is wrong for the starts in the reply to the former life's last report: the endpoint, back within the second in which it takes a reply, may carry them out. Their ends, listed later, were acknowledged and belonged to no run.

Ruled out: reports of a former life that are taken for the next one's (they are told apart by the number), and the lease's length. Not tested: a reply whose acknowledged number makes the next life forget its ends.

Now these starts end when the next life lists their end, which counts for them; when a report sent after that second doesn't list them; or with the lease. A leader that hasn't heard the former life treats all of its runs so. Until then they take room at the endpoint. Evidence about a crash is kept until the last run of the life is declared ended.

--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -10,12 +10,24 @@
 // a few reports a second. It must not make the life's own reports outdated.
 constexpr std::uint64_t max_sequence_step = std::uint64_t{1} << 40U;
 
+// Age of a life at which the replies to its former life have expired: that life
+// had sent its last report before.
+constexpr duration settled_age =
+    answer_timeout + answer_timeout * endpoint_drift_per_mille / 1000;
+
 template <class Map, class Key>
 std::uint64_t newest_in(const Map& map, const Key& key) {
     const auto found = map.find(key);
     return found == map.end() ? 0 : found->second;
 }
 
+// Whether the endpoint sent its last report after \p replies_end, when it drops
+// the replies to its former life. It sends a report once the one before has its
+// reply, or a timeout later.
+bool has_reported_since(const endpoint_view& view, instant replies_end) {
+    return view.heard_before >= replies_end || view.age >= settled_age;
+}
+
 } // namespace
 
 duration observed_time(const endpoint_view& view, const run_ref& run) {
@@ -32,6 +44,8 @@
     newest_of_vm_.clear();
     last_ended_life_.clear();
     crashed_.clear();
+    former_lives_.clear();
+    unknown_replies_end_ = now + answer_timeout;
     unknown_leases_end_ = lease_end(now, options_.longest_lease);
 }
 
@@ -82,6 +96,18 @@
     crashed_.insert_or_assign(life, std::move(view));
 }
 
+void endpoint_table::note_replaced(const endpoint_view& view) {
+    former_lives_.add(view.life,
+        {view.sent_starts, view.heard + answer_timeout, view.lease_ends});
+}
+
+void endpoint_table::forget_crashes(
+    const std::set<endpoint_life>& kept, instant now) {
+    std::erase_if(crashed_,
+        [&kept](const auto& entry) { return !kept.contains(entry.first); });
+    former_lives_.expire(now);
+}
+
 void endpoint_table::excuse_crashes(const std::set<vm_id>& reserved) {
     std::erase_if(crashed_, [&](const auto& entry) {
         const auto& [life, view] = entry;
@@ -123,6 +149,7 @@
     endpoint_view* known = find(report.life.endpoint);
     if (known == nullptr || known->life != report.life) {
         if (known != nullptr) {
+            note_replaced(*known);
             note_crash(std::move(*known));
         }
         note_newer_life(report);
@@ -146,6 +173,7 @@
     view.drain_ends = now + report.drain_remaining;
     view.warm_from = now + report.warmup_left;
     view.sequence = report.sequence;
+    view.age = report.sent;
     measure_delay(view, report, now);
     advance_observation(view, now);
     update_runs(view, report);
@@ -169,6 +197,7 @@
 
 void endpoint_table::advance_observation(endpoint_view& view, instant now) {
     view.observation_time += std::min(now, view.report_due) - view.heard;
+    view.heard_before = view.heard;
     view.heard = now;
     view.report_due = now + answer_timeout;
 }
@@ -251,6 +280,26 @@
     return now >= (view != nullptr ? view->lease_ends : unknown_leases_end_);
 }
 
+bool endpoint_table::may_run_in_next_life(
+    const endpoint_life& life, const run_ref& run, instant now) const {
+    const std::uint64_t newest = newest_in(newest_of_endpoint_, life.endpoint);
+    const std::uint64_t last_ended = newest_in(last_ended_life_, life.endpoint);
+    const endpoint_view* next = find(life.endpoint);
+    if (life.number >= newest || newest <= last_ended || next == nullptr) {
+        return false;
+    }
+    const former_life* former = former_lives_.find(life);
+    const bool may_have_begun = former != nullptr ? former->starts.contains(run)
+                                                  : life.number > last_ended;
+    const instant replies_end =
+        former != nullptr ? former->replies_end : unknown_replies_end_;
+    const instant lease_ends = std::max(next->lease_ends,
+        former != nullptr ? former->lease_ends : unknown_leases_end_);
+    const bool may_run = next->running.contains(run) ||
+        (may_have_begun && !has_reported_since(*next, replies_end));
+    return may_run && now < lease_ends;
+}
+
 void endpoint_table::note_end(const endpoint_life& life, const run_ref& run,
     wire::run_end how, instant now) {
     const auto found = views_.find(life.endpoint);
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -8,7 +8,7 @@
 #ifndef DRAGONFLYMOUNT_JOBS_ENDPOINTS_HPP
 #define DRAGONFLYMOUNT_JOBS_ENDPOINTS_HPP
 
-#include "dragonflymount/src/Jobs/State.hpp"
+#include "dragonflymount/src/Jobs/FormerLives.hpp"
 
 #include <optional>
 
@@ -80,8 +80,11 @@
     instant drain_ends{};
     instant warm_from{};
     std::uint64_t sequence = 0;
-    /// When the last report arrived.
+    /// When the last report arrived, and the one before it.
     instant heard{};
+    instant heard_before{};
+    /// The endpoint's clock in the last report: its age; zero if unknown.
+    duration age{};
     /// By how much the last report took longer to arrive than the fastest one
     /// of this life.
     duration report_delay{};
@@ -201,14 +204,18 @@
     void end_life(const endpoint_life& life);
     /// \brief Whether nothing can still be running in \p life.
     bool is_over(const endpoint_life& life, instant now) const;
+    /// \brief Whether a run that the log places in \p life, which is over, may
+    /// be running in the next life of the endpoint.
+    bool may_run_in_next_life(
+        const endpoint_life& life, const run_ref& run, instant now) const;
 
     /// \brief How \p life ended, given that it is over.
     life_end how_ended(const endpoint_life& life) const;
     /// \returns the last view of a crashed life, or null if none was heard.
     const endpoint_view* find_crashed(const endpoint_life& life) const;
-    /// \brief Drops what is known of crashed lives; called once their runs are
-    /// declared ended.
-    void forget_crashes() { crashed_.clear(); }
+    /// \brief Drops what is known of crashed lives, except of those in
+    /// \p kept; called once the runs of the others are declared ended.
+    void forget_crashes(const std::set<endpoint_life>& kept, instant now);
     /// \brief Regards the crashes of these VMs as planned: they were about to
     /// move or to be maintained.
     void excuse_crashes(const std::set<vm_id>& reserved);
@@ -243,6 +250,7 @@
     bool is_outdated(const endpoint_report& report) const;
     void note_newer_life(const endpoint_report& report);
     void note_crash(endpoint_view view);
+    void note_replaced(const endpoint_view& view);
     static void advance_observation(endpoint_view& view, instant now);
     static void measure_delay(
         endpoint_view& view, const endpoint_report& report, instant now);
@@ -260,7 +268,10 @@
     // Lives that ended without an announcement since forget_crashes, with their
     // last view.
     std::map<endpoint_life, endpoint_view> crashed_;
+    former_lives former_lives_;
     std::uint64_t ended_lives_ = 0;
+    // When endpoints drop the replies of earlier leaders.
+    instant unknown_replies_end_{};
     // Latest end of the leases that earlier leaders can have granted.
     instant unknown_leases_end_{};
 };
--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -171,6 +171,15 @@
         add_end(batch, pending.end.run, pending.life, pending.end.how);
         batch.ended.back()->checkpoint = pending.end.checkpoint;
         batch.ended.back()->number = pending.end.number;
+        // The number belongs to the life that listed the end, the run to the
+        // one that the log names.
+        const run_ref& run = pending.end.run;
+        if (const wire::TaskRunT* record =
+                find_former_run(agreed_, pending.life, run)) {
+            add_end(
+                batch, run, {record->endpoint, record->life}, pending.end.how);
+            batch.ended.back()->checkpoint = pending.end.checkpoint;
+        }
     }
     const auto vanished = std::move(vanished_);
     vanished_.clear();
@@ -194,12 +203,17 @@
 void engine::collect_lapsed(wire::JobBatchT& batch, instant now) {
     ++lapse_checks_;
     endpoints_.excuse_crashes(reserved_);
+    std::set<endpoint_life> kept;
     for (const auto& [life, load] : agreed_.loads()) {
         if (!endpoints_.is_over(life, now)) {
             continue;
         }
         const endpoint_view* view = endpoints_.find_life(life);
         for (const auto& [run, crash] : evidence_of(life, load)) {
+            if (endpoints_.may_run_in_next_life(life, run, now)) {
+                kept.insert(life);
+                continue;
+            }
             declared_ended_.insert(run);
             add_end(batch, run, life, wire::run_end::lapsed);
             batch.ended.back()->crash = crash;
@@ -209,7 +223,7 @@
             }
         }
     }
-    endpoints_.forget_crashes();
+    endpoints_.forget_crashes(kept, now);
 }
 
 void engine::collect_due(wire::JobBatchT& batch, std::uint64_t wall_ms) const {
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -183,6 +183,7 @@
     std::set<run_ref> fitting_starts(
         const endpoint_view& view, const endpoint_load& load) const;
     resources room_of_run(const run_ref& run) const;
+    resources room_of_former_runs(const endpoint_view& view) const;
     void note_changed_endpoints(const wire::JobBatchT& batch);
     void mark_endpoints_of(const wire::JobT& job);
     void mark_endpoints_of_changed_jobs();
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -137,8 +137,27 @@
     return place ? room_of(*place.step) : resources{};
 }
 
+// Returns the room of the runs that the log places in former lives of the
+// endpoint and that this life may begin.
+resources engine::room_of_former_runs(const endpoint_view& view) const {
+    resources room;
+    const auto& loads = agreed_.loads();
+    for (auto former = loads.lower_bound({view.life.endpoint, 0});
+         former != loads.end() && former->first < view.life; ++former) {
+        const auto& [life, load] = *former;
+        for (const run_ref& run : load.runs) {
+            if (is_unlisted(view, run) &&
+                endpoints_.may_run_in_next_life(life, run, view.heard)) {
+                room += room_of_run(run);
+            }
+        }
+    }
+    return room;
+}
+
 // Returns the starts that the endpoint hasn't listed and that fit into the
-// capacity that it states now, beside all that it still lists as running.
+// capacity that it states now, beside all that it still lists as running or
+// may begin.
 std::set<run_ref> engine::fitting_starts(
     const endpoint_view& view, const endpoint_load& load) const {
     std::set<run_ref> fitting;
@@ -146,7 +165,7 @@
             [&](const run_ref& run) { return is_unlisted(view, run); })) {
         return fitting;
     }
-    resources room = view.capacity;
+    resources room = view.capacity - room_of_former_runs(view);
     for (const auto& [run, progress] : view.running) {
         room -= room_of_run(run);
     }
