Let an exit message end an endpoint's life only if it drains

What was seen: the exit message of a former life, arriving after the next life of the endpoint has reported, ended that one; its tasks were started elsewhere while they ran on (TWICE).

Cause: the message names an endpoint and no life, and engine::remove_endpoint ended whichever life it held. Each life reports that it drains before it exits, so a message about one that doesn't drain is a former life's, or its draining report was lost; then the lease or the VM list ends it.

Tests: next_life.is_not_ended_by_a_late_exit_of_its_former_life failed without the condition (trial); next_life.is_over_once_it_has_drained_and_exits.

--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -97,6 +97,11 @@
     /// \brief Removes an endpoint whose runs have all ended, because it shut
     /// down or its VM was moved or maintained.
     void remove_endpoint(const std::string& endpoint);
+    /// \brief Removes an endpoint that says it exits. It names no life, so this
+    /// may be a late message of a former one. Each life drains before it exits;
+    /// for one that doesn't, the message changes nothing.
+    /// \returns whether the endpoint is unknown now.
+    bool leave(const std::string& endpoint);
     /// \brief Proposes a catalogue, unless the one in force is as new or newer.
     void put_catalogue(wire::CatalogueT catalogue, commit_handler on_commit);
     void start_wave(wire::MaintenanceWaveT wave, commit_handler on_commit);
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -191,6 +191,15 @@
     placement_due_ = placement_due_ || may_trigger_round();
 }
 
+bool engine::leave(const std::string& endpoint) {
+    const endpoint_view* view = endpoints_.find(endpoint);
+    if (view != nullptr && !view->draining) {
+        return false;
+    }
+    remove_endpoint(endpoint);
+    return true;
+}
+
 // When many endpoints are busy at once, reports can arrive faster than the
 // leader replies; they then time out and are sent again, which adds load. The
 // smoothed delay lengthens the report interval to prevent this.
--- a/tests/jobs/next_life_test.cpp
+++ b/tests/jobs/next_life_test.cpp
@@ -140,5 +140,29 @@
     EXPECT_TRUE(has_run(second_run));
 }
 
+// TWICE: the announcement names no life, and ended the one that had just begun.
+TEST_F(next_life, is_not_ended_by_a_late_exit_of_its_former_life) {
+    endpoint_report draining = make_report("e1", 1);
+    draining.draining = true;
+    report(draining);
+    restart_e1();
+    report(next_report());
+    jobs_.submit(job_builder(7).step(1).build());
+    advance(100);
+    ASSERT_TRUE(has_run(first_run));
+    EXPECT_FALSE(engine_.leave("e1"));
+    advance(100);
+    EXPECT_TRUE(has_run(first_run));
+}
+
+TEST_F(next_life, is_over_once_it_has_drained_and_exits) {
+    report(make_report("e1", 1));
+    endpoint_report draining = make_report("e1", 2);
+    draining.draining = true;
+    report(draining);
+    EXPECT_TRUE(engine_.leave("e1"));
+    EXPECT_EQ(engine_.endpoints().find("e1"), nullptr);
+}
+
 } // namespace
 } // namespace dragonflymount::jobs::test
