--- a/tests/jobs/restarts_test.cpp
+++ b/tests/jobs/restarts_test.cpp
@@ -25,7 +25,7 @@
 constexpr std::uint64_t job_count = 40;
 constexpr int endpoint_count = 8;
 // The tasks for which an endpoint has room; it doesn't guard its capacity.
-constexpr std::size_t places = 4;
+constexpr std::size_t places_of_endpoint = 4;
 
 std::int64_t to_ms(duration span) {
     return std::chrono::duration_cast<milliseconds>(span).count();
@@ -345,7 +345,7 @@
             if (!each.is_up(now_)) {
                 continue;
             }
-            EXPECT_LE(each.running.size(), places) << each.name;
+            EXPECT_LE(each.running.size(), places_of_endpoint) << each.name;
             for (const auto& [run, done_ms] : each.running) {
                 const auto [other, is_only] =
                     endpoint_of.emplace(run.task, each.name);
