Bound what clients can make a server hold

Callers saw: clients that keep to no limit ended a gateway, which ran out of memory. Cause: Beast bounds a header and a body, but neither trailers nor the head of a chunk, which stayed in the connection's buffer; and nothing bounded the requests that are being read together, nor connections, nor replies that nobody reads.

A buffer beyond the header's limit is refused (431). runtime::request_budget counts what requests hold, fields of unfinished headers included, and names the largest one that is being read, which gets a 503. Beyond 'connections' the one that has waited the longest is closed. Defaults come from the machine's memory and descriptors.

--- a/dragonflymount/src/Core/Event.hpp
+++ b/dragonflymount/src/Core/Event.hpp
@@ -75,6 +75,7 @@
     frame_refused = 702,
 };
 
+    clients_turned_away = 703,
 struct event_name {
     event number;
     std::string_view name;
@@ -144,6 +145,7 @@
 
 constexpr std::string_view name_of(event number) {
     for (const event_name& entry : event_names) {
+    event_name{event::clients_turned_away, "clients_turned_away"},
         if (entry.number == number) {
             return entry.name;
         }
--- a/dragonflymount/src/Runtime/Http.hpp
+++ b/dragonflymount/src/Runtime/Http.hpp
@@ -7,6 +7,7 @@
 #define DRAGONFLYMOUNT_RUNTIME_HTTP_HPP
 
 #include "dragonflymount/src/Runtime/Clock.hpp"
+#include "dragonflymount/src/Runtime/RequestBudget.hpp"
 
 #include <asio.hpp>
 
@@ -45,15 +46,37 @@
 struct http_limits {
     std::uint32_t header_bytes = 16U << 10U;
     std::uint64_t body_bytes = 256U << 10U;
+    /// Bytes of all requests that are being read or whose reply is owed. Beyond
+    /// it the largest request that is being read is refused.
+    std::uint64_t request_memory = 16U << 20U;
+    /// Open connections. Beyond it the one that has waited the longest for a
+    /// request, or for the rest of one, is closed.
+    std::size_t connections = 1024;
     /// From the first byte of a request to its last.
     duration request_timeout = std::chrono::seconds(5);
     /// Drop a request whose caller has closed the connection before it is
     /// handled. Only for callers that don't close their sending side alone.
     bool drop_abandoned = false;
-    /// Between two requests of a connection.
+    /// Between two requests of a connection, and until a caller has taken a
+    /// reply.
     duration idle_timeout = std::chrono::seconds(20);
 };
 
+/// \brief Limits of servers for checks of readiness and for metrics, whose
+/// requests have no body.
+inline constexpr http_limits probe_limits{
+    .body_bytes = 4U << 10U, .request_memory = 1U << 20U, .connections = 64};
+
+/// \brief How many clients a server has turned away for their use of memory or
+/// connections.
+struct http_refusals {
+    std::uint64_t requests_over_memory = 0;
+    std::uint64_t closed_connections = 0;
+
+    friend bool operator==(
+        const http_refusals&, const http_refusals&) = default;
+};
+
 class http_session;
 
 /// \brief Accepts connections and hands each whole request to the handler.
@@ -83,6 +106,8 @@
     /// \returns the number of replies since the start that were dropped
     /// because their connection was gone.
     std::uint64_t undelivered() const { return undelivered_; }
+    /// \returns the clients turned away since the start.
+    const http_refusals& refusals() const { return refusals_; }
     std::string address() const;
 
 private:
@@ -91,7 +116,11 @@
     void accept();
     void accept_later();
     void begin_session(asio::ip::tcp::socket socket);
+    void make_room();
+    void hold(http_session* session, std::uint64_t bytes);
+    void close(const std::shared_ptr<http_session>& session);
     void sweep();
+    void log_refusals();
 
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer sweep_timer_;
@@ -102,6 +131,9 @@
     std::size_t open_requests_ = 0;
     std::uint64_t accepted_ = 0;
     std::uint64_t undelivered_ = 0;
+    request_budget<http_session*> budget_;
+    http_refusals refusals_;
+    http_refusals logged_refusals_;
     bool draining_ = false;
 };
 
--- a/dragonflymount/src/Runtime/HttpServer.cpp
+++ b/dragonflymount/src/Runtime/HttpServer.cpp
@@ -15,6 +15,23 @@
 
 constexpr duration sweep_interval = std::chrono::seconds(1);
 
+// Sent as Retry-After with a request that was refused for want of memory: by
+// then the requests that fill it have been read or have timed out.
+constexpr const char* memory_retry_seconds = "5";
+
+// Memory of a header field besides its text.
+constexpr std::uint64_t field_bytes = 128;
+
+template <class Fields>
+std::uint64_t memory_of(const Fields& fields) {
+    std::uint64_t bytes = 0;
+    for (const auto& field : fields) {
+        bytes +=
+            field_bytes + field.name_string().size() + field.value().size();
+    }
+    return bytes;
+}
+
 std::string_view find_header(
     const http_headers& headers, std::string_view name) {
     for (const auto& [key, value] : headers) {
@@ -68,6 +85,7 @@
         if (replying_) {
             --server_->open_requests_;
         }
+        server_->budget_.release(this);
         server_ = nullptr;
         asio::error_code ignored;
         socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -75,12 +93,34 @@
     }
 
     bool is_overdue(instant now) const {
-        if (replying_) {
+        if (replying_ && !writing_) {
             return false;
         }
         const http_limits& limits = server_->limits_;
+        const bool reading = begun_ && !writing_;
         return now - since_ >
-            (begun_ ? limits.request_timeout : limits.idle_timeout);
+            (reading ? limits.request_timeout : limits.idle_timeout);
+    }
+
+    /// \returns since when the session has waited for a request or the rest of
+    /// one, or nothing if a reply is owed.
+    std::optional<instant> waits_since() const {
+        return replying_ ? std::nullopt : std::optional(since_);
+    }
+
+    // What follows a message that isn't read to its end can't be told from it.
+    void refuse(unsigned status) {
+        replying_ = true;
+        close_after_ = true;
+        ++server_->open_requests_;
+        server_->budget_.release(this);
+        parser_.reset();
+        std::string().swap(buffer_);
+        http_response content{status, {}, {}};
+        if (status == 503) {
+            content.headers.emplace_back("Retry-After", memory_retry_seconds);
+        }
+        reply(content);
     }
 
 private:
@@ -92,6 +132,7 @@
         parser_->body_limit(server_->limits_.body_bytes);
         parser_->eager(true);
         since_ = system_clock::now();
+        header_done_ = false;
         begun_ = !buffer_.empty();
         if (begun_) {
             parse();
@@ -106,6 +147,9 @@
                 if (self->server_ == nullptr) {
                     return;
                 }
+                if (self->replying_) {
+                    return;
+                }
                 if (code) {
                     self->leave();
                     return;
@@ -125,9 +169,10 @@
             return;
         }
         if (!parser_->is_done()) {
-            read();
+            read_on();
             return;
         }
+        server_->budget_.settle(this);
         if (server_->limits_.drop_abandoned && is_abandoned()) {
             leave();
             return;
@@ -149,6 +194,25 @@
             });
     }
 
+    // Reads the rest of a request. What the parser leaves in the buffer is the
+    // begin of a header, of a chunk's head, or of the trailers, none of which
+    // it bounds by itself.
+    void read_on() {
+        if (buffer_.size() > server_->limits_.header_bytes) {
+            refuse(431);
+            return;
+        }
+        // The parser stores each field as soon as its line is there.
+        if (!header_done_) {
+            header_bytes_ = memory_of(parser_->get().base());
+            header_done_ = parser_->is_header_done();
+        }
+        read();
+        server_->hold(this,
+            buffer_.capacity() + header_bytes_ +
+                parser_->get().body().capacity());
+    }
+
     bool is_abandoned() {
         std::array<char, 1> next{};
         asio::error_code code;
@@ -158,19 +222,13 @@
             code == asio::error::connection_reset;
     }
 
-    // What follows a message that can't be parsed can't be trusted either.
-    void refuse(unsigned status) {
-        replying_ = true;
-        close_after_ = true;
-        ++server_->open_requests_;
-        reply({status, {}, {}});
-    }
-
     void reply(const http_response& content) {
         if (server_ == nullptr || !replying_) {
             return;
         }
         close_after_ = close_after_ || server_->draining_;
+        writing_ = true;
+        since_ = system_clock::now();
         outgoing_ = encode(content, close_after_);
         asio::async_write(socket_, asio::buffer(outgoing_),
             [self = shared_from_this()](std::error_code code, std::size_t) {
@@ -183,6 +241,11 @@
     void written(std::error_code code) {
         --server_->open_requests_;
         replying_ = false;
+        writing_ = false;
+        server_->budget_.release(this);
+        if (buffer_.empty()) {
+            std::string().swap(buffer_);
+        }
         if (code) {
             ++server_->undelivered_;
         }
@@ -210,12 +273,17 @@
     // A whole request was read, and its reply isn't written yet.
     bool replying_ = false;
     bool close_after_ = false;
+    // The reply is being written.
+    bool writing_ = false;
+    bool header_done_ = false;
+    // Memory of the header fields that have been read.
+    std::uint64_t header_bytes_ = 0;
     instant since_{};
 };
 
 http_server::http_server(asio::io_context& context, http_limits limits)
     : acceptor_(context), sweep_timer_(context), accept_timer_(context),
-      limits_(limits) {}
+      limits_(limits), budget_(limits.request_memory) {}
 
 http_server::~http_server() {
     stop();
@@ -270,12 +338,62 @@
 }
 
 void http_server::begin_session(asio::ip::tcp::socket socket) {
+    make_room();
+    if (sessions_.size() >= limits_.connections) {
+        ++refusals_.closed_connections;
+        return;
+    }
     auto session = std::make_shared<http_session>(*this, std::move(socket));
     sessions_.insert(session);
     ++accepted_;
     session->start();
 }
 
+// Load pattern: clients open connections without number and leave them open.
+// Ordinary callers send their request at once, so the connection that has
+// waited the longest is the least likely to be one of theirs.
+void http_server::make_room() {
+    if (sessions_.size() < limits_.connections) {
+        return;
+    }
+    std::shared_ptr<http_session> oldest;
+    for (const auto& session : sessions_) {
+        const auto since = session->waits_since();
+        if (since && (!oldest || *since < *oldest->waits_since())) {
+            oldest = session;
+        }
+    }
+    if (oldest) {
+        ++refusals_.closed_connections;
+        close(oldest);
+    }
+}
+
+void http_server::hold(http_session* session, std::uint64_t bytes) {
+    budget_.hold(session, bytes);
+    while (const auto largest = budget_.surplus()) {
+        ++refusals_.requests_over_memory;
+        (*largest)->refuse(503);
+    }
+}
+
+void http_server::close(const std::shared_ptr<http_session>& session) {
+    session->close();
+    sessions_.erase(session);
+}
+
+void http_server::log_refusals() {
+    if (refusals_ == logged_refusals_) {
+        return;
+    }
+    logged_refusals_ = refusals_;
+    LOG(WARNING) << event::clients_turned_away
+                 << "requests_over_memory=" << refusals_.requests_over_memory
+                 << " closed_connections=" << refusals_.closed_connections
+                 << " connections=" << sessions_.size()
+                 << " request_bytes=" << budget_.total();
+}
+
 void http_server::sweep() {
     sweep_timer_.expires_after(sweep_interval);
     sweep_timer_.async_wait([this](std::error_code code) {
@@ -291,6 +409,7 @@
                 ++it;
             }
         }
+        log_refusals();
         sweep();
     });
 }
--- a/tests/cli/program.hpp
+++ b/tests/cli/program.hpp
@@ -94,6 +94,7 @@
     process(const process&) = delete;
     process& operator=(const process&) = delete;
 
+    pid_t id() const { return pid_; }
     void signal(int number) const {
         if (pid_ > 0) {
             ::kill(pid_, number);
--- a/tests/platform/control_face_test.cpp
+++ b/tests/platform/control_face_test.cpp
@@ -47,7 +47,8 @@
         EXPECT_TRUE(read.ok()) << read.message();
         scheduler_.emplace(context_,
             scheduler_program::make_scheduler_settings(read.settings));
-        face_.emplace(context_, address_, "127.0.0.1:0", *scheduler_);
+        face_.emplace(context_, address_, "127.0.0.1:0",
+            make_control_limits(read.settings), *scheduler_);
         EXPECT_TRUE(scheduler_->start());
         EXPECT_TRUE(face_->start());
         run_until([this] { return scheduler_->is_ready(); });
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -26,6 +26,9 @@
     int report_ms = 1500;
     int lost_disks = 1;
     std::string orders_per_second = "64.0";
+    std::string remote_factor = "3";
+    int memory_mb = 160;
+    int descriptors = 4100;
     std::string seeds = "127.0.0.1:9101,127.0.0.1:9102,127.0.0.1:9103";
 };
 
@@ -54,7 +57,11 @@
             {"{{bounds.move_s}}", site.move_s},
             {"{{bounds.grace_s}}", absl::StrCat(site.grace_s)},
             {"{{heartbeat_ms}}", absl::StrCat(site.report_ms)},
-            {"{{cloud.duty_per_s}}", site.orders_per_second}});
+            {"{{cloud.duty_per_s}}", site.orders_per_second},
+            {"{{#zones}}{{@}}{{,}}{{/zones}}", "a,b,c"},
+            {"{{bounds.remote_factor}}", site.remote_factor},
+            {"{{limits.memory_mb}}", absl::StrCat(site.memory_mb)},
+            {"{{limits.max_fds}}", absl::StrCat(site.descriptors)}});
 }
 
 void check_times(const scheduler_program::scheduler_settings& made,
@@ -107,7 +114,8 @@
     made.replica.data = folder.string();
     asio::io_context context(1);
     scheduler_program::scheduler scheduler(context, made);
-    control_face face(context, "127.0.0.1:0", "127.0.0.1:0", scheduler);
+    control_face face(context, "127.0.0.1:0", "127.0.0.1:0",
+        make_control_limits(read.settings), scheduler);
     vm_service vms(context, make_vm_settings(read.settings), scheduler);
     EXPECT_TRUE(scheduler.start());
     EXPECT_TRUE(face.start());
