--- a/dragonflymount/jobs.hpp
+++ b/dragonflymount/jobs.hpp
@@ -7,6 +7,7 @@
 #include "dragonflymount/src/Jobs/CrashCounts.hpp"
 #include "dragonflymount/src/Jobs/Endpoints.hpp"
 #include "dragonflymount/src/Jobs/Engine.hpp"
+#include "dragonflymount/src/Jobs/Evacuations.hpp"
 #include "dragonflymount/src/Jobs/Placement.hpp"
 #include "dragonflymount/src/Jobs/RouteTable.hpp"
 #include "dragonflymount/src/Jobs/State.hpp"
--- a/dragonflymount/src/Core/Event.hpp
+++ b/dragonflymount/src/Core/Event.hpp
@@ -71,11 +71,13 @@
     vm_ordered = 606,
     vm_service_failed = 607,
     pools_divided = 608,
+    zone_evacuated = 609,
+    zone_evacuation_ended = 610,
     connection_failed = 701,
     frame_refused = 702,
+    clients_turned_away = 703,
 };
 
-    clients_turned_away = 703,
 struct event_name {
     event number;
     std::string_view name;
@@ -139,13 +141,15 @@
     event_name{event::vm_ordered, "vm_ordered"},
     event_name{event::vm_service_failed, "vm_service_failed"},
     event_name{event::pools_divided, "pools_divided"},
+    event_name{event::zone_evacuated, "zone_evacuated"},
+    event_name{event::zone_evacuation_ended, "zone_evacuation_ended"},
     event_name{event::connection_failed, "connection_failed"},
     event_name{event::frame_refused, "frame_refused"},
+    event_name{event::clients_turned_away, "clients_turned_away"},
 };
 
 constexpr std::string_view name_of(event number) {
     for (const event_name& entry : event_names) {
-    event_name{event::clients_turned_away, "clients_turned_away"},
         if (entry.number == number) {
             return entry.name;
         }
--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -30,6 +30,12 @@
 
 } // namespace
 
+bool has_label(const endpoint_view& view, const wire::JobStepT& step) {
+    return step.required_label.empty() ||
+        std::find(view.labels.begin(), view.labels.end(),
+            step.required_label) != view.labels.end();
+}
+
 duration observed_time(const endpoint_view& view, const run_ref& run) {
     const auto found = view.running.find(run);
     return found == view.running.end()
--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -74,6 +74,8 @@
     catalogue_.reset();
     waves_.clear();
     maintained_.clear();
+    evacuations_.clear();
+    evacuations_in_flight_ = false;
     vanished_.clear();
     ends_in_flight_.clear();
     submits_in_flight_.clear();
@@ -118,6 +120,8 @@
     waves_.clear();
     batch.maintained = std::move(maintained_);
     maintained_.clear();
+    batch.evacuations = std::move(evacuations_);
+    evacuations_.clear();
     for (const auto& job : batch.submitted) {
         submits_in_flight_.insert(job_id(job->id));
     }
@@ -130,9 +134,9 @@
     cancelled_.clear();
     collect_ended(batch, now);
     collect_due(batch, wall_ms);
-    // No starts in a batch that replaces the catalogue: they were chosen under
-    // the old limits and could exceed the new ones.
-    if (!batch.catalogue && placement_due_) {
+    // No starts in a batch that replaces the catalogue or evacuates a zone:
+    // they were chosen under the old limits and zones.
+    if (!batch.catalogue && batch.evacuations.empty() && placement_due_) {
         placement_due_ = false;
         ++placement_rounds_;
         collect_starts(batch, now);
@@ -141,7 +145,8 @@
     const bool empty = !batch.catalogue && batch.submitted.empty() &&
         batch.cancelled.empty() && batch.ended.empty() && batch.due.empty() &&
         batch.started.empty() && batch.waves.empty() &&
-        batch.maintained.empty() && committers_.empty();
+        batch.maintained.empty() && batch.evacuations.empty() &&
+        committers_.empty();
     if (empty) {
         reply_to_acknowledged(now);
         return std::nullopt;
@@ -150,6 +155,7 @@
     committers_in_flight_ = std::move(committers_);
     committers_.clear();
     batch_in_flight_ = true;
+    evacuations_in_flight_ = !batch.evacuations.empty();
     return batch;
 }
 
@@ -266,6 +272,7 @@
         return;
     }
     batch_in_flight_ = false;
+    evacuations_in_flight_ = false;
     unconfirmed_.commit();
     placement_due_ = true;
     reset_scan_limits();
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -106,6 +106,10 @@
     void put_catalogue(wire::CatalogueT catalogue, commit_handler on_commit);
     void start_wave(wire::MaintenanceWaveT wave, commit_handler on_commit);
     void note_maintenance(const wire::MaintenanceStepT& step);
+    /// \brief Proposes the evacuation of a zone or its end. \p on_commit is
+    /// called at once if the agreed state is already as requested.
+    void evacuate(
+        const wire::EvacuationChangeT& change, const commit_handler& on_commit);
 
     /// \brief Handles what depends on the time: requests a placement round,
     /// ends shared quarantines, drops evidence about finished tasks, and
@@ -182,6 +186,8 @@
     void add_end(wire::JobBatchT& batch, const run_ref& run,
         const endpoint_life& life, wire::run_end how) const;
     bool is_unlisted(const endpoint_view& view, const run_ref& run) const;
+    bool may_start_tasks(const endpoint_view& view) const;
+    void stop_gang_of(const run_ref& run);
     void note_unneeded_starts(endpoint_view& view);
     void note_unfitting_starts(
         const endpoint_view& view, const endpoint_load& load);
@@ -230,6 +236,7 @@
     std::unique_ptr<wire::CatalogueT> catalogue_;
     std::vector<std::unique_ptr<wire::MaintenanceWaveT>> waves_;
     std::vector<std::unique_ptr<wire::MaintenanceStepT>> maintained_;
+    std::vector<std::unique_ptr<wire::EvacuationChangeT>> evacuations_;
     // Runs that aren't running and for which no end was reported; the next
     // batch declares them lost.
     std::set<run_ref> vanished_;
@@ -244,6 +251,7 @@
 
     // The batch in flight.
     bool batch_in_flight_ = false;
+    bool evacuations_in_flight_ = false;
     std::vector<pending_end> ends_in_flight_;
 
     // Callbacks that wait for a batch to be committed.
--- a/dragonflymount/src/Jobs/EngineCalls.cpp
+++ b/dragonflymount/src/Jobs/EngineCalls.cpp
@@ -145,6 +145,20 @@
     waves_.push_back(std::make_unique<wire::MaintenanceWaveT>(std::move(wave)));
 }
 
+// While another change is under way, even a change that the agreed state
+// already satisfies is proposed, so that the last one of several operators
+// counts.
+void engine::evacuate(
+    const wire::EvacuationChangeT& change, const commit_handler& on_commit) {
+    if (evacuations_.empty() && !evacuations_in_flight_ &&
+        agreed_.evacuated_zones().satisfies(change)) {
+        on_commit(true);
+        return;
+    }
+    committers_.push_back(on_commit);
+    evacuations_.push_back(std::make_unique<wire::EvacuationChangeT>(change));
+}
+
 void engine::note_maintenance(const wire::MaintenanceStepT& step) {
     maintained_.push_back(std::make_unique<wire::MaintenanceStepT>(step));
 }
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -98,6 +98,28 @@
     return !view.running.contains(run) && !view.ended.contains(run);
 }
 
+// An endpoint that drains or whose zone is evacuated is told to start nothing,
+// not even what was placed there before.
+bool engine::may_start_tasks(const endpoint_view& view) const {
+    return !view.draining && !agreed_.evacuated_zones().contains(view.zone);
+}
+
+// Stops the other members of a gang of which one member won't start, so that
+// they don't wait for it.
+void engine::stop_gang_of(const run_ref& run) {
+    const task_place place = agreed_.find_task(run.task);
+    if (!place || !place.step->gang) {
+        return;
+    }
+    for (std::uint32_t k = 0; k < place.group->tasks.size(); ++k) {
+        task_name member = run.task;
+        member.index = k;
+        for (const auto& record : place.group->tasks[k]->runs) {
+            request_stop({member, record->number});
+        }
+    }
+}
+
 // Declares runs lost that their endpoint doesn't list and that must not start
 // any more. If the report came after the start was sent, such a run has not
 // begun; it never will, because endpoints apply orders in the order of their
@@ -111,8 +133,11 @@
         if (!is_unlisted(view, run)) {
             continue;
         }
-        if (!agreed_.is_wanted(run) || view.draining) {
+        if (!agreed_.is_wanted(run) || !may_start_tasks(view)) {
             vanished_.insert(run);
+            if (!view.draining) {
+                stop_gang_of(run);
+            }
         }
     }
     if (!load->used.fits(view.capacity)) {
@@ -251,6 +276,7 @@
     orders.fence = term_.value();
     orders.retry = has_ending_tasks(view) ? busy_retry() : options_.idle_retry;
     const endpoint_load* load = agreed_.load_of(view.life);
+    const bool may_start = may_start_tasks(view);
     std::vector<run_ref> kept;
     if (load != nullptr) {
         kept.reserve(load->runs.size());
@@ -262,7 +288,7 @@
             if (wanted) {
                 kept.push_back(run);
             }
-            if (!wanted || view.draining || !fitting.contains(run)) {
+            if (!wanted || !may_start || !fitting.contains(run)) {
                 continue;
             }
             if (is_suspect(*place.task) && waited > fresh_report_age) {
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -130,7 +130,8 @@
 void placement::group_endpoints() {
     for (const auto& [endpoint, view] : endpoints_.views()) {
         if (endpoints_.can_take_tasks(view, now_) &&
-            !reserved_.contains(view.vm)) {
+            !reserved_.contains(view.vm) &&
+            !agreed_.evacuated_zones().contains(view.zone)) {
             endpoints_of_[view.pool.str()].push_back(&view);
         }
     }
@@ -376,7 +377,7 @@
         !may_start_at(open, name.index, place)) {
         return false;
     }
-    if (!step.required_label.empty() && !has_label(view, step.required_label)) {
+    if (!has_label(view, step)) {
         return false;
     }
     if (step.anti_affinity > 0) {
--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -215,6 +215,9 @@
     for (const auto& step : batch.maintained) {
         apply(*step);
     }
+    for (const auto& change : batch.evacuations) {
+        evacuations_.apply(*change, time_ms_);
+    }
     remove_expired();
 }
 
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -1,6 +1,6 @@
 // The replicated state of the job scheduler: the catalogue in force, every
-// accepted job, every run that may still be executing, and the maintenance
-// waves.
+// accepted job, every run that may still be executing, the maintenance waves
+// and the evacuations of zones.
 //
 // This is a deterministic state machine that applies the batches of the
 // replicated log. Reports of endpoints are not part of it; only the ends of
@@ -9,6 +9,7 @@
 #define DRAGONFLYMOUNT_JOBS_STATE_HPP
 
 #include "dragonflymount/src/Jobs/CrashCounts.hpp"
+#include "dragonflymount/src/Jobs/Evacuations.hpp"
 #include "dragonflymount/src/Jobs/RouteTable.hpp"
 #include "dragonflymount/src/Jobs/Types.hpp"
 
@@ -166,6 +167,8 @@
     const std::map<std::uint64_t, wire::MaintenanceWaveT>& waves() const {
         return waves_;
     }
+    /// \returns the zones whose endpoints start no task.
+    const evacuations& evacuated_zones() const { return evacuations_; }
     std::uint64_t time_ms() const { return time_ms_; }
 
 private:
@@ -212,6 +215,7 @@
     // Invariant: no element of acks_ was touched before this time.
     std::uint64_t acks_touched_from_ms_ = 0;
     std::map<std::uint64_t, wire::MaintenanceWaveT> waves_;
+    evacuations evacuations_;
 
     // Indexes over the members above, updated with each change and rebuilt
     // when an image is loaded.
--- a/dragonflymount/src/Jobs/StateImage.cpp
+++ b/dragonflymount/src/Jobs/StateImage.cpp
@@ -42,13 +42,23 @@
     return packed;
 }
 
+std::vector<flatbuffers::Offset<wire::Evacuation>>
+state_image::pack_evacuations() {
+    std::vector<flatbuffers::Offset<wire::Evacuation>> packed;
+    for (const wire::EvacuationT& entry : source_->evacuations_.save()) {
+        packed.push_back(wire::CreateEvacuation(builder_, &entry));
+    }
+    return packed;
+}
+
 bytes state_image::finish() {
     const auto catalogue =
         wire::CreateCatalogue(builder_, source_->catalogue_.get());
     const auto acks = pack_acks();
     const auto waves = pack_waves();
-    builder_.Finish(wire::CreateSchedulerImageDirect(
-        builder_, source_->time_ms_, catalogue, &jobs_, &acks, &waves));
+    const auto evacuated = pack_evacuations();
+    builder_.Finish(wire::CreateSchedulerImageDirect(builder_,
+        source_->time_ms_, catalogue, &jobs_, &acks, &waves, &evacuated));
     return {builder_.GetBufferPointer(),
         builder_.GetBufferPointer() + builder_.GetSize()};
 }
@@ -90,6 +100,7 @@
         const std::uint64_t number = wave->number;
         waves_.emplace(number, std::move(*wave));
     }
+    evacuations_.load(image.evacuations);
     rebuild_indexes();
     return done{};
 }
--- a/dragonflymount/src/Jobs/StateImage.hpp
+++ b/dragonflymount/src/Jobs/StateImage.hpp
@@ -28,6 +28,7 @@
 
     std::vector<flatbuffers::Offset<wire::EndpointAck>> pack_acks();
     std::vector<flatbuffers::Offset<wire::MaintenanceWave>> pack_waves();
+    std::vector<flatbuffers::Offset<wire::Evacuation>> pack_evacuations();
 
     const state* source_;
     flatbuffers::FlatBufferBuilder builder_;
--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -29,6 +29,7 @@
     vm_condition condition = vm_condition::down;
     std::string endpoint;
     resources capacity;
+    availability_zone_id zone{};
 };
 
 /// \brief An order to the VM service.
@@ -181,6 +182,8 @@
     };
     struct pool_state {
         std::vector<const endpoint_view*> members;
+        // VMs of the pool in zones under evacuation, which provide no capacity.
+        std::vector<const endpoint_view*> evacuated;
         // Need of all jobs in the pool's queues.
         vm_need need;
         // The fewest VMs on which long-running tasks meet their anti-affinity.
@@ -313,6 +316,15 @@
     void shrink(const std::string& name,
         const std::vector<std::string>& short_pools,
         std::vector<vm_order>& orders, instant now);
+    bool is_evacuated(const availability_zone_id& zone) const {
+        return jobs_.agreed().evacuated_zones().contains(zone);
+    }
+    void empty_evacuated_zones(std::vector<vm_order>& orders, instant now);
+    void move_long_running_tasks(
+        const pool_state& pool, const endpoint_view& view, instant now);
+    bool may_move_task(const pool_state& pool, const endpoint_view& view,
+        const run_ref& run, instant now) const;
+    bool has_place_in(const pool_state& pool, const task_place& task) const;
     void order_move(const vm_id& vm, const std::string& pool,
         const endpoint_life& life, std::vector<vm_order>& orders);
     const std::string* standby_pool() const;
--- a/dragonflymount/src/Jobs/VmManagerMoves.cpp
+++ b/dragonflymount/src/Jobs/VmManagerMoves.cpp
@@ -41,7 +41,9 @@
         if (jobs_.endpoints().can_take_tasks(view, now) &&
             !move_targets_.contains(view.vm) &&
             !chosen_for_wave_.contains(view.vm)) {
-            pools_[view.pool.str()].members.push_back(&view);
+            pool_state& pool = pools_[view.pool.str()];
+            (is_evacuated(view.zone) ? pool.evacuated : pool.members)
+                .push_back(&view);
         }
     }
     for (const auto& [vm, pool] : move_targets_) {
@@ -98,7 +100,7 @@
 
 bool vm_manager::is_free(const vm_record& record) const {
     return is_on_standby(record) && !chosen_for_wave_.contains(record.vm) &&
-        find_vm(record.vm) == nullptr;
+        !is_evacuated(record.zone) && find_vm(record.vm) == nullptr;
 }
 
 std::size_t vm_manager::free_standby_vms() const {
@@ -163,7 +165,8 @@
     for (const auto& [vm, record] : list_) {
         if (record.condition == vm_condition::up && find_vm(vm) == nullptr &&
             jobs_.agreed().find_pool(record.pool.str()) != nullptr &&
-            !move_targets_.contains(vm) && !chosen_for_wave_.contains(vm)) {
+            !move_targets_.contains(vm) && !chosen_for_wave_.contains(vm) &&
+            !is_evacuated(record.zone)) {
             ++pools_[record.pool.str()].unheard;
         }
     }
@@ -198,6 +201,7 @@
             shrink(name, short_pools, orders, now);
         }
     }
+    empty_evacuated_zones(orders, now);
 }
 
 std::size_t vm_manager::missing_vms(const pool_state& pool) {
--- a/dragonflymount/src/Wire/messages_generated.h
+++ b/dragonflymount/src/Wire/messages_generated.h
@@ -288,6 +288,14 @@
 struct MaintenanceStepBuilder;
 struct MaintenanceStepT;
 
+struct Evacuation;
+struct EvacuationBuilder;
+struct EvacuationT;
+
+struct EvacuationChange;
+struct EvacuationChangeBuilder;
+struct EvacuationChangeT;
+
 struct JobBatch;
 struct JobBatchBuilder;
 struct JobBatchT;
@@ -384,6 +392,10 @@
 struct WithdrawBuilder;
 struct WithdrawT;
 
+struct Evacuate;
+struct EvacuateBuilder;
+struct EvacuateT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -1147,11 +1159,12 @@
   JobCall = 31,
   JobReply = 32,
   JoinReplica = 33,
+  Evacuate = 34,
   MIN = NONE,
-  MAX = JoinReplica
+  MAX = Evacuate
 };
 
-inline const Body (&EnumValuesBody())[34] {
+inline const Body (&EnumValuesBody())[35] {
   static const Body values[] = {
     Body::NONE,
     Body::Submit,
@@ -1186,13 +1199,14 @@
     Body::Withdraw,
     Body::JobCall,
     Body::JobReply,
-    Body::JoinReplica
+    Body::JoinReplica,
+    Body::Evacuate
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[35] = {
+  static const char * const names[36] = {
     "NONE",
     "Submit",
     "Answer",
@@ -1227,13 +1241,14 @@
     "JobCall",
     "JobReply",
     "JoinReplica",
+    "Evacuate",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::JoinReplica)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Evacuate)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -1374,6 +1389,10 @@
   static const Body enum_value = Body::JoinReplica;
 };
 
+template<> struct BodyTraits<dragonflymount::wire::Evacuate> {
+  static const Body enum_value = Body::Evacuate;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -1510,6 +1529,10 @@
   static const Body enum_value = Body::JoinReplica;
 };
 
+template<> struct BodyUnionTraits<dragonflymount::wire::EvacuateT> {
+  static const Body enum_value = Body::Evacuate;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1804,6 +1827,14 @@
     return type == Body::JoinReplica ?
       reinterpret_cast<const dragonflymount::wire::JoinReplicaT *>(value) : nullptr;
   }
+  dragonflymount::wire::EvacuateT *AsEvacuate() {
+    return type == Body::Evacuate ?
+      reinterpret_cast<dragonflymount::wire::EvacuateT *>(value) : nullptr;
+  }
+  const dragonflymount::wire::EvacuateT *AsEvacuate() const {
+    return type == Body::Evacuate ?
+      reinterpret_cast<const dragonflymount::wire::EvacuateT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -10326,6 +10357,198 @@
 
 flatbuffers::Offset<MaintenanceStep> CreateMaintenanceStep(flatbuffers::FlatBufferBuilder &_fbb, const MaintenanceStepT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EvacuationT : public flatbuffers::NativeTable {
+  typedef Evacuation TableType;
+  std::string zone{};
+  uint64_t since_ms = 0;
+  std::string author{};
+};
+
+struct Evacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationT NativeTableType;
+  typedef EvacuationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_SINCE_MS = 6,
+    VT_AUTHOR = 8
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint64_t since_ms() const {
+    return GetField<uint64_t>(VT_SINCE_MS, 0);
+  }
+  const flatbuffers::String *author() const {
+    return GetPointer<const flatbuffers::String *>(VT_AUTHOR);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint64_t>(verifier, VT_SINCE_MS, 8) &&
+           VerifyOffset(verifier, VT_AUTHOR) &&
+           verifier.VerifyString(author()) &&
+           verifier.EndTable();
+  }
+  EvacuationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Evacuation> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationBuilder {
+  typedef Evacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Evacuation::VT_ZONE, zone);
+  }
+  void add_since_ms(uint64_t since_ms) {
+    fbb_.AddElement<uint64_t>(Evacuation::VT_SINCE_MS, since_ms, 0);
+  }
+  void add_author(flatbuffers::Offset<flatbuffers::String> author) {
+    fbb_.AddOffset(Evacuation::VT_AUTHOR, author);
+  }
+  explicit EvacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evacuation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint64_t since_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> author = 0) {
+  EvacuationBuilder builder_(_fbb);
+  builder_.add_since_ms(since_ms);
+  builder_.add_author(author);
+  builder_.add_zone(zone);
+  return builder_.Finish();
+}
+
+struct Evacuation::Traits {
+  using type = Evacuation;
+  static auto constexpr Create = CreateEvacuation;
+};
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    uint64_t since_ms = 0,
+    const char *author = nullptr) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto author__ = author ? _fbb.CreateString(author) : 0;
+  return dragonflymount::wire::CreateEvacuation(
+      _fbb,
+      zone__,
+      since_ms,
+      author__);
+}
+
+flatbuffers::Offset<Evacuation> CreateEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EvacuationChangeT : public flatbuffers::NativeTable {
+  typedef EvacuationChange TableType;
+  std::string zone{};
+  bool ends = false;
+  std::string author{};
+};
+
+struct EvacuationChange FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationChangeT NativeTableType;
+  typedef EvacuationChangeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_ENDS = 6,
+    VT_AUTHOR = 8
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool ends() const {
+    return GetField<uint8_t>(VT_ENDS, 0) != 0;
+  }
+  const flatbuffers::String *author() const {
+    return GetPointer<const flatbuffers::String *>(VT_AUTHOR);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_ENDS, 1) &&
+           VerifyOffset(verifier, VT_AUTHOR) &&
+           verifier.VerifyString(author()) &&
+           verifier.EndTable();
+  }
+  EvacuationChangeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationChangeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EvacuationChange> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationChangeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationChangeBuilder {
+  typedef EvacuationChange Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(EvacuationChange::VT_ZONE, zone);
+  }
+  void add_ends(bool ends) {
+    fbb_.AddElement<uint8_t>(EvacuationChange::VT_ENDS, static_cast<uint8_t>(ends), 0);
+  }
+  void add_author(flatbuffers::Offset<flatbuffers::String> author) {
+    fbb_.AddOffset(EvacuationChange::VT_AUTHOR, author);
+  }
+  explicit EvacuationChangeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EvacuationChange> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EvacuationChange>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EvacuationChange> CreateEvacuationChange(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool ends = false,
+    flatbuffers::Offset<flatbuffers::String> author = 0) {
+  EvacuationChangeBuilder builder_(_fbb);
+  builder_.add_author(author);
+  builder_.add_zone(zone);
+  builder_.add_ends(ends);
+  return builder_.Finish();
+}
+
+struct EvacuationChange::Traits {
+  using type = EvacuationChange;
+  static auto constexpr Create = CreateEvacuationChange;
+};
+
+inline flatbuffers::Offset<EvacuationChange> CreateEvacuationChangeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    bool ends = false,
+    const char *author = nullptr) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto author__ = author ? _fbb.CreateString(author) : 0;
+  return dragonflymount::wire::CreateEvacuationChange(
+      _fbb,
+      zone__,
+      ends,
+      author__);
+}
+
+flatbuffers::Offset<EvacuationChange> CreateEvacuationChange(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationChangeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct JobBatchT : public flatbuffers::NativeTable {
   typedef JobBatch TableType;
   uint64_t time_ms = 0;
@@ -10337,6 +10560,7 @@
   std::vector<std::unique_ptr<dragonflymount::wire::RunStartT>> started{};
   std::vector<std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>> waves{};
   std::vector<std::unique_ptr<dragonflymount::wire::MaintenanceStepT>> maintained{};
+  std::vector<std::unique_ptr<dragonflymount::wire::EvacuationChangeT>> evacuations{};
   JobBatchT() = default;
   JobBatchT(const JobBatchT &o);
   JobBatchT(JobBatchT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -10356,7 +10580,8 @@
     VT_DUE = 14,
     VT_STARTED = 16,
     VT_WAVES = 18,
-    VT_MAINTAINED = 20
+    VT_MAINTAINED = 20,
+    VT_EVACUATIONS = 22
   };
   uint64_t time_ms() const {
     return GetField<uint64_t>(VT_TIME_MS, 0);
@@ -10385,6 +10610,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *maintained() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *>(VT_MAINTAINED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EvacuationChange>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EvacuationChange>> *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TIME_MS, 8) &&
@@ -10411,6 +10639,9 @@
            VerifyOffset(verifier, VT_MAINTAINED) &&
            verifier.VerifyVector(maintained()) &&
            verifier.VerifyVectorOfTables(maintained()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfTables(evacuations()) &&
            verifier.EndTable();
   }
   JobBatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -10449,6 +10680,9 @@
   void add_maintained(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>> maintained) {
     fbb_.AddOffset(JobBatch::VT_MAINTAINED, maintained);
   }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EvacuationChange>>> evacuations) {
+    fbb_.AddOffset(JobBatch::VT_EVACUATIONS, evacuations);
+  }
   explicit JobBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -10470,9 +10704,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::OccurrenceDue>>> due = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::RunStart>>> started = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>> waves = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>> maintained = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>> maintained = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EvacuationChange>>> evacuations = 0) {
   JobBatchBuilder builder_(_fbb);
   builder_.add_time_ms(time_ms);
+  builder_.add_evacuations(evacuations);
   builder_.add_maintained(maintained);
   builder_.add_waves(waves);
   builder_.add_started(started);
@@ -10499,7 +10735,8 @@
     const std::vector<flatbuffers::Offset<dragonflymount::wire::OccurrenceDue>> *due = nullptr,
     const std::vector<flatbuffers::Offset<dragonflymount::wire::RunStart>> *started = nullptr,
     const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *waves = nullptr,
-    const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *maintained = nullptr) {
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> *maintained = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::EvacuationChange>> *evacuations = nullptr) {
   auto submitted__ = submitted ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Job>>(*submitted) : 0;
   auto cancelled__ = cancelled ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobCancel>>(*cancelled) : 0;
   auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::RunEnd>>(*ended) : 0;
@@ -10507,6 +10744,7 @@
   auto started__ = started ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::RunStart>>(*started) : 0;
   auto waves__ = waves ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>(*waves) : 0;
   auto maintained__ = maintained ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>>(*maintained) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EvacuationChange>>(*evacuations) : 0;
   return dragonflymount::wire::CreateJobBatch(
       _fbb,
       time_ms,
@@ -10517,7 +10755,8 @@
       due__,
       started__,
       waves__,
-      maintained__);
+      maintained__,
+      evacuations__);
 }
 
 flatbuffers::Offset<JobBatch> CreateJobBatch(flatbuffers::FlatBufferBuilder &_fbb, const JobBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -10636,6 +10875,7 @@
   std::vector<std::unique_ptr<dragonflymount::wire::JobT>> jobs{};
   std::vector<std::unique_ptr<dragonflymount::wire::EndpointAckT>> acks{};
   std::vector<std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>> waves{};
+  std::vector<std::unique_ptr<dragonflymount::wire::EvacuationT>> evacuations{};
   SchedulerImageT() = default;
   SchedulerImageT(const SchedulerImageT &o);
   SchedulerImageT(SchedulerImageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -10651,7 +10891,8 @@
     VT_CATALOGUE = 6,
     VT_JOBS = 8,
     VT_ACKS = 10,
-    VT_WAVES = 12
+    VT_WAVES = 12,
+    VT_EVACUATIONS = 14
   };
   uint64_t time_ms() const {
     return GetField<uint64_t>(VT_TIME_MS, 0);
@@ -10668,6 +10909,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *waves() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *>(VT_WAVES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>> *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TIME_MS, 8) &&
@@ -10682,6 +10926,9 @@
            VerifyOffset(verifier, VT_WAVES) &&
            verifier.VerifyVector(waves()) &&
            verifier.VerifyVectorOfTables(waves()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfTables(evacuations()) &&
            verifier.EndTable();
   }
   SchedulerImageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -10708,6 +10955,9 @@
   void add_waves(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>> waves) {
     fbb_.AddOffset(SchedulerImage::VT_WAVES, waves);
   }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>>> evacuations) {
+    fbb_.AddOffset(SchedulerImage::VT_EVACUATIONS, evacuations);
+  }
   explicit SchedulerImageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -10725,9 +10975,11 @@
     flatbuffers::Offset<dragonflymount::wire::Catalogue> catalogue = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>>> jobs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>>> acks = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>> waves = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>> waves = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>>> evacuations = 0) {
   SchedulerImageBuilder builder_(_fbb);
   builder_.add_time_ms(time_ms);
+  builder_.add_evacuations(evacuations);
   builder_.add_waves(waves);
   builder_.add_acks(acks);
   builder_.add_jobs(jobs);
@@ -10746,17 +10998,20 @@
     flatbuffers::Offset<dragonflymount::wire::Catalogue> catalogue = 0,
     const std::vector<flatbuffers::Offset<dragonflymount::wire::Job>> *jobs = nullptr,
     const std::vector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>> *acks = nullptr,
-    const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *waves = nullptr) {
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *waves = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>> *evacuations = nullptr) {
   auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Job>>(*jobs) : 0;
   auto acks__ = acks ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>>(*acks) : 0;
   auto waves__ = waves ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>(*waves) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Evacuation>>(*evacuations) : 0;
   return dragonflymount::wire::CreateSchedulerImage(
       _fbb,
       time_ms,
       catalogue,
       jobs__,
       acks__,
-      waves__);
+      waves__,
+      evacuations__);
 }
 
 flatbuffers::Offset<SchedulerImage> CreateSchedulerImage(flatbuffers::FlatBufferBuilder &_fbb, const SchedulerImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -13046,6 +13301,102 @@
 
 flatbuffers::Offset<Withdraw> CreateWithdraw(flatbuffers::FlatBufferBuilder &_fbb, const WithdrawT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EvacuateT : public flatbuffers::NativeTable {
+  typedef Evacuate TableType;
+  std::string zone{};
+  bool ends = false;
+  std::string author{};
+};
+
+struct Evacuate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuateT NativeTableType;
+  typedef EvacuateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_ENDS = 6,
+    VT_AUTHOR = 8
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool ends() const {
+    return GetField<uint8_t>(VT_ENDS, 0) != 0;
+  }
+  const flatbuffers::String *author() const {
+    return GetPointer<const flatbuffers::String *>(VT_AUTHOR);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_ENDS, 1) &&
+           VerifyOffset(verifier, VT_AUTHOR) &&
+           verifier.VerifyString(author()) &&
+           verifier.EndTable();
+  }
+  EvacuateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Evacuate> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuateBuilder {
+  typedef Evacuate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(Evacuate::VT_ZONE, zone);
+  }
+  void add_ends(bool ends) {
+    fbb_.AddElement<uint8_t>(Evacuate::VT_ENDS, static_cast<uint8_t>(ends), 0);
+  }
+  void add_author(flatbuffers::Offset<flatbuffers::String> author) {
+    fbb_.AddOffset(Evacuate::VT_AUTHOR, author);
+  }
+  explicit EvacuateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evacuate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evacuate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evacuate> CreateEvacuate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool ends = false,
+    flatbuffers::Offset<flatbuffers::String> author = 0) {
+  EvacuateBuilder builder_(_fbb);
+  builder_.add_author(author);
+  builder_.add_zone(zone);
+  builder_.add_ends(ends);
+  return builder_.Finish();
+}
+
+struct Evacuate::Traits {
+  using type = Evacuate;
+  static auto constexpr Create = CreateEvacuate;
+};
+
+inline flatbuffers::Offset<Evacuate> CreateEvacuateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    bool ends = false,
+    const char *author = nullptr) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto author__ = author ? _fbb.CreateString(author) : 0;
+  return dragonflymount::wire::CreateEvacuate(
+      _fbb,
+      zone__,
+      ends,
+      author__);
+}
+
+flatbuffers::Offset<Evacuate> CreateEvacuate(flatbuffers::FlatBufferBuilder &_fbb, const EvacuateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   uint64_t correlation = 0;
@@ -13170,6 +13521,9 @@
   const dragonflymount::wire::JoinReplica *body_as_JoinReplica() const {
     return body_type() == dragonflymount::wire::Body::JoinReplica ? static_cast<const dragonflymount::wire::JoinReplica *>(body()) : nullptr;
   }
+  const dragonflymount::wire::Evacuate *body_as_Evacuate() const {
+    return body_type() == dragonflymount::wire::Body::Evacuate ? static_cast<const dragonflymount::wire::Evacuate *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -13315,6 +13669,10 @@
   return body_as_JoinReplica();
 }
 
+template<> inline const dragonflymount::wire::Evacuate *Envelope::body_as<dragonflymount::wire::Evacuate>() const {
+  return body_as_Evacuate();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -16450,6 +16808,70 @@
       _life);
 }
 
+inline EvacuationT *Evacuation::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Evacuation::UnPackTo(EvacuationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = since_ms(); _o->since_ms = _e; }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+}
+
+inline flatbuffers::Offset<Evacuation> Evacuation::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuation(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuation(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _since_ms = _o->since_ms;
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  return dragonflymount::wire::CreateEvacuation(
+      _fbb,
+      _zone,
+      _since_ms,
+      _author);
+}
+
+inline EvacuationChangeT *EvacuationChange::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationChangeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EvacuationChange::UnPackTo(EvacuationChangeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = ends(); _o->ends = _e; }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+}
+
+inline flatbuffers::Offset<EvacuationChange> EvacuationChange::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationChangeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuationChange(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EvacuationChange> CreateEvacuationChange(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationChangeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationChangeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _ends = _o->ends;
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  return dragonflymount::wire::CreateEvacuationChange(
+      _fbb,
+      _zone,
+      _ends,
+      _author);
+}
+
 inline JobBatchT::JobBatchT(const JobBatchT &o)
       : time_ms(o.time_ms),
         catalogue((o.catalogue) ? new dragonflymount::wire::CatalogueT(*o.catalogue) : nullptr) {
@@ -16467,6 +16889,8 @@
   for (const auto &waves_ : o.waves) { waves.emplace_back((waves_) ? new dragonflymount::wire::MaintenanceWaveT(*waves_) : nullptr); }
   maintained.reserve(o.maintained.size());
   for (const auto &maintained_ : o.maintained) { maintained.emplace_back((maintained_) ? new dragonflymount::wire::MaintenanceStepT(*maintained_) : nullptr); }
+  evacuations.reserve(o.evacuations.size());
+  for (const auto &evacuations_ : o.evacuations) { evacuations.emplace_back((evacuations_) ? new dragonflymount::wire::EvacuationChangeT(*evacuations_) : nullptr); }
 }
 
 inline JobBatchT &JobBatchT::operator=(JobBatchT o) FLATBUFFERS_NOEXCEPT {
@@ -16479,6 +16903,7 @@
   std::swap(started, o.started);
   std::swap(waves, o.waves);
   std::swap(maintained, o.maintained);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -16500,6 +16925,7 @@
   { auto _e = started(); if (_e) { _o->started.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->started[_i] = std::unique_ptr<dragonflymount::wire::RunStartT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = waves(); if (_e) { _o->waves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waves[_i] = std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = maintained(); if (_e) { _o->maintained.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->maintained[_i] = std::unique_ptr<dragonflymount::wire::MaintenanceStepT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<dragonflymount::wire::EvacuationChangeT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<JobBatch> JobBatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -16519,6 +16945,7 @@
   auto _started = _o->started.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::RunStart>> (_o->started.size(), [](size_t i, _VectorArgs *__va) { return CreateRunStart(*__va->__fbb, __va->__o->started[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _waves = _o->waves.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> (_o->waves.size(), [](size_t i, _VectorArgs *__va) { return CreateMaintenanceWave(*__va->__fbb, __va->__o->waves[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _maintained = _o->maintained.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceStep>> (_o->maintained.size(), [](size_t i, _VectorArgs *__va) { return CreateMaintenanceStep(*__va->__fbb, __va->__o->maintained[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EvacuationChange>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateEvacuationChange(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
   return dragonflymount::wire::CreateJobBatch(
       _fbb,
       _time_ms,
@@ -16529,7 +16956,8 @@
       _due,
       _started,
       _waves,
-      _maintained);
+      _maintained,
+      _evacuations);
 }
 
 inline EndpointAckT *EndpointAck::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -16576,6 +17004,8 @@
   for (const auto &acks_ : o.acks) { acks.emplace_back((acks_) ? new dragonflymount::wire::EndpointAckT(*acks_) : nullptr); }
   waves.reserve(o.waves.size());
   for (const auto &waves_ : o.waves) { waves.emplace_back((waves_) ? new dragonflymount::wire::MaintenanceWaveT(*waves_) : nullptr); }
+  evacuations.reserve(o.evacuations.size());
+  for (const auto &evacuations_ : o.evacuations) { evacuations.emplace_back((evacuations_) ? new dragonflymount::wire::EvacuationT(*evacuations_) : nullptr); }
 }
 
 inline SchedulerImageT &SchedulerImageT::operator=(SchedulerImageT o) FLATBUFFERS_NOEXCEPT {
@@ -16584,6 +17014,7 @@
   std::swap(jobs, o.jobs);
   std::swap(acks, o.acks);
   std::swap(waves, o.waves);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -16601,6 +17032,7 @@
   { auto _e = jobs(); if (_e) { _o->jobs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->jobs[_i] = std::unique_ptr<dragonflymount::wire::JobT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = acks(); if (_e) { _o->acks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->acks[_i] = std::unique_ptr<dragonflymount::wire::EndpointAckT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = waves(); if (_e) { _o->waves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waves[_i] = std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<dragonflymount::wire::EvacuationT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<SchedulerImage> SchedulerImage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SchedulerImageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -16616,13 +17048,15 @@
   auto _jobs = _o->jobs.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Job>> (_o->jobs.size(), [](size_t i, _VectorArgs *__va) { return CreateJob(*__va->__fbb, __va->__o->jobs[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _acks = _o->acks.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>> (_o->acks.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointAck(*__va->__fbb, __va->__o->acks[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _waves = _o->waves.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> (_o->waves.size(), [](size_t i, _VectorArgs *__va) { return CreateMaintenanceWave(*__va->__fbb, __va->__o->waves[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Evacuation>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateEvacuation(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
   return dragonflymount::wire::CreateSchedulerImage(
       _fbb,
       _time_ms,
       _catalogue,
       _jobs,
       _acks,
-      _waves);
+      _waves,
+      _evacuations);
 }
 
 inline JobCallT::JobCallT(const JobCallT &o)
@@ -17443,6 +17877,38 @@
       _author);
 }
 
+inline EvacuateT *Evacuate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Evacuate::UnPackTo(EvacuateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = ends(); _o->ends = _e; }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+}
+
+inline flatbuffers::Offset<Evacuate> Evacuate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuate(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Evacuate> CreateEvacuate(flatbuffers::FlatBufferBuilder &_fbb, const EvacuateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _ends = _o->ends;
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  return dragonflymount::wire::CreateEvacuate(
+      _fbb,
+      _zone,
+      _ends,
+      _author);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -17914,6 +18380,10 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::JoinReplica *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Evacuate: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::Evacuate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -18065,6 +18535,10 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::JoinReplica *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Evacuate: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::Evacuate *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -18204,6 +18678,10 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::JoinReplicaT *>(value);
       return CreateJoinReplica(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Evacuate: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::EvacuateT *>(value);
+      return CreateEvacuate(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -18342,6 +18820,10 @@
       value = new dragonflymount::wire::JoinReplicaT(*reinterpret_cast<dragonflymount::wire::JoinReplicaT *>(u.value));
       break;
     }
+    case Body::Evacuate: {
+      value = new dragonflymount::wire::EvacuateT(*reinterpret_cast<dragonflymount::wire::EvacuateT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -18514,6 +18996,11 @@
       delete ptr;
       break;
     }
+    case Body::Evacuate: {
+      auto ptr = reinterpret_cast<dragonflymount::wire::EvacuateT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/programs/operator/main.cpp
+++ b/programs/operator/main.cpp
@@ -6,6 +6,7 @@
 #include "programs/operator/rules/rules_commands.hpp"
 #include "programs/operator/state/state_commands.hpp"
 #include "programs/operator/waves/wave_commands.hpp"
+#include "programs/operator/zones/zone_commands.hpp"
 
 #include <algorithm>
 #include <iostream>
@@ -18,7 +19,7 @@
 std::vector<command> all_commands() {
     std::vector<command> all;
     for (const auto& group : {rules_commands(), key_commands(), wave_commands(),
-             replica_commands(), state_commands()}) {
+             zone_commands(), replica_commands(), state_commands()}) {
         all.insert(all.end(), group.begin(), group.end());
     }
     return all;
--- a/programs/scheduler/decision_log.cpp
+++ b/programs/scheduler/decision_log.cpp
@@ -119,6 +119,12 @@
                       << " term=" << term_;
         }
     }
+    for (const auto& change : batch.evacuations) {
+        LOG(INFO) << (change->ends ? event::zone_evacuation_ended
+                                   : event::zone_evacuated)
+                  << "zone=" << change->zone << " author=" << change->author
+                  << " term=" << term_;
+    }
     for (const auto& step : batch.maintained) {
         if (budget_.spend(now_)) {
             LOG(INFO) << event::vm_maintained << "wave=" << step->wave
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -135,6 +135,12 @@
         counts.cancelled);
     add_metric("dfm_runs_started_total", "counter", "Runs started here.",
         counts.started);
+    page.metric("dfm_zone_evacuated_since_seconds", "gauge",
+        "When the evacuation of the zone began, since 1970.");
+    for (const auto& [zone, begun] : agreed().evacuated_zones().zones()) {
+        page.value(
+            static_cast<double>(begun.since_ms) / 1000, {{"zone", zone.str()}});
+    }
     page.metric("dfm_runs_ended_total", "counter", "Ends noted here.");
     for (const auto& [how, count] : counts.ended) {
         page.value(
@@ -183,6 +189,13 @@
     case wire::Body::JobCall:
         receive_call(from, content.correlation, *content.body.AsJobCall());
         break;
+    case wire::Body::Evacuate:
+        receive_evacuation(
+            from, content.correlation, *content.body.AsEvacuate());
+        break;
+    case wire::Body::Query:
+        receive_query(from, content.correlation, *content.body.AsQuery());
+        break;
     case wire::Body::JoinReplica:
         members_.receive(*content.body.AsJoinReplica());
         break;
--- a/programs/scheduler/scheduler.hpp
+++ b/programs/scheduler/scheduler.hpp
@@ -19,6 +19,8 @@
     std::string listen;
     /// Number of voting replicas: 2n + 1 tolerate the loss of n disks.
     std::size_t voters = 3;
+    /// The site's availability zones; may be empty.
+    std::vector<std::string> zones;
 };
 
 class scheduler {
@@ -43,6 +45,13 @@
     void on_load_line(std::function<connection_counts()> connections) {
         connections_ = std::move(connections);
     }
+    /// \brief Begins or ends the evacuation of a zone. Callers must check
+    /// \c is_ready before.
+    /// \param on_reply called once: accepted after the change is agreed,
+    /// refused with a detail if the site has no such zone, or unavailable if
+    /// the lead was lost.
+    void evacuate(const wire::EvacuateT& order,
+        std::function<void(const wire::ProposeReplyT&)> on_reply);
     /// \returns the metrics of this process as text.
     std::string metrics() const;
     /// \returns the name of the leader, empty if none is known.
@@ -60,6 +69,11 @@
         const runtime::connection::pointer& from, wire::message&& content);
     void receive_call(const runtime::connection::pointer& from,
         std::uint64_t correlation, const wire::JobCallT& call);
+    void receive_evacuation(const runtime::connection::pointer& from,
+        std::uint64_t correlation, const wire::EvacuateT& order);
+    void receive_query(const runtime::connection::pointer& from,
+        std::uint64_t correlation, const wire::QueryT& query);
+    bool has_zone(const availability_zone_id& zone) const;
     void add_leader_hints(wire::JobReplyT& reply) const;
     void change_leadership(bool leads);
     void complete_batch(const wire::JobBatchT& batch, log_term term,
--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -77,6 +77,7 @@
         .require("scheduler", "data", kind::folder)
         .allow("scheduler", "new-site", kind::name, "false")
         .allow("scheduler", "lost-disks", kind::count, "1")
+        .allow("scheduler", "zones", kind::list, "")
         .allow("scheduler", "snapshot-records", kind::count, "4096")
         .derive(
             "scheduler", "election-timeout", kind::time, &election_timeout_of)
@@ -103,6 +104,7 @@
     const std::string control = read.text("scheduler", "control");
     const std::uint32_t port = read.count("scheduler", "peer-port");
     made.listen = member_at(control, port).address;
+    made.zones = read.list("scheduler", "zones");
     made.voters = 2 * read.count("scheduler", "lost-disks") + 1;
     hosting::replica_settings& replica = made.replica;
     replica.options.self = replica_id(control);
--- a/tests/platform/control_face_test.cpp
+++ b/tests/platform/control_face_test.cpp
@@ -41,7 +41,7 @@
             absl::StrCat("[scheduler]\ncontrol = ", address_,
                 "\npeer-port = 0\nmetrics = 127.0.0.1:0\nseeds = ", address_,
                 "\ndata = ", folder_.string(),
-                "\nnew-site = true\nlost-disks = 0\n"
+                "\nnew-site = true\nlost-disks = 0\nzones = z,y\n"
                 "[vm-service]\naddress = 127.0.0.1:9\nholder = test\n"),
             "test", scheduler_schema());
         EXPECT_TRUE(read.ok()) << read.message();
@@ -161,6 +161,35 @@
     EXPECT_TRUE(gets_lease());
 }
 
+TEST_F(control_face_test, evacuates_a_zone_and_takes_it_back) {
+    ASSERT_TRUE(gets_lease());
+    const auto is_evacuated = [&](const char* zone) {
+        return scheduler_->agreed().evacuated_zones().contains(
+            availability_zone_id(zone));
+    };
+    EXPECT_EQ(send("DELETE", "/api/evacuations/y", "").status, 200U);
+    for (int sent = 0; sent < 2; ++sent) {
+        EXPECT_EQ(send("POST", "/api/evacuations/y", "").status, 200U);
+        EXPECT_TRUE(is_evacuated("y"));
+    }
+    EXPECT_FALSE(is_evacuated("z"));
+    for (int sent = 0; sent < 2; ++sent) {
+        EXPECT_EQ(send("DELETE", "/api/evacuations/y", "").status, 200U);
+        EXPECT_FALSE(is_evacuated("y"));
+    }
+}
+
+TEST_F(control_face_test, refuses_to_evacuate_an_unknown_zone) {
+    ASSERT_TRUE(gets_lease());
+    for (const std::string& zone : {std::string("x"), std::string()}) {
+        const auto reply = send("POST", "/api/evacuations/" + zone, "");
+        EXPECT_EQ(reply.status, 400U);
+        EXPECT_NE(reply.body.find("no availability zone '" + zone + "'"),
+            std::string::npos);
+    }
+    EXPECT_TRUE(scheduler_->agreed().evacuated_zones().empty());
+}
+
 TEST_F(control_face_test, tells_the_state_of_a_wave) {
     EXPECT_EQ(send("POST", "/api/wave-start",
                   R"({"wave":3,"machines":["m-1"],"duration_s":20,"cap":1})")
