Serve jobs beyond their account's rate after the others

Callers saw: one account that sends many times its usual made everybody late, as jobs were served by due time alone and no weight was read.

Each account has a token bucket in the replicated state, filled at its weight, in whole numbers of log time. Jobs beyond it are served after those within; nothing is refused.

--- a/dragonflymount/jobs.hpp
+++ b/dragonflymount/jobs.hpp
@@ -3,6 +3,7 @@
 #ifndef DRAGONFLYMOUNT_JOBS_HPP
 #define DRAGONFLYMOUNT_JOBS_HPP
 
+#include "dragonflymount/src/Jobs/AccountRates.hpp"
 #include "dragonflymount/src/Jobs/Allocation.hpp"
 #include "dragonflymount/src/Jobs/CrashCounts.hpp"
 #include "dragonflymount/src/Jobs/Endpoints.hpp"
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -203,11 +203,11 @@
     std::sort(steps_.begin(), steps_.end(),
         [](const open_step& left, const open_step& right) {
             return std::make_tuple(!left.long_running, left.priority,
-                       left.predicted, left.begin_by_ms, left.job->id,
-                       left.step) < std::make_tuple(!right.long_running,
-                                        right.priority, right.predicted,
-                                        right.begin_by_ms, right.job->id,
-                                        right.step);
+                       left.beyond_rate, left.predicted, left.begin_by_ms,
+                       left.job->id, left.step) <
+                std::make_tuple(!right.long_running, right.priority,
+                    right.beyond_rate, right.predicted, right.begin_by_ms,
+                    right.job->id, right.step);
         });
 }
 
@@ -228,11 +228,12 @@
                     [](const auto& task) { return is_waiting(*task); })) {
                 continue;
             }
-            steps_.push_back({&job, occurrence.get(), k, &step, queue,
-                step.long_running, queue->priority, times.predicted,
-                times.due_ms > times.remaining_ms
-                    ? times.due_ms - times.remaining_ms
-                    : 0});
+            steps_.push_back(
+                {&job, occurrence.get(), k, &step, queue, step.long_running,
+                    queue->priority, job.beyond_rate, times.predicted,
+                    times.due_ms > times.remaining_ms
+                        ? times.due_ms - times.remaining_ms
+                        : 0});
         }
     }
 }
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -149,11 +149,13 @@
         std::uint32_t step = 0;
         const wire::JobStepT* spec = nullptr;
         const wire::JobQueueT* queue = nullptr;
-        // Order of service: long-running tasks first, then by priority,
-        // by predicted timeliness, and by the latest time at which the step
-        // can begin and still be on time.
+        // Order of service: long-running tasks first, then by priority, jobs
+        // within their account's rate before others, by predicted timeliness,
+        // and by the latest time at which the step can begin and still be on
+        // time.
         bool long_running = false;
         std::uint32_t priority = 0;
+        bool beyond_rate = false;
         timeliness predicted = timeliness::on_time;
         std::uint64_t begin_by_ms = 0;
     };
--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -241,6 +241,9 @@
     }
     job.accepted_ms = time_ms_;
     job.phase = wire::job_phase::active;
+    const wire::JobTeamT* team = find_team(job.team);
+    job.beyond_rate =
+        team != nullptr && !rates_.spend(job.team, team->weight, time_ms_);
     const job_id id(job.id);
     auto& stored =
         *jobs_.emplace(id.value(), std::make_unique<wire::JobT>(std::move(job)))
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -8,6 +8,7 @@
 #ifndef DRAGONFLYMOUNT_JOBS_STATE_HPP
 #define DRAGONFLYMOUNT_JOBS_STATE_HPP
 
+#include "dragonflymount/src/Jobs/AccountRates.hpp"
 #include "dragonflymount/src/Jobs/CrashCounts.hpp"
 #include "dragonflymount/src/Jobs/Evacuations.hpp"
 #include "dragonflymount/src/Jobs/RouteTable.hpp"
@@ -216,6 +217,7 @@
     std::uint64_t acks_touched_from_ms_ = 0;
     std::map<std::uint64_t, wire::MaintenanceWaveT> waves_;
     evacuations evacuations_;
+    account_rates rates_;
 
     // Indexes over the members above, updated with each change and rebuilt
     // when an image is loaded.
--- a/dragonflymount/src/Jobs/StateImage.cpp
+++ b/dragonflymount/src/Jobs/StateImage.cpp
@@ -42,11 +42,13 @@
     return packed;
 }
 
-std::vector<flatbuffers::Offset<wire::Evacuation>>
-state_image::pack_evacuations() {
-    std::vector<flatbuffers::Offset<wire::Evacuation>> packed;
-    for (const wire::EvacuationT& entry : source_->evacuations_.save()) {
-        packed.push_back(wire::CreateEvacuation(builder_, &entry));
+template <class Table, class Unpacked>
+std::vector<flatbuffers::Offset<Table>> state_image::pack(
+    const std::vector<Unpacked>& entries) {
+    std::vector<flatbuffers::Offset<Table>> packed;
+    packed.reserve(entries.size());
+    for (const Unpacked& entry : entries) {
+        packed.push_back(Table::Pack(builder_, &entry));
     }
     return packed;
 }
@@ -56,9 +58,11 @@
         wire::CreateCatalogue(builder_, source_->catalogue_.get());
     const auto acks = pack_acks();
     const auto waves = pack_waves();
-    const auto evacuated = pack_evacuations();
-    builder_.Finish(wire::CreateSchedulerImageDirect(builder_,
-        source_->time_ms_, catalogue, &jobs_, &acks, &waves, &evacuated));
+    const auto evacuated = pack<wire::Evacuation>(source_->evacuations_.save());
+    const auto rates = pack<wire::AccountRate>(source_->rates_.save());
+    builder_.Finish(
+        wire::CreateSchedulerImageDirect(builder_, source_->time_ms_, catalogue,
+            &jobs_, &acks, &waves, &evacuated, &rates));
     return {builder_.GetBufferPointer(),
         builder_.GetBufferPointer() + builder_.GetSize()};
 }
@@ -101,6 +105,7 @@
         waves_.emplace(number, std::move(*wave));
     }
     evacuations_.load(image.evacuations);
+    rates_.load(image.rates);
     rebuild_indexes();
     return done{};
 }
--- a/dragonflymount/src/Jobs/StateImage.hpp
+++ b/dragonflymount/src/Jobs/StateImage.hpp
@@ -28,7 +28,9 @@
 
     std::vector<flatbuffers::Offset<wire::EndpointAck>> pack_acks();
     std::vector<flatbuffers::Offset<wire::MaintenanceWave>> pack_waves();
-    std::vector<flatbuffers::Offset<wire::Evacuation>> pack_evacuations();
+    template <class Table, class Unpacked>
+    std::vector<flatbuffers::Offset<Table>> pack(
+        const std::vector<Unpacked>& entries);
 
     const state* source_;
     flatbuffers::FlatBufferBuilder builder_;
--- a/dragonflymount/src/Wire/messages_generated.h
+++ b/dragonflymount/src/Wire/messages_generated.h
@@ -304,6 +304,10 @@
 struct EndpointAckBuilder;
 struct EndpointAckT;
 
+struct AccountRate;
+struct AccountRateBuilder;
+struct AccountRateT;
+
 struct SchedulerImage;
 struct SchedulerImageBuilder;
 struct SchedulerImageT;
@@ -8735,6 +8739,7 @@
   bool begun = false;
   std::vector<std::unique_ptr<dragonflymount::wire::JobOccurrenceT>> occurrences{};
   uint32_t next_occurrence = 0;
+  bool beyond_rate = false;
   JobT() = default;
   JobT(const JobT &o);
   JobT(JobT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -8755,7 +8760,8 @@
     VT_ENDED_MS = 16,
     VT_BEGUN = 18,
     VT_OCCURRENCES = 20,
-    VT_NEXT_OCCURRENCE = 22
+    VT_NEXT_OCCURRENCE = 22,
+    VT_BEYOND_RATE = 24
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -8787,6 +8793,9 @@
   uint32_t next_occurrence() const {
     return GetField<uint32_t>(VT_NEXT_OCCURRENCE, 0);
   }
+  bool beyond_rate() const {
+    return GetField<uint8_t>(VT_BEYOND_RATE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -8804,6 +8813,7 @@
            verifier.VerifyVector(occurrences()) &&
            verifier.VerifyVectorOfTables(occurrences()) &&
            VerifyField<uint32_t>(verifier, VT_NEXT_OCCURRENCE, 4) &&
+           VerifyField<uint8_t>(verifier, VT_BEYOND_RATE, 1) &&
            verifier.EndTable();
   }
   JobT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8845,6 +8855,9 @@
   void add_next_occurrence(uint32_t next_occurrence) {
     fbb_.AddElement<uint32_t>(Job::VT_NEXT_OCCURRENCE, next_occurrence, 0);
   }
+  void add_beyond_rate(bool beyond_rate) {
+    fbb_.AddElement<uint8_t>(Job::VT_BEYOND_RATE, static_cast<uint8_t>(beyond_rate), 0);
+  }
   explicit JobBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8867,7 +8880,8 @@
     uint64_t ended_ms = 0,
     bool begun = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>>> occurrences = 0,
-    uint32_t next_occurrence = 0) {
+    uint32_t next_occurrence = 0,
+    bool beyond_rate = false) {
   JobBuilder builder_(_fbb);
   builder_.add_ended_ms(ended_ms);
   builder_.add_accepted_ms(accepted_ms);
@@ -8877,6 +8891,7 @@
   builder_.add_spec(spec);
   builder_.add_team(team);
   builder_.add_queue(queue);
+  builder_.add_beyond_rate(beyond_rate);
   builder_.add_begun(begun);
   builder_.add_phase(phase);
   return builder_.Finish();
@@ -8898,7 +8913,8 @@
     uint64_t ended_ms = 0,
     bool begun = false,
     const std::vector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>> *occurrences = nullptr,
-    uint32_t next_occurrence = 0) {
+    uint32_t next_occurrence = 0,
+    bool beyond_rate = false) {
   auto queue__ = queue ? _fbb.CreateString(queue) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto occurrences__ = occurrences ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>>(*occurrences) : 0;
@@ -8913,7 +8929,8 @@
       ended_ms,
       begun,
       occurrences__,
-      next_occurrence);
+      next_occurrence,
+      beyond_rate);
 }
 
 flatbuffers::Offset<Job> CreateJob(flatbuffers::FlatBufferBuilder &_fbb, const JobT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -10868,6 +10885,100 @@
 
 flatbuffers::Offset<EndpointAck> CreateEndpointAck(flatbuffers::FlatBufferBuilder &_fbb, const EndpointAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct AccountRateT : public flatbuffers::NativeTable {
+  typedef AccountRate TableType;
+  std::string account{};
+  uint64_t tokens_micro = 0;
+  uint64_t filled_ms = 0;
+};
+
+struct AccountRate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AccountRateT NativeTableType;
+  typedef AccountRateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ACCOUNT = 4,
+    VT_TOKENS_MICRO = 6,
+    VT_FILLED_MS = 8
+  };
+  const flatbuffers::String *account() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
+  }
+  uint64_t tokens_micro() const {
+    return GetField<uint64_t>(VT_TOKENS_MICRO, 0);
+  }
+  uint64_t filled_ms() const {
+    return GetField<uint64_t>(VT_FILLED_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ACCOUNT) &&
+           verifier.VerifyString(account()) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS_MICRO, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FILLED_MS, 8) &&
+           verifier.EndTable();
+  }
+  AccountRateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AccountRateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AccountRate> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AccountRateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AccountRateBuilder {
+  typedef AccountRate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_account(flatbuffers::Offset<flatbuffers::String> account) {
+    fbb_.AddOffset(AccountRate::VT_ACCOUNT, account);
+  }
+  void add_tokens_micro(uint64_t tokens_micro) {
+    fbb_.AddElement<uint64_t>(AccountRate::VT_TOKENS_MICRO, tokens_micro, 0);
+  }
+  void add_filled_ms(uint64_t filled_ms) {
+    fbb_.AddElement<uint64_t>(AccountRate::VT_FILLED_MS, filled_ms, 0);
+  }
+  explicit AccountRateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AccountRate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AccountRate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AccountRate> CreateAccountRate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> account = 0,
+    uint64_t tokens_micro = 0,
+    uint64_t filled_ms = 0) {
+  AccountRateBuilder builder_(_fbb);
+  builder_.add_filled_ms(filled_ms);
+  builder_.add_tokens_micro(tokens_micro);
+  builder_.add_account(account);
+  return builder_.Finish();
+}
+
+struct AccountRate::Traits {
+  using type = AccountRate;
+  static auto constexpr Create = CreateAccountRate;
+};
+
+inline flatbuffers::Offset<AccountRate> CreateAccountRateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *account = nullptr,
+    uint64_t tokens_micro = 0,
+    uint64_t filled_ms = 0) {
+  auto account__ = account ? _fbb.CreateString(account) : 0;
+  return dragonflymount::wire::CreateAccountRate(
+      _fbb,
+      account__,
+      tokens_micro,
+      filled_ms);
+}
+
+flatbuffers::Offset<AccountRate> CreateAccountRate(flatbuffers::FlatBufferBuilder &_fbb, const AccountRateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SchedulerImageT : public flatbuffers::NativeTable {
   typedef SchedulerImage TableType;
   uint64_t time_ms = 0;
@@ -10876,6 +10987,7 @@
   std::vector<std::unique_ptr<dragonflymount::wire::EndpointAckT>> acks{};
   std::vector<std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>> waves{};
   std::vector<std::unique_ptr<dragonflymount::wire::EvacuationT>> evacuations{};
+  std::vector<std::unique_ptr<dragonflymount::wire::AccountRateT>> rates{};
   SchedulerImageT() = default;
   SchedulerImageT(const SchedulerImageT &o);
   SchedulerImageT(SchedulerImageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -10892,7 +11004,8 @@
     VT_JOBS = 8,
     VT_ACKS = 10,
     VT_WAVES = 12,
-    VT_EVACUATIONS = 14
+    VT_EVACUATIONS = 14,
+    VT_RATES = 16
   };
   uint64_t time_ms() const {
     return GetField<uint64_t>(VT_TIME_MS, 0);
@@ -10912,6 +11025,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>> *evacuations() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>> *>(VT_EVACUATIONS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::AccountRate>> *rates() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::AccountRate>> *>(VT_RATES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TIME_MS, 8) &&
@@ -10929,6 +11045,9 @@
            VerifyOffset(verifier, VT_EVACUATIONS) &&
            verifier.VerifyVector(evacuations()) &&
            verifier.VerifyVectorOfTables(evacuations()) &&
+           VerifyOffset(verifier, VT_RATES) &&
+           verifier.VerifyVector(rates()) &&
+           verifier.VerifyVectorOfTables(rates()) &&
            verifier.EndTable();
   }
   SchedulerImageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -10958,6 +11077,9 @@
   void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>>> evacuations) {
     fbb_.AddOffset(SchedulerImage::VT_EVACUATIONS, evacuations);
   }
+  void add_rates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::AccountRate>>> rates) {
+    fbb_.AddOffset(SchedulerImage::VT_RATES, rates);
+  }
   explicit SchedulerImageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -10976,9 +11098,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Job>>> jobs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>>> acks = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>> waves = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>>> evacuations = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>>> evacuations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::AccountRate>>> rates = 0) {
   SchedulerImageBuilder builder_(_fbb);
   builder_.add_time_ms(time_ms);
+  builder_.add_rates(rates);
   builder_.add_evacuations(evacuations);
   builder_.add_waves(waves);
   builder_.add_acks(acks);
@@ -10999,11 +11123,13 @@
     const std::vector<flatbuffers::Offset<dragonflymount::wire::Job>> *jobs = nullptr,
     const std::vector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>> *acks = nullptr,
     const std::vector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> *waves = nullptr,
-    const std::vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>> *evacuations = nullptr) {
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::Evacuation>> *evacuations = nullptr,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::AccountRate>> *rates = nullptr) {
   auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Job>>(*jobs) : 0;
   auto acks__ = acks ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>>(*acks) : 0;
   auto waves__ = waves ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>>(*waves) : 0;
   auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Evacuation>>(*evacuations) : 0;
+  auto rates__ = rates ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::AccountRate>>(*rates) : 0;
   return dragonflymount::wire::CreateSchedulerImage(
       _fbb,
       time_ms,
@@ -11011,7 +11137,8 @@
       jobs__,
       acks__,
       waves__,
-      evacuations__);
+      evacuations__,
+      rates__);
 }
 
 flatbuffers::Offset<SchedulerImage> CreateSchedulerImage(flatbuffers::FlatBufferBuilder &_fbb, const SchedulerImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -16173,7 +16300,8 @@
         accepted_ms(o.accepted_ms),
         ended_ms(o.ended_ms),
         begun(o.begun),
-        next_occurrence(o.next_occurrence) {
+        next_occurrence(o.next_occurrence),
+        beyond_rate(o.beyond_rate) {
   occurrences.reserve(o.occurrences.size());
   for (const auto &occurrences_ : o.occurrences) { occurrences.emplace_back((occurrences_) ? new dragonflymount::wire::JobOccurrenceT(*occurrences_) : nullptr); }
 }
@@ -16189,6 +16317,7 @@
   std::swap(begun, o.begun);
   std::swap(occurrences, o.occurrences);
   std::swap(next_occurrence, o.next_occurrence);
+  std::swap(beyond_rate, o.beyond_rate);
   return *this;
 }
 
@@ -16211,6 +16340,7 @@
   { auto _e = begun(); _o->begun = _e; }
   { auto _e = occurrences(); if (_e) { _o->occurrences.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->occurrences[_i] = std::unique_ptr<dragonflymount::wire::JobOccurrenceT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = next_occurrence(); _o->next_occurrence = _e; }
+  { auto _e = beyond_rate(); _o->beyond_rate = _e; }
 }
 
 inline flatbuffers::Offset<Job> Job::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -16231,6 +16361,7 @@
   auto _begun = _o->begun;
   auto _occurrences = _o->occurrences.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::JobOccurrence>> (_o->occurrences.size(), [](size_t i, _VectorArgs *__va) { return CreateJobOccurrence(*__va->__fbb, __va->__o->occurrences[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _next_occurrence = _o->next_occurrence;
+  auto _beyond_rate = _o->beyond_rate;
   return dragonflymount::wire::CreateJob(
       _fbb,
       _id,
@@ -16242,7 +16373,8 @@
       _ended_ms,
       _begun,
       _occurrences,
-      _next_occurrence);
+      _next_occurrence,
+      _beyond_rate);
 }
 
 inline QueueAdviceT *QueueAdvice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -16995,6 +17127,38 @@
       _touched_ms);
 }
 
+inline AccountRateT *AccountRate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AccountRateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AccountRate::UnPackTo(AccountRateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = account(); if (_e) _o->account = _e->str(); }
+  { auto _e = tokens_micro(); _o->tokens_micro = _e; }
+  { auto _e = filled_ms(); _o->filled_ms = _e; }
+}
+
+inline flatbuffers::Offset<AccountRate> AccountRate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AccountRateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAccountRate(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AccountRate> CreateAccountRate(flatbuffers::FlatBufferBuilder &_fbb, const AccountRateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AccountRateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _account = _o->account.empty() ? 0 : _fbb.CreateString(_o->account);
+  auto _tokens_micro = _o->tokens_micro;
+  auto _filled_ms = _o->filled_ms;
+  return dragonflymount::wire::CreateAccountRate(
+      _fbb,
+      _account,
+      _tokens_micro,
+      _filled_ms);
+}
+
 inline SchedulerImageT::SchedulerImageT(const SchedulerImageT &o)
       : time_ms(o.time_ms),
         catalogue((o.catalogue) ? new dragonflymount::wire::CatalogueT(*o.catalogue) : nullptr) {
@@ -17006,6 +17170,8 @@
   for (const auto &waves_ : o.waves) { waves.emplace_back((waves_) ? new dragonflymount::wire::MaintenanceWaveT(*waves_) : nullptr); }
   evacuations.reserve(o.evacuations.size());
   for (const auto &evacuations_ : o.evacuations) { evacuations.emplace_back((evacuations_) ? new dragonflymount::wire::EvacuationT(*evacuations_) : nullptr); }
+  rates.reserve(o.rates.size());
+  for (const auto &rates_ : o.rates) { rates.emplace_back((rates_) ? new dragonflymount::wire::AccountRateT(*rates_) : nullptr); }
 }
 
 inline SchedulerImageT &SchedulerImageT::operator=(SchedulerImageT o) FLATBUFFERS_NOEXCEPT {
@@ -17015,6 +17181,7 @@
   std::swap(acks, o.acks);
   std::swap(waves, o.waves);
   std::swap(evacuations, o.evacuations);
+  std::swap(rates, o.rates);
   return *this;
 }
 
@@ -17033,6 +17200,7 @@
   { auto _e = acks(); if (_e) { _o->acks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->acks[_i] = std::unique_ptr<dragonflymount::wire::EndpointAckT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = waves(); if (_e) { _o->waves.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waves[_i] = std::unique_ptr<dragonflymount::wire::MaintenanceWaveT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<dragonflymount::wire::EvacuationT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = rates(); if (_e) { _o->rates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rates[_i] = std::unique_ptr<dragonflymount::wire::AccountRateT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<SchedulerImage> SchedulerImage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SchedulerImageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -17049,6 +17217,7 @@
   auto _acks = _o->acks.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::EndpointAck>> (_o->acks.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointAck(*__va->__fbb, __va->__o->acks[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _waves = _o->waves.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::MaintenanceWave>> (_o->waves.size(), [](size_t i, _VectorArgs *__va) { return CreateMaintenanceWave(*__va->__fbb, __va->__o->waves[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::Evacuation>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateEvacuation(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _rates = _o->rates.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::AccountRate>> (_o->rates.size(), [](size_t i, _VectorArgs *__va) { return CreateAccountRate(*__va->__fbb, __va->__o->rates[i].get(), __va->__rehasher); }, &_va ) : 0;
   return dragonflymount::wire::CreateSchedulerImage(
       _fbb,
       _time_ms,
@@ -17056,7 +17225,8 @@
       _jobs,
       _acks,
       _waves,
-      _evacuations);
+      _evacuations,
+      _rates);
 }
 
 inline JobCallT::JobCallT(const JobCallT &o)
