Let tasks wait for a near place while that pays

Tasks took the best place that was free, far from their data or apart from their group, where they run 'remote-factor' times as long, although a near place was about to become free.

--- a/dragonflymount/jobs.hpp
+++ b/dragonflymount/jobs.hpp
@@ -10,6 +10,7 @@
 #include "dragonflymount/src/Jobs/Engine.hpp"
 #include "dragonflymount/src/Jobs/Evacuations.hpp"
 #include "dragonflymount/src/Jobs/Placement.hpp"
+#include "dragonflymount/src/Jobs/RackForecast.hpp"
 #include "dragonflymount/src/Jobs/RouteTable.hpp"
 #include "dragonflymount/src/Jobs/State.hpp"
 #include "dragonflymount/src/Jobs/StateImage.hpp"
--- a/dragonflymount/src/Jobs/Endpoints.cpp
+++ b/dragonflymount/src/Jobs/Endpoints.cpp
@@ -30,10 +30,13 @@
 
 } // namespace
 
-bool has_label(const endpoint_view& view, const wire::JobStepT& step) {
-    return step.required_label.empty() ||
-        std::find(view.labels.begin(), view.labels.end(),
-            step.required_label) != view.labels.end();
+bool has_label(const endpoint_view& view, const std::string& label) {
+    return std::find(view.labels.begin(), view.labels.end(), label) !=
+        view.labels.end();
+}
+
+bool has_required_label(const endpoint_view& view, const wire::JobStepT& step) {
+    return step.required_label.empty() || has_label(view, step.required_label);
 }
 
 duration observed_time(const endpoint_view& view, const run_ref& run) {
--- a/dragonflymount/src/Jobs/Endpoints.hpp
+++ b/dragonflymount/src/Jobs/Endpoints.hpp
@@ -117,8 +117,9 @@
     std::uint32_t quarantines = 0;
 };
 
+bool has_label(const endpoint_view& view, const std::string& label);
 /// \brief Whether the endpoint has the label that \p step requires, if any.
-bool has_label(const endpoint_view& view, const wire::JobStepT& step);
+bool has_required_label(const endpoint_view& view, const wire::JobStepT& step);
 
 /// \brief How a life of an endpoint ended, as far as the leader knows.
 enum class life_end : std::uint8_t {
--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -52,7 +52,9 @@
 } // namespace
 
 engine::engine(const state& agreed, engine_options options)
-    : agreed_(agreed), options_(options), endpoints_(options.endpoints) {}
+    : agreed_(agreed), options_(options), endpoints_(options.endpoints) {
+    waits_.remote_factor = options.remote_factor;
+}
 
 void engine::lead(log_term term, instant now) {
     resign();
@@ -84,6 +86,7 @@
     stop_requests_.clear();
     unconfirmed_.clear();
     avoided_.clear();
+    waits_.begun.clear();
     reserved_.clear();
     short_pools_.clear();
     answer_all(submitters_, reply_of(wire::job_status::interrupted));
@@ -246,7 +249,7 @@
 }
 
 void engine::collect_starts(wire::JobBatchT& batch, instant now) {
-    placement round(agreed_, endpoints_, avoided_, reserved_, now);
+    placement round(agreed_, endpoints_, avoided_, reserved_, waits_, now);
     for (const placed_run& placed : round.plan(options_.most_starts)) {
         auto order = std::make_unique<wire::RunStartT>();
         const job_id job = placed.run.task.job;
@@ -261,6 +264,9 @@
         batch.started.push_back(std::move(order));
     }
     short_pools_ = round.short_pools();
+    for (const step_key& step : round.waiting_steps()) {
+        steps_waited_ += waits_.begun.try_emplace(step, now).second ? 1 : 0;
+    }
 }
 
 void engine::batch_done(bool agreed, instant now) {
@@ -367,6 +373,10 @@
         const task_place place = agreed_.find_task(entry.first);
         return !place || place.task->done;
     });
+    std::erase_if(waits_.begun, [this](const auto& entry) {
+        const wire::JobT* job = agreed_.find_job(entry.first.job);
+        return job == nullptr || job->phase != wire::job_phase::active;
+    });
     const auto has_ended = [this](const run_ref& run) {
         return agreed_.find_run(run) == nullptr;
     };
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -73,6 +73,9 @@
     /// two ticks: placement rounds over all jobs, and lapse checks over all
     /// runs.
     std::uint32_t max_futile_scans = 2;
+    /// How many times as long a task runs far from its preferred rack, or
+    /// apart from its group; with 1 no task waits for a near place.
+    double remote_factor = 1;
     /// Maximum number of starts in one batch.
     std::size_t most_starts = 256;
 };
@@ -144,6 +147,8 @@
     std::uint64_t placement_rounds() const { return placement_rounds_; }
     /// \returns the number of scans of all runs for expired leases so far.
     std::uint64_t lapse_checks() const { return lapse_checks_; }
+    /// \returns the number of steps that have waited for a near place so far.
+    std::uint64_t steps_waited() const { return steps_waited_; }
 
 private:
     struct held_report {
@@ -282,6 +287,7 @@
     duration report_delay_{};
     instant next_lapse_check_{};
     std::uint64_t lapse_checks_ = 0;
+    std::uint64_t steps_waited_ = 0;
     // Number of ended lives at the time of the last lapse check.
     std::uint64_t ended_lives_ = 0;
     instant next_cleanup_{};
@@ -290,6 +296,7 @@
     // Runs to be stopped although their task still has to be done.
     std::set<run_ref> stop_requests_;
     avoided_endpoints avoided_;
+    place_waits waits_;
     std::set<vm_id> reserved_;
     // Pools in which the last placement round found too little room.
     std::set<std::string> short_pools_;
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -102,9 +102,9 @@
 
 placement::placement(const state& agreed, const endpoint_table& endpoints,
     const avoided_endpoints& avoided, const std::set<vm_id>& reserved,
-    instant now)
+    const place_waits& waits, instant now)
     : agreed_(agreed), endpoints_(endpoints), avoided_(avoided),
-      reserved_(reserved), now_(now) {}
+      reserved_(reserved), waits_(waits), now_(now) {}
 
 std::vector<placed_run> placement::plan(std::size_t most) {
     collect_steps();
@@ -262,13 +262,23 @@
         return;
     }
     step_spread spread = spread_of(open);
+    if (open.spec->rack_local && spread.racks.empty()) {
+        const rack_choice choice = choose_rack(open);
+        if (choice.waits) {
+            return;
+        }
+        if (choice.rack) {
+            spread.racks.insert(*choice.rack);
+        }
+    }
     const auto& tasks = open.occurrence->steps[open.step]->tasks;
     for (std::uint32_t k = 0; k < tasks.size(); ++k) {
         if (placed_.size() >= most) {
             return;
         }
         if (is_waiting(*tasks[k]) && !place_task(open, k, spread) &&
-            !avoids_any(open) && !is_suspect(*tasks[k])) {
+            !avoids_any(open) && !is_suspect(*tasks[k]) &&
+            !waiting_steps_.contains(key_of(open))) {
             return;
         }
     }
@@ -356,7 +366,7 @@
         note_refusal(open, spread.members + 1, pool);
         short_pools_.insert(open.queue->pool);
     }
-    if (!chosen) {
+    if (!chosen || waits_for_rack(open, *pool.candidates[*chosen].view)) {
         return false;
     }
     take_room(pool, *chosen, room_of(*open.spec));
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -14,6 +14,9 @@
 #define DRAGONFLYMOUNT_JOBS_PLACEMENT_HPP
 
 #include "dragonflymount/src/Jobs/Endpoints.hpp"
+#include "dragonflymount/src/Jobs/RackForecast.hpp"
+
+#include <functional>
 
 namespace dragonflymount::jobs {
 
@@ -26,6 +29,27 @@
 /// forever. About the time in which its pool gets a further VM.
 inline constexpr duration avoid_time = std::chrono::milliseconds(1500);
 
+/// \brief Identifies a step of one occurrence of a job.
+struct step_key {
+    job_id job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    friend bool operator<(const step_key& left, const step_key& right) {
+        return std::tie(left.job, left.occurrence, left.step) <
+            std::tie(right.job, right.occurrence, right.step);
+    }
+};
+
+/// \brief What the leader knows of waits for a place near the data or group of
+/// a task.
+struct place_waits {
+    /// How many times as long a task runs far away; 1 if no task waits.
+    double remote_factor = 1;
+    /// When tasks of a step first waited.
+    std::map<step_key, instant> begun;
+};
+
 struct placed_run {
     run_ref run;
     endpoint_life life;
@@ -50,7 +74,7 @@
     /// \param now the time of the round, on the clock of the reports.
     placement(const state& agreed, const endpoint_table& endpoints,
         const avoided_endpoints& avoided, const std::set<vm_id>& reserved,
-        instant now);
+        const place_waits& waits, instant now);
 
     /// \brief Runs the round; call it once.
     /// \returns the starts of this round, at most \p most and the rest of a
@@ -58,6 +82,9 @@
     std::vector<placed_run> plan(std::size_t most);
     /// \returns the pools in which \c plan found no endpoint for a task.
     const std::set<std::string>& short_pools() const { return short_pools_; }
+    /// \returns the steps of which \c plan left a task waiting for a near
+    /// place although another was free.
+    const std::set<step_key>& waiting_steps() const { return waiting_steps_; }
 
 private:
     struct candidate {
@@ -201,6 +228,25 @@
     bool within_limit(
         const wire::JobT& job, const wire::JobStepT& step, std::size_t tasks);
     step_spread spread_of(const open_step& open) const;
+    double remaining_ms(const endpoint_view& view, const run_ref& run) const;
+    rack_forecast make_forecast(const pool_room& pool,
+        const std::function<bool(const endpoint_view&)>& is_near) const;
+    rack_forecast& forecast_of(
+        const std::string& pool, const std::string& label);
+    static step_key key_of(const open_step& open);
+    double waited_ms(const open_step& open) const;
+    /// \returns whether a task waits for its preferred rack instead of starting
+    /// at \p free.
+    bool waits_for_rack(const open_step& open, const endpoint_view& free);
+    // The rack for a step whose tasks run faster together, if there is one, and
+    // whether the step waits for it.
+    struct rack_choice {
+        std::optional<rack_id> rack;
+        bool waits = false;
+    };
+    std::size_t tasks_that_fit(const pool_room& pool, const rack_id& rack,
+        const open_step& open) const;
+    rack_choice choose_rack(const open_step& open);
     /// \returns when a run of \p name was last bad there, or nothing.
     std::optional<instant> last_bad_run(
         const task_name& name, const std::string& endpoint) const;
@@ -209,6 +255,7 @@
     const endpoint_table& endpoints_;
     const avoided_endpoints& avoided_;
     const std::set<vm_id>& reserved_;
+    const place_waits& waits_;
     instant now_;
     // Endpoints that take tasks, by pool. The room of a pool is computed when
     // its first step is placed.
@@ -223,6 +270,10 @@
     std::set<std::string> trial_endpoints_;
     std::map<std::string, resources> team_usage_;
     std::set<std::string> short_pools_;
+    std::set<step_key> waiting_steps_;
+    // The expected room near a preferred rack, by pool and label, less what
+    // waiting tasks have booked.
+    std::map<std::pair<std::string, std::string>, rack_forecast> forecasts_;
     std::vector<placed_run> placed_;
     // Invariant: has one element for each element of placed_.
     std::vector<used_place> used_places_;
--- a/dragonflymount/src/Jobs/VmManagerEvacuations.cpp
+++ b/dragonflymount/src/Jobs/VmManagerEvacuations.cpp
@@ -68,7 +68,8 @@
             const endpoint_load* load = jobs_.agreed().load_of(view->life);
             const resources room =
                 load == nullptr ? view->capacity : view->capacity - load->used;
-            return room_of(step).fits(room) && has_label(*view, step) &&
+            return room_of(step).fits(room) &&
+                has_required_label(*view, step) &&
                 !chosen_for_move_.contains(view->vm) &&
                 (step.anti_affinity == 0 ||
                     tasks_at(*view) <
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -135,6 +135,9 @@
         counts.cancelled);
     add_metric("dfm_runs_started_total", "counter", "Runs started here.",
         counts.started);
+    add_metric("dfm_steps_waited_total", "counter",
+        "Steps of which a task waited for a near place.",
+        engine_.steps_waited());
     page.metric("dfm_zone_evacuated_since_seconds", "gauge",
         "When the evacuation of the zone began, since 1970.");
     for (const auto& [zone, begun] : agreed().evacuated_zones().zones()) {
--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -78,6 +78,7 @@
         .allow("scheduler", "new-site", kind::name, "false")
         .allow("scheduler", "lost-disks", kind::count, "1")
         .allow("scheduler", "zones", kind::list, "")
+        .allow("scheduler", "remote-factor", kind::number, "1")
         .allow("scheduler", "snapshot-records", kind::count, "4096")
         .derive(
             "scheduler", "election-timeout", kind::time, &election_timeout_of)
@@ -121,6 +122,7 @@
     replica.tail = agreement::tail_policy::cut_torn_writes;
     replica.reopen_interval = reopen_interval;
     replica.new_site = read.text("scheduler", "new-site") == "true";
+    made.engine.remote_factor = read.number("scheduler", "remote-factor");
     made.engine.endpoints.lease = read.time("scheduler", "task-lease");
     made.engine.endpoints.longest_lease =
         read.time("scheduler", "longest-lease");
--- a/tests/jobs/placement_test.cpp
+++ b/tests/jobs/placement_test.cpp
@@ -19,7 +19,8 @@
         endpoints_.apply_report(report, at_ms(10));
     }
     std::vector<placed_run> plan(instant now = at_ms(20)) {
-        return placement(jobs_.agreed, endpoints_, avoided_, reserved_, now)
+        return placement(
+            jobs_.agreed, endpoints_, avoided_, reserved_, waits_, now)
             .plan(1000);
     }
     void limit_cpu(std::uint64_t limit) {
@@ -33,6 +34,7 @@
     endpoint_table endpoints_;
     avoided_endpoints avoided_;
     std::set<vm_id> reserved_;
+    place_waits waits_;
 };
 
 TEST_F(placement_round, never_exceeds_a_vm) {
