Give lagging tasks a copy where their step allows it

A run that stalled or was far slower than declared was stopped and started again, also where the step allows copies, which threw its work away. Such a task now gets a second run elsewhere, in room that no waiting task wants, and the first one that is done counts.

--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -87,6 +87,7 @@
     unconfirmed_.clear();
     avoided_.clear();
     waits_.begun.clear();
+    copies_wanted_.clear();
     reserved_.clear();
     short_pools_.clear();
     answer_all(submitters_, reply_of(wire::job_status::interrupted));
@@ -251,24 +252,35 @@
 void engine::collect_starts(wire::JobBatchT& batch, instant now) {
     placement round(agreed_, endpoints_, avoided_, reserved_, waits_, now);
     for (const placed_run& placed : round.plan(options_.most_starts)) {
-        auto order = std::make_unique<wire::RunStartT>();
         const job_id job = placed.run.task.job;
         if (!agreed_.find_job(job)->begun) {
             unconfirmed_.propose(job);
         }
-        order->task =
-            std::make_unique<wire::TaskNameT>(to_wire(placed.run.task));
-        order->run = placed.run.run;
-        order->endpoint = placed.life.endpoint;
-        order->life = placed.life.number;
-        batch.started.push_back(std::move(order));
+        add_start(batch, placed);
     }
     short_pools_ = round.short_pools();
+    const std::size_t most_copies = options_.most_starts -
+        std::min(options_.most_starts, batch.started.size());
+    for (const placed_run& placed :
+        round.plan_copies(copies_wanted_, most_copies)) {
+        copies_wanted_.erase(placed.run.task);
+        ++copies_started_;
+        add_start(batch, placed);
+    }
     for (const step_key& step : round.waiting_steps()) {
         steps_waited_ += waits_.begun.try_emplace(step, now).second ? 1 : 0;
     }
 }
 
+void engine::add_start(wire::JobBatchT& batch, const placed_run& placed) {
+    auto order = std::make_unique<wire::RunStartT>();
+    order->task = std::make_unique<wire::TaskNameT>(to_wire(placed.run.task));
+    order->run = placed.run.run;
+    order->endpoint = placed.life.endpoint;
+    order->life = placed.life.number;
+    batch.started.push_back(std::move(order));
+}
+
 void engine::batch_done(bool agreed, instant now) {
     if (!batch_in_flight_) {
         return;
@@ -377,6 +389,10 @@
         const wire::JobT* job = agreed_.find_job(entry.first.job);
         return job == nullptr || job->phase != wire::job_phase::active;
     });
+    std::erase_if(copies_wanted_, [this](const task_name& name) {
+        const task_place place = agreed_.find_task(name);
+        return !is_wanted(place) || place.task->runs.empty();
+    });
     const auto has_ended = [this](const run_ref& run) {
         return agreed_.find_run(run) == nullptr;
     };
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -149,6 +149,8 @@
     std::uint64_t lapse_checks() const { return lapse_checks_; }
     /// \returns the number of steps that have waited for a near place so far.
     std::uint64_t steps_waited() const { return steps_waited_; }
+    /// \returns the number of copies of lagging tasks started so far.
+    std::uint64_t copies_started() const { return copies_started_; }
 
 private:
     struct held_report {
@@ -188,6 +190,7 @@
         const wire::TaskRunT& record) const;
     void collect_due(wire::JobBatchT& batch, std::uint64_t wall_ms) const;
     void collect_starts(wire::JobBatchT& batch, instant now);
+    static void add_start(wire::JobBatchT& batch, const placed_run& placed);
     void add_end(wire::JobBatchT& batch, const run_ref& run,
         const endpoint_life& life, wire::run_end how) const;
     bool is_unlisted(const endpoint_view& view, const run_ref& run) const;
@@ -288,6 +291,7 @@
     instant next_lapse_check_{};
     std::uint64_t lapse_checks_ = 0;
     std::uint64_t steps_waited_ = 0;
+    std::uint64_t copies_started_ = 0;
     // Number of ended lives at the time of the last lapse check.
     std::uint64_t ended_lives_ = 0;
     instant next_cleanup_{};
@@ -297,6 +301,8 @@
     std::set<run_ref> stop_requests_;
     avoided_endpoints avoided_;
     place_waits waits_;
+    // Lagging tasks that may have a second run.
+    std::set<task_name> copies_wanted_;
     std::set<vm_id> reserved_;
     // Pools in which the last placement round found too little room.
     std::set<std::string> short_pools_;
--- a/dragonflymount/src/Jobs/EngineReports.cpp
+++ b/dragonflymount/src/Jobs/EngineReports.cpp
@@ -425,13 +425,15 @@
 
 // Requests the end of stalled and slow runs, so that their tasks restart at
 // other endpoints. A task is moved for slowness only once: if it is slow at
-// another endpoint as well, its declared run time was wrong.
+// another endpoint as well, its declared run time was wrong. A task that may
+// have copies isn't stopped: it gets a copy elsewhere while room is idle.
 void engine::stop_troubled_runs(const endpoint_view& view, instant now) {
     std::vector<run_ref> troubled;
     for (const auto& [run, progress] : view.running) {
         const task_place place = agreed_.find_task(run.task);
         if (!place || place.step->long_running || place.step->gang ||
-            progress.percent >= 100 || stop_requests_.contains(run)) {
+            progress.percent >= 100 || stop_requests_.contains(run) ||
+            place.task->runs.size() > 1 || copies_wanted_.contains(run.task)) {
             continue;
         }
         const bool is_slow = !avoided_.contains(run.task) &&
@@ -442,7 +444,11 @@
         }
     }
     for (const run_ref& run : troubled) {
-        stop_requests_.insert(run);
+        if (agreed_.find_task(run.task).step->speculative) {
+            copies_wanted_.insert(run.task);
+        } else {
+            stop_requests_.insert(run);
+        }
         endpoints_.note_bad_run(view.life.endpoint, run.task.job, now);
     }
 }
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -19,9 +19,9 @@
 // preferred.
 constexpr std::uint32_t max_long_running_together = 2;
 
-bool has_label(const endpoint_view& view, const std::string& label) {
-    return std::find(view.labels.begin(), view.labels.end(), label) !=
-        view.labels.end();
+bool runs_at(const wire::JobTaskT& task, const std::string& endpoint) {
+    return std::any_of(task.runs.begin(), task.runs.end(),
+        [&](const auto& record) { return record->endpoint == endpoint; });
 }
 
 // A limit of 0 means no limit.
@@ -385,10 +385,12 @@
     const wire::JobStepT& step = *open.spec;
     const endpoint_view& view = *place.view;
     if (!room_of(step).fits(place.room) ||
-        !may_start_at(open, name.index, place)) {
+        !may_start_at(open, name.index, place) ||
+        runs_at(*open.occurrence->steps[open.step]->tasks[name.index],
+            view.life.endpoint)) {
         return false;
     }
-    if (!has_label(view, step)) {
+    if (!has_required_label(view, step)) {
         return false;
     }
     if (step.anti_affinity > 0) {
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -80,6 +80,10 @@
     /// \returns the starts of this round, at most \p most and the rest of a
     /// gang.
     std::vector<placed_run> plan(std::size_t most);
+    /// \brief Places copies of tasks that run already, in room that \c plan
+    /// left idle; call it after \c plan. \returns the starts, at most \p most.
+    std::vector<placed_run> plan_copies(
+        const std::set<task_name>& tasks, std::size_t most);
     /// \returns the pools in which \c plan found no endpoint for a task.
     const std::set<std::string>& short_pools() const { return short_pools_; }
     /// \returns the steps of which \c plan left a task waiting for a near
@@ -201,6 +205,8 @@
         pool_room& pool, std::size_t candidate, const resources& taken);
     void collect_steps();
     void collect_steps(const wire::JobT& job);
+    std::optional<open_step> step_of(const task_place& place) const;
+    bool place_copy(const task_name& name);
     void find_awaiting_maintenance();
     void find_trials();
     bool may_start_at(const open_step& open, std::uint32_t index,
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -138,6 +138,8 @@
     add_metric("dfm_steps_waited_total", "counter",
         "Steps of which a task waited for a near place.",
         engine_.steps_waited());
+    add_metric("dfm_copies_started_total", "counter",
+        "Copies of lagging tasks started here.", engine_.copies_started());
     page.metric("dfm_zone_evacuated_since_seconds", "gauge",
         "When the evacuation of the zone began, since 1970.");
     for (const auto& [zone, begun] : agreed().evacuated_zones().zones()) {
