Reorder by account rates only among jobs that are late

Cause: marked jobs went behind all others, also while all could be in time in the order of due times.

Now the mark counts only among jobs that can't be in time any more.

--- a/dragonflymount/src/Jobs/AccountRates.hpp
+++ b/dragonflymount/src/Jobs/AccountRates.hpp
@@ -16,10 +16,10 @@
 /// \brief A token bucket for each account, whose weight is its rate in jobs a
 /// second.
 ///
-/// Load pattern: one account sends many times its usual and, served in the
-/// order of due times, would take the room of all others. Jobs beyond an
-/// account's rate are served after those within, so only that account's jobs
-/// are late. An account that was idle may send the jobs of \c burst_ms at once.
+/// Load pattern: one account sends many times its usual, more than there is
+/// room for. Of the jobs that are late then, those beyond their account's rate
+/// are served after those within. Work in time keeps its order. An account that
+/// was idle may send the jobs of \c burst_ms at once.
 class account_rates {
 public:
     /// Time whose jobs an account may hand in at once.
--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -196,6 +196,13 @@
     }
 }
 
+// Among jobs that are late anyway, those within their accounts' rates go first.
+// Work in time isn't reordered: while it all can be in time, a later place
+// would only make some of it late.
+bool placement::goes_behind(const open_step& open) {
+    return open.job->beyond_rate && open.predicted != timeliness::on_time;
+}
+
 void placement::collect_steps() {
     for (const job_id id : agreed_.startable_jobs()) {
         collect_steps(*agreed_.find_job(id));
@@ -203,10 +210,10 @@
     std::sort(steps_.begin(), steps_.end(),
         [](const open_step& left, const open_step& right) {
             return std::make_tuple(!left.long_running, left.priority,
-                       left.beyond_rate, left.predicted, left.begin_by_ms,
+                       left.predicted, goes_behind(left), left.begin_by_ms,
                        left.job->id, left.step) <
                 std::make_tuple(!right.long_running, right.priority,
-                    right.beyond_rate, right.predicted, right.begin_by_ms,
+                    right.predicted, goes_behind(right), right.begin_by_ms,
                     right.job->id, right.step);
         });
 }
@@ -228,12 +235,11 @@
                     [](const auto& task) { return is_waiting(*task); })) {
                 continue;
             }
-            steps_.push_back(
-                {&job, occurrence.get(), k, &step, queue, step.long_running,
-                    queue->priority, job.beyond_rate, times.predicted,
-                    times.due_ms > times.remaining_ms
-                        ? times.due_ms - times.remaining_ms
-                        : 0});
+            steps_.push_back({&job, occurrence.get(), k, &step, queue,
+                step.long_running, queue->priority, times.predicted,
+                times.due_ms > times.remaining_ms
+                    ? times.due_ms - times.remaining_ms
+                    : 0});
         }
     }
 }
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -180,13 +180,12 @@
         std::uint32_t step = 0;
         const wire::JobStepT* spec = nullptr;
         const wire::JobQueueT* queue = nullptr;
-        // Order of service: long-running tasks first, then by priority, jobs
-        // within their account's rate before others, by predicted timeliness,
-        // and by the latest time at which the step can begin and still be on
-        // time.
+        // Order of service: long-running tasks first, then by priority, by
+        // predicted timeliness, late jobs within their account's rate before
+        // others, and by the latest time at which the step can begin and still
+        // be on time.
         bool long_running = false;
         std::uint32_t priority = 0;
-        bool beyond_rate = false;
         timeliness predicted = timeliness::on_time;
         std::uint64_t begin_by_ms = 0;
     };
@@ -203,6 +202,7 @@
     pool_room& room_of_pool(const std::string& pool);
     static void take_room(
         pool_room& pool, std::size_t candidate, const resources& taken);
+    static bool goes_behind(const open_step& open);
     void collect_steps();
     void collect_steps(const wire::JobT& job);
     std::optional<open_step> step_of(const task_place& place) const;
