--- a/dragonflymount/src/Agreement/Election.cpp
+++ b/dragonflymount/src/Agreement/Election.cpp
@@ -5,12 +5,19 @@
 
 namespace dragonflymount::agreement {
 
+// Replicas may pack the same state into different bytes, so the parts of two
+// leaders don't fit together.
+void replica::begin_term(hard_state hard) {
+    hard_ = std::move(hard);
+    hard_dirty_ = true;
+    incoming_ = incoming_snapshot();
+}
+
 void replica::set_term(log_term term) {
     if (term <= hard_.term) {
         return;
     }
-    hard_ = {term, replica_id()};
-    hard_dirty_ = true;
+    begin_term({term, replica_id()});
 }
 
 // Keeps the first reason: a second call for the same step-down finds a follower
@@ -37,8 +44,7 @@
     leader_ = replica_id();
     votes_ = {options_.self};
     if (!pre_vote) {
-        hard_ = {hard_.term.next(), options_.self};
-        hard_dirty_ = true;
+        begin_term({hard_.term.next(), options_.self});
     }
     reset_election_timer(now);
     if (is_majority(votes_.size())) {
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -10,6 +10,7 @@
 #define DRAGONFLYMOUNT_AGREEMENT_REPLICA_HPP
 
 #include "dragonflymount/src/Agreement/Log.hpp"
+#include "dragonflymount/src/Agreement/SnapshotParts.hpp"
 
 #include <functional>
 #include <map>
@@ -47,6 +48,8 @@
     /// Largest payload of the records in one message, in bytes; a message may
     /// always hold one record.
     std::size_t batch_bytes = 1U << 20U;
+    /// Largest part of a snapshot's state in one message, in bytes.
+    std::size_t part_bytes = 1U << 20U;
     std::uint64_t seed = 1;
 };
 
@@ -137,6 +140,9 @@
     log_index members_index() const { return log_.members_index(); }
     std::size_t log_size() const { return log_.size(); }
     bool is_failed() const { return failed_; }
+    /// \brief Whether this replica leads and sends its snapshot to a replica
+    /// that answers. A newer snapshot would make it begin again.
+    bool is_sending_snapshot(instant now) const;
     /// \returns the identities of replicas that have answered appends without
     /// being members under that identity.
     const std::map<replica_id, replica_identity>& unadmitted() const {
@@ -172,6 +178,9 @@
         std::uint64_t in_flight_round = 0;
         // The message in flight is sent again at this time if unanswered.
         instant retry_at{};
+        // The snapshot of which this peer holds the first bytes, and how many.
+        log_index part_index;
+        std::size_t part_bytes = 0;
     };
 
     void receive(const wire::VoteRequestT& request, instant now);
@@ -214,6 +223,7 @@
     void reply_append(const std::string& leader, std::uint64_t round,
         bool accepted, log_index match);
     void set_term(log_term term);
+    void begin_term(hard_state hard);
     template <class Content>
     void send(const replica_id& to, Content content);
     std::uint64_t next_random();
@@ -232,6 +242,8 @@
     bool hard_dirty_ = false;
     bool failed_ = false;
     std::optional<snapshot> installed_;
+    // Parts of the leader of this term.
+    incoming_snapshot incoming_;
     std::vector<outbound> outbox_;
     std::map<replica_id, progress> peers_;
     std::set<replica_id> votes_;
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -24,6 +24,8 @@
     reply.accepted = accepted;
     reply.match_index = match.value();
     reply.round = round;
+    reply.part_index = incoming_.last_index().value();
+    reply.part_bytes = incoming_.size();
     send(replica_id(leader), std::move(reply));
 }
 
@@ -45,6 +47,8 @@
         reply_append(request.leader, request.round, false, hint);
         return;
     }
+    // This log reaches the leader's, so no snapshot is needed any more.
+    incoming_ = incoming_snapshot();
     log_index match = previous;
     for (const auto& entry : request.entries) {
         const log_index index(entry->index);
@@ -75,20 +79,27 @@
 
 void replica::receive(const wire::InstallSnapshotT& request, instant now) {
     const log_term term(request.term);
-    if (term < hard_.term || !request.image) {
+    if (term < hard_.term || !request.part) {
         reply_append(request.leader, request.round, false, log_.last_index());
         return;
     }
     become_follower(term, replica_id(request.leader), now);
     last_leader_contact_ = now;
-    snapshot image = from_wire(*request.image);
-    if (image.last_index > commit_) {
-        commit_ = image.last_index;
-        applied_ = image.last_index;
-        log_.compact(image);
-        unsaved_from_ = std::max(unsaved_from_, log_.first_index());
-        installed_ = std::move(image);
+    if (log_index(request.part->last_index) <= commit_) {
+        reply_append(request.leader, request.round, true, commit_);
+        return;
+    }
+    incoming_.add(*request.part);
+    if (!incoming_.is_complete()) {
+        reply_append(request.leader, request.round, false, log_.last_index());
+        return;
     }
+    snapshot image = incoming_.take();
+    commit_ = image.last_index;
+    applied_ = image.last_index;
+    log_.compact(image);
+    unsaved_from_ = std::max(unsaved_from_, log_.first_index());
+    installed_ = std::move(image);
     reply_append(request.leader, request.round, true, commit_);
 }
 
@@ -114,6 +125,8 @@
     }
     if (reply.round >= state.in_flight_round) {
         state.in_flight = false;
+        state.part_index = log_index(reply.part_index);
+        state.part_bytes = reply.part_bytes;
     }
     const log_index match(reply.match_index);
     if (reply.accepted) {
@@ -228,19 +241,32 @@
 }
 
 void replica::send_snapshot(const member& peer, progress& state, instant now) {
+    const snapshot& image = log_.base();
+    const std::size_t received =
+        state.part_index == image.last_index ? state.part_bytes : 0;
     wire::InstallSnapshotT request;
     request.term = hard_.term.value();
     request.leader = options_.self.str();
     request.round = round_;
-    request.image =
-        std::make_unique<wire::SnapshotImageT>(agreement::to_wire(log_.base()));
-    const auto bytes = static_cast<std::int64_t>(log_.base().state.size());
+    request.part = std::make_unique<wire::SnapshotPartT>(
+        make_part(image, received, options_.part_bytes));
+    const auto missing =
+        static_cast<std::int64_t>(image.state.size() - request.part->offset);
     const duration transfer =
-        std::chrono::milliseconds(bytes / image_bytes_per_millisecond);
+        std::chrono::milliseconds(missing / image_bytes_per_millisecond);
     mark_in_flight(state, options_.election_timeout + transfer, now);
     send(peer.id, std::move(request));
 }
 
+bool replica::is_sending_snapshot(instant now) const {
+    return is_leader() &&
+        std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+            const progress& state = entry.second;
+            return state.next < log_.first_index() &&
+                now - state.acknowledged < options_.election_timeout;
+        });
+}
+
 void replica::advance_commit() {
     std::vector<log_index> matched;
     for (const member& peer : log_.members()) {
--- a/dragonflymount/src/Agreement/Types.cpp
+++ b/dragonflymount/src/Agreement/Types.cpp
@@ -2,7 +2,6 @@
 #include "dragonflymount/src/Agreement/Types.hpp"
 
 namespace dragonflymount::agreement {
-namespace {
 
 wire::MemberListT to_wire(const member_list& members) {
     wire::MemberListT list;
@@ -28,8 +27,6 @@
     return members;
 }
 
-} // namespace
-
 bytes encode_members(const member_list& members) {
     flatbuffers::FlatBufferBuilder builder;
     const wire::MemberListT list = to_wire(members);
--- a/dragonflymount/src/Agreement/Types.hpp
+++ b/dragonflymount/src/Agreement/Types.hpp
@@ -93,6 +93,8 @@
 bytes encode_members(const member_list& members);
 result<member_list> decode_members(std::span<const std::uint8_t> data);
 
+wire::MemberListT to_wire(const member_list& members);
+member_list from_wire(const wire::MemberListT& list);
 wire::SnapshotImageT to_wire(const snapshot& image);
 snapshot from_wire(const wire::SnapshotImageT& image);
 
--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -115,6 +115,10 @@
     // on packing an image. Far less than a heartbeat interval.
     static constexpr duration max_slice = std::chrono::milliseconds(5);
 
+    // A leader that sends a snapshot lets its log grow to this many times the
+    // records after which it would save the next one.
+    static constexpr std::uint64_t most_deferred_snapshots = 4;
+
     // How long a leader may rely on its last contact with a quorum, in percent
     // of the election timeout. The remainder covers clock drift between hosts.
     static constexpr std::int64_t quorum_validity_percent = 90;
@@ -388,14 +392,18 @@
     }
     snapshot_ = image.last_index;
     connect_members();
-    LOG(INFO) << event::snapshot_installed << "index=" << image.last_index;
+    LOG(INFO) << event::snapshot_installed << "index=" << image.last_index
+              << " bytes=" << image.state.size();
 }
 
 template <replicated_state State>
 void replica_host<State>::save_due_snapshot() {
     const std::uint64_t since = applied_.index().value() - snapshot_.value();
+    const bool sending =
+        replica_->is_sending_snapshot(runtime::system_clock::now()) &&
+        since < most_deferred_snapshots * settings_.snapshot_records;
     // The replica refuses a snapshot older than the last change of members.
-    if (!applied_.is_packing() && !applied_.has_pending() &&
+    if (!applied_.is_packing() && !applied_.has_pending() && !sending &&
         since >= settings_.snapshot_records &&
         replica_->members_index() <= applied_.index()) {
         applied_.begin_packing();
@@ -415,7 +423,8 @@
     const auto status = replica_->save_snapshot(data_.store(), index, image);
     if (status) {
         snapshot_ = index;
-        LOG(INFO) << event::snapshot_saved << "index=" << index;
+        LOG(INFO) << event::snapshot_saved << "index=" << index
+                  << " bytes=" << image.size();
     } else if (replica_->is_failed()) {
         data_.note_failure(status.error());
     }
--- a/dragonflymount/src/Wire/messages_generated.h
+++ b/dragonflymount/src/Wire/messages_generated.h
@@ -368,6 +368,10 @@
 struct AppendReplyBuilder;
 struct AppendReplyT;
 
+struct SnapshotPart;
+struct SnapshotPartBuilder;
+struct SnapshotPartT;
+
 struct InstallSnapshot;
 struct InstallSnapshotBuilder;
 struct InstallSnapshotT;
@@ -12622,6 +12626,8 @@
   bool accepted = false;
   uint64_t match_index = 0;
   uint64_t round = 0;
+  uint64_t part_index = 0;
+  uint64_t part_bytes = 0;
 };
 
 struct AppendReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -12634,7 +12640,9 @@
     VT_IDENTITY = 8,
     VT_ACCEPTED = 10,
     VT_MATCH_INDEX = 12,
-    VT_ROUND = 14
+    VT_ROUND = 14,
+    VT_PART_INDEX = 16,
+    VT_PART_BYTES = 18
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -12654,6 +12662,12 @@
   uint64_t round() const {
     return GetField<uint64_t>(VT_ROUND, 0);
   }
+  uint64_t part_index() const {
+    return GetField<uint64_t>(VT_PART_INDEX, 0);
+  }
+  uint64_t part_bytes() const {
+    return GetField<uint64_t>(VT_PART_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -12663,6 +12677,8 @@
            VerifyField<uint8_t>(verifier, VT_ACCEPTED, 1) &&
            VerifyField<uint64_t>(verifier, VT_MATCH_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PART_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PART_BYTES, 8) &&
            verifier.EndTable();
   }
   AppendReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -12692,6 +12708,12 @@
   void add_round(uint64_t round) {
     fbb_.AddElement<uint64_t>(AppendReply::VT_ROUND, round, 0);
   }
+  void add_part_index(uint64_t part_index) {
+    fbb_.AddElement<uint64_t>(AppendReply::VT_PART_INDEX, part_index, 0);
+  }
+  void add_part_bytes(uint64_t part_bytes) {
+    fbb_.AddElement<uint64_t>(AppendReply::VT_PART_BYTES, part_bytes, 0);
+  }
   explicit AppendReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -12710,8 +12732,12 @@
     uint64_t identity = 0,
     bool accepted = false,
     uint64_t match_index = 0,
-    uint64_t round = 0) {
+    uint64_t round = 0,
+    uint64_t part_index = 0,
+    uint64_t part_bytes = 0) {
   AppendReplyBuilder builder_(_fbb);
+  builder_.add_part_bytes(part_bytes);
+  builder_.add_part_index(part_index);
   builder_.add_round(round);
   builder_.add_match_index(match_index);
   builder_.add_identity(identity);
@@ -12733,7 +12759,9 @@
     uint64_t identity = 0,
     bool accepted = false,
     uint64_t match_index = 0,
-    uint64_t round = 0) {
+    uint64_t round = 0,
+    uint64_t part_index = 0,
+    uint64_t part_bytes = 0) {
   auto follower__ = follower ? _fbb.CreateString(follower) : 0;
   return dragonflymount::wire::CreateAppendReply(
       _fbb,
@@ -12742,17 +12770,157 @@
       identity,
       accepted,
       match_index,
-      round);
+      round,
+      part_index,
+      part_bytes);
 }
 
 flatbuffers::Offset<AppendReply> CreateAppendReply(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SnapshotPartT : public flatbuffers::NativeTable {
+  typedef SnapshotPart TableType;
+  uint64_t last_index = 0;
+  uint64_t last_term = 0;
+  std::unique_ptr<dragonflymount::wire::MemberListT> members{};
+  uint64_t offset = 0;
+  uint64_t state_bytes = 0;
+  std::vector<uint8_t> data{};
+  SnapshotPartT() = default;
+  SnapshotPartT(const SnapshotPartT &o);
+  SnapshotPartT(SnapshotPartT&&) FLATBUFFERS_NOEXCEPT = default;
+  SnapshotPartT &operator=(SnapshotPartT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct SnapshotPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SnapshotPartT NativeTableType;
+  typedef SnapshotPartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LAST_INDEX = 4,
+    VT_LAST_TERM = 6,
+    VT_MEMBERS = 8,
+    VT_OFFSET = 10,
+    VT_STATE_BYTES = 12,
+    VT_DATA = 14
+  };
+  uint64_t last_index() const {
+    return GetField<uint64_t>(VT_LAST_INDEX, 0);
+  }
+  uint64_t last_term() const {
+    return GetField<uint64_t>(VT_LAST_TERM, 0);
+  }
+  const dragonflymount::wire::MemberList *members() const {
+    return GetPointer<const dragonflymount::wire::MemberList *>(VT_MEMBERS);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  uint64_t state_bytes() const {
+    return GetField<uint64_t>(VT_STATE_BYTES, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *data() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyTable(members()) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STATE_BYTES, 8) &&
+           VerifyOffset(verifier, VT_DATA) &&
+           verifier.VerifyVector(data()) &&
+           verifier.EndTable();
+  }
+  SnapshotPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SnapshotPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SnapshotPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SnapshotPartBuilder {
+  typedef SnapshotPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_last_index(uint64_t last_index) {
+    fbb_.AddElement<uint64_t>(SnapshotPart::VT_LAST_INDEX, last_index, 0);
+  }
+  void add_last_term(uint64_t last_term) {
+    fbb_.AddElement<uint64_t>(SnapshotPart::VT_LAST_TERM, last_term, 0);
+  }
+  void add_members(flatbuffers::Offset<dragonflymount::wire::MemberList> members) {
+    fbb_.AddOffset(SnapshotPart::VT_MEMBERS, members);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(SnapshotPart::VT_OFFSET, offset, 0);
+  }
+  void add_state_bytes(uint64_t state_bytes) {
+    fbb_.AddElement<uint64_t>(SnapshotPart::VT_STATE_BYTES, state_bytes, 0);
+  }
+  void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
+    fbb_.AddOffset(SnapshotPart::VT_DATA, data);
+  }
+  explicit SnapshotPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SnapshotPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SnapshotPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SnapshotPart> CreateSnapshotPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t last_index = 0,
+    uint64_t last_term = 0,
+    flatbuffers::Offset<dragonflymount::wire::MemberList> members = 0,
+    uint64_t offset = 0,
+    uint64_t state_bytes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0) {
+  SnapshotPartBuilder builder_(_fbb);
+  builder_.add_state_bytes(state_bytes);
+  builder_.add_offset(offset);
+  builder_.add_last_term(last_term);
+  builder_.add_last_index(last_index);
+  builder_.add_data(data);
+  builder_.add_members(members);
+  return builder_.Finish();
+}
+
+struct SnapshotPart::Traits {
+  using type = SnapshotPart;
+  static auto constexpr Create = CreateSnapshotPart;
+};
+
+inline flatbuffers::Offset<SnapshotPart> CreateSnapshotPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t last_index = 0,
+    uint64_t last_term = 0,
+    flatbuffers::Offset<dragonflymount::wire::MemberList> members = 0,
+    uint64_t offset = 0,
+    uint64_t state_bytes = 0,
+    const std::vector<uint8_t> *data = nullptr) {
+  auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
+  return dragonflymount::wire::CreateSnapshotPart(
+      _fbb,
+      last_index,
+      last_term,
+      members,
+      offset,
+      state_bytes,
+      data__);
+}
+
+flatbuffers::Offset<SnapshotPart> CreateSnapshotPart(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct InstallSnapshotT : public flatbuffers::NativeTable {
   typedef InstallSnapshot TableType;
   uint64_t term = 0;
   std::string leader{};
   uint64_t round = 0;
-  std::unique_ptr<dragonflymount::wire::SnapshotImageT> image{};
+  std::unique_ptr<dragonflymount::wire::SnapshotPartT> part{};
   InstallSnapshotT() = default;
   InstallSnapshotT(const InstallSnapshotT &o);
   InstallSnapshotT(InstallSnapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -12767,7 +12935,7 @@
     VT_TERM = 4,
     VT_LEADER = 6,
     VT_ROUND = 8,
-    VT_IMAGE = 10
+    VT_PART = 12
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -12778,8 +12946,8 @@
   uint64_t round() const {
     return GetField<uint64_t>(VT_ROUND, 0);
   }
-  const dragonflymount::wire::SnapshotImage *image() const {
-    return GetPointer<const dragonflymount::wire::SnapshotImage *>(VT_IMAGE);
+  const dragonflymount::wire::SnapshotPart *part() const {
+    return GetPointer<const dragonflymount::wire::SnapshotPart *>(VT_PART);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -12787,8 +12955,8 @@
            VerifyOffset(verifier, VT_LEADER) &&
            verifier.VerifyString(leader()) &&
            VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
-           VerifyOffset(verifier, VT_IMAGE) &&
-           verifier.VerifyTable(image()) &&
+           VerifyOffset(verifier, VT_PART) &&
+           verifier.VerifyTable(part()) &&
            verifier.EndTable();
   }
   InstallSnapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -12809,8 +12977,8 @@
   void add_round(uint64_t round) {
     fbb_.AddElement<uint64_t>(InstallSnapshot::VT_ROUND, round, 0);
   }
-  void add_image(flatbuffers::Offset<dragonflymount::wire::SnapshotImage> image) {
-    fbb_.AddOffset(InstallSnapshot::VT_IMAGE, image);
+  void add_part(flatbuffers::Offset<dragonflymount::wire::SnapshotPart> part) {
+    fbb_.AddOffset(InstallSnapshot::VT_PART, part);
   }
   explicit InstallSnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -12828,11 +12996,11 @@
     uint64_t term = 0,
     flatbuffers::Offset<flatbuffers::String> leader = 0,
     uint64_t round = 0,
-    flatbuffers::Offset<dragonflymount::wire::SnapshotImage> image = 0) {
+    flatbuffers::Offset<dragonflymount::wire::SnapshotPart> part = 0) {
   InstallSnapshotBuilder builder_(_fbb);
   builder_.add_round(round);
   builder_.add_term(term);
-  builder_.add_image(image);
+  builder_.add_part(part);
   builder_.add_leader(leader);
   return builder_.Finish();
 }
@@ -12847,14 +13015,14 @@
     uint64_t term = 0,
     const char *leader = nullptr,
     uint64_t round = 0,
-    flatbuffers::Offset<dragonflymount::wire::SnapshotImage> image = 0) {
+    flatbuffers::Offset<dragonflymount::wire::SnapshotPart> part = 0) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   return dragonflymount::wire::CreateInstallSnapshot(
       _fbb,
       term,
       leader__,
       round,
-      image);
+      part);
 }
 
 flatbuffers::Offset<InstallSnapshot> CreateInstallSnapshot(flatbuffers::FlatBufferBuilder &_fbb, const InstallSnapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -17769,6 +17937,8 @@
   { auto _e = accepted(); _o->accepted = _e; }
   { auto _e = match_index(); _o->match_index = _e; }
   { auto _e = round(); _o->round = _e; }
+  { auto _e = part_index(); _o->part_index = _e; }
+  { auto _e = part_bytes(); _o->part_bytes = _e; }
 }
 
 inline flatbuffers::Offset<AppendReply> AppendReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -17785,6 +17955,8 @@
   auto _accepted = _o->accepted;
   auto _match_index = _o->match_index;
   auto _round = _o->round;
+  auto _part_index = _o->part_index;
+  auto _part_bytes = _o->part_bytes;
   return dragonflymount::wire::CreateAppendReply(
       _fbb,
       _term,
@@ -17792,21 +17964,83 @@
       _identity,
       _accepted,
       _match_index,
-      _round);
+      _round,
+      _part_index,
+      _part_bytes);
+}
+
+inline SnapshotPartT::SnapshotPartT(const SnapshotPartT &o)
+      : last_index(o.last_index),
+        last_term(o.last_term),
+        members((o.members) ? new dragonflymount::wire::MemberListT(*o.members) : nullptr),
+        offset(o.offset),
+        state_bytes(o.state_bytes),
+        data(o.data) {
+}
+
+inline SnapshotPartT &SnapshotPartT::operator=(SnapshotPartT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(last_index, o.last_index);
+  std::swap(last_term, o.last_term);
+  std::swap(members, o.members);
+  std::swap(offset, o.offset);
+  std::swap(state_bytes, o.state_bytes);
+  std::swap(data, o.data);
+  return *this;
+}
+
+inline SnapshotPartT *SnapshotPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SnapshotPartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SnapshotPart::UnPackTo(SnapshotPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = last_index(); _o->last_index = _e; }
+  { auto _e = last_term(); _o->last_term = _e; }
+  { auto _e = members(); if (_e) _o->members = std::unique_ptr<dragonflymount::wire::MemberListT>(_e->UnPack(_resolver)); }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = state_bytes(); _o->state_bytes = _e; }
+  { auto _e = data(); if (_e) { _o->data.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->data.begin()); } }
+}
+
+inline flatbuffers::Offset<SnapshotPart> SnapshotPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSnapshotPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SnapshotPart> CreateSnapshotPart(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SnapshotPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _last_index = _o->last_index;
+  auto _last_term = _o->last_term;
+  auto _members = _o->members ? CreateMemberList(_fbb, _o->members.get(), _rehasher) : 0;
+  auto _offset = _o->offset;
+  auto _state_bytes = _o->state_bytes;
+  auto _data = _o->data.size() ? _fbb.CreateVector(_o->data) : 0;
+  return dragonflymount::wire::CreateSnapshotPart(
+      _fbb,
+      _last_index,
+      _last_term,
+      _members,
+      _offset,
+      _state_bytes,
+      _data);
 }
 
 inline InstallSnapshotT::InstallSnapshotT(const InstallSnapshotT &o)
       : term(o.term),
         leader(o.leader),
         round(o.round),
-        image((o.image) ? new dragonflymount::wire::SnapshotImageT(*o.image) : nullptr) {
+        part((o.part) ? new dragonflymount::wire::SnapshotPartT(*o.part) : nullptr) {
 }
 
 inline InstallSnapshotT &InstallSnapshotT::operator=(InstallSnapshotT o) FLATBUFFERS_NOEXCEPT {
   std::swap(term, o.term);
   std::swap(leader, o.leader);
   std::swap(round, o.round);
-  std::swap(image, o.image);
+  std::swap(part, o.part);
   return *this;
 }
 
@@ -17822,7 +18056,7 @@
   { auto _e = term(); _o->term = _e; }
   { auto _e = leader(); if (_e) _o->leader = _e->str(); }
   { auto _e = round(); _o->round = _e; }
-  { auto _e = image(); if (_e) _o->image = std::unique_ptr<dragonflymount::wire::SnapshotImageT>(_e->UnPack(_resolver)); }
+  { auto _e = part(); if (_e) _o->part = std::unique_ptr<dragonflymount::wire::SnapshotPartT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<InstallSnapshot> InstallSnapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const InstallSnapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -17836,13 +18070,13 @@
   auto _term = _o->term;
   auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
   auto _round = _o->round;
-  auto _image = _o->image ? CreateSnapshotImage(_fbb, _o->image.get(), _rehasher) : 0;
+  auto _part = _o->part ? CreateSnapshotPart(_fbb, _o->part.get(), _rehasher) : 0;
   return dragonflymount::wire::CreateInstallSnapshot(
       _fbb,
       _term,
       _leader,
       _round,
-      _image);
+      _part);
 }
 
 inline ProposeT *Propose::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/agreement/cluster.cpp
+++ b/tests/agreement/cluster.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t ticks_per_command = 3;
 constexpr std::uint64_t ticks_per_readmission = 10;
 constexpr std::uint64_t records_per_snapshot = 20;
+// A state takes up to 20 bytes, so a snapshot is sent in several parts.
+constexpr std::size_t image_part_bytes = 8;
 
 bytes to_state(std::uint64_t digest) {
     return to_bytes(std::to_string(digest));
@@ -67,6 +69,7 @@
     replica_options options;
     options.self = at.id;
     options.seed = random_();
+    options.part_bytes = image_part_bytes;
     at.core = std::make_unique<replica>(
         options, std::move(opened->state), clock_of(at));
     at.state = condition::running;
--- a/tests/hosting/snapshot_test.cpp
+++ b/tests/hosting/snapshot_test.cpp
@@ -1,4 +1,4 @@
-// Tests what a snapshot holds.
+// Tests what a snapshot holds, and how it reaches a replica without a log.
 #include "tests/hosting/replica_group.hpp"
 
 #include <set>
@@ -9,8 +9,9 @@
 
 /// A replicated set of names. Its image is packed name by name.
 struct name_set {
-    // The time that packing one name takes.
+    // The time that packing one name takes, and zeros at the end of an image.
     static inline duration time_to_pack{};
+    static inline std::size_t padding = 0;
 
     std::set<std::string> names;
     std::uint64_t commands = 0;
@@ -27,7 +28,8 @@
     }
     result<done> load(const bytes& image) {
         names.clear();
-        std::istringstream packed(std::string(image.begin(), image.end()));
+        std::istringstream packed(
+            std::string(image.begin(), image.end() - padding_of(image)));
         for (std::string name; packed >> name;) {
             names.insert(name);
         }
@@ -56,7 +58,11 @@
             text_ += last_ + ' ';
             return false;
         }
-        bytes finish() { return to_bytes(text_); }
+        bytes finish() {
+            bytes whole = to_bytes(text_);
+            whole.resize(whole.size() + padding, 0);
+            return whole;
+        }
 
     private:
         const name_set* packed_;
@@ -64,11 +70,19 @@
         std::string text_;
     };
     image begin_image() const { return image(*this); }
+
+private:
+    static std::ptrdiff_t padding_of(const bytes& image) {
+        return std::count(image.begin(), image.end(), std::uint8_t{0});
+    }
 };
 
 class snapshot : public testing::Test {
 protected:
-    ~snapshot() override { name_set::time_to_pack = duration::zero(); }
+    ~snapshot() override {
+        name_set::time_to_pack = duration::zero();
+        name_set::padding = 0;
+    }
 
     /// Proposes \p count names that are smaller than all before.
     void propose(std::size_t count) {
@@ -129,5 +143,34 @@
     }
 }
 
+// Guards against a replica that never gets its vote back after its disk was
+// lost: the image of the state was larger than a message may be.
+TEST_F(snapshot, larger_than_a_message_reaches_a_replica_without_a_disk) {
+    name_set::padding = wire::max_frame_bytes + (4U << 20U);
+    group_.save_snapshots_every(snapshot_records);
+    group_.start();
+    ASSERT_TRUE(group_.has_leader());
+    propose(snapshot_records + 10);
+    ASSERT_TRUE(all_answered(snapshot_records + 10));
+    ASSERT_TRUE(all_compacted());
+    auto& nodes = group_.nodes();
+    const auto lost = std::find_if(nodes.begin(), nodes.end(),
+        [&](auto& each) { return &each != group_.leader(); });
+    lost->stop();
+    lost->lose_disk();
+    lost->start(group_.members(), false);
+    ASSERT_TRUE(group_.has_leader());
+    wire::ChangeReplicaT admit;
+    admit.change = wire::replica_change::admit;
+    admit.member = std::make_unique<wire::MemberT>();
+    admit.member->replica = lost->member().id.str();
+    admit.member->address = lost->member().address;
+    admit.member->identity = lost->host().replica().identity().value();
+    group_.leader()->host().change(admit, [](const auto&) {});
+    EXPECT_TRUE(group_.run_until([&] {
+        return lost->host().agreed().names.size() >= accepted_.size();
+    }));
+}
+
 } // namespace
 } // namespace dragonflymount::hosting_test
