Give a replica its vote although the quorum is a little faster

Cause: a learner was promoted only if it held every committed record at that very moment. Under constant load a replica that is slower than the quorum never does, so a group that has lost a disk may stay one voter short, and the next lost disks take the quorum.

Change: it is promoted once it holds all records that were committed when the round that it answered last was sent.

Evidence: replica_step.promotes_a_learner_that_is_slower_than_the_quorum failed before and passes now.

--- a/dragonflymount/src/Agreement/MemberPlan.hpp
+++ b/dragonflymount/src/Agreement/MemberPlan.hpp
@@ -14,7 +14,8 @@
 /// \brief A member as the leader sees it.
 struct member_status {
     member subject;
-    /// The member's log holds all committed records.
+    /// The member holds all records that were committed a moment ago, see
+    /// \c replica::has_caught_up.
     bool caught_up = false;
     /// Time since the leader sent the newest heartbeat that the member
     /// answered.
--- a/dragonflymount/src/Agreement/Membership.cpp
+++ b/dragonflymount/src/Agreement/Membership.cpp
@@ -44,7 +44,7 @@
         if (found == members.end()) {
             return change_failure(subject.id, errc::conflict, "not a member");
         }
-        if (match_index(subject.id) < commit_) {
+        if (!has_caught_up(subject.id)) {
             return change_failure(
                 subject.id, errc::unavailable, "still behind the log");
         }
--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -182,6 +182,12 @@
     return found == peers_.end() ? log_index(0) : found->second.match;
 }
 
+bool replica::has_caught_up(const replica_id& peer) const {
+    const auto found = peers_.find(peer);
+    return found != peers_.end() &&
+        (found->second.caught_up || found->second.match >= commit_);
+}
+
 instant replica::acknowledged(const replica_id& peer) const {
     const auto found = peers_.find(peer);
     return found == peers_.end()
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -151,12 +151,21 @@
     /// \returns the last index up to which \p peer's log is known to match the
     /// leader's; zero if unknown.
     log_index match_index(const replica_id& peer) const;
+    /// \returns whether \p peer holds all committed records, or held those that
+    /// were committed when its newest answered round was sent. Under constant
+    /// load a replica that is slower than the quorum never holds all.
+    bool has_caught_up(const replica_id& peer) const;
     /// \returns the send time of the newest round that \p peer has answered, or
     /// the instant at which this leader sent it its first message if that is
     /// later.
     instant acknowledged(const replica_id& peer) const;
 
 private:
+    struct sent_round {
+        instant sent{};
+        // The commit index at that time.
+        log_index commit;
+    };
     struct progress {
         log_index next;
         log_index match;
@@ -166,10 +175,13 @@
         // When the first message was sent to this peer; also the first one
         // after a change of members that concerned it.
         instant begun{};
-        // Send times of recent rounds by round number. They are stored per
-        // peer, so that the rounds of a fast peer don't evict rounds that a
-        // slow peer hasn't answered yet.
-        std::map<std::uint64_t, instant> rounds;
+        // Recent rounds by round number. They are stored per peer, so that the
+        // rounds of a fast peer don't evict rounds that a slow peer hasn't
+        // answered yet.
+        std::map<std::uint64_t, sent_round> rounds;
+        // The newest answer showed that the peer holds all records that were
+        // committed when its round was sent.
+        bool caught_up = false;
         // A batch of records or a snapshot was sent and not yet answered; the
         // next one is sent after the answer. Messages arrive in the order in
         // which they were sent, so an answer to this round or to a later one
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -121,7 +121,7 @@
     progress& state = peers_[follower];
     const auto sent = state.rounds.find(reply.round);
     if (sent != state.rounds.end()) {
-        state.acknowledged = std::max(state.acknowledged, sent->second);
+        state.acknowledged = std::max(state.acknowledged, sent->second.sent);
     }
     if (reply.round >= state.in_flight_round) {
         state.in_flight = false;
@@ -132,6 +132,8 @@
     if (reply.accepted) {
         state.match = std::max(state.match, match);
         state.next = std::max(state.next, state.match.next());
+        state.caught_up =
+            sent != state.rounds.end() && state.match >= sent->second.commit;
         return;
     }
     // A rejection may arrive late. The match index never decreases in a term.
@@ -182,7 +184,7 @@
 
 void replica::begin_round(progress& state, instant now) {
     ++round_;
-    state.rounds[round_] = now;
+    state.rounds[round_] = {now, commit_};
     while (state.rounds.size() > max_stored_rounds) {
         state.rounds.erase(state.rounds.begin());
     }
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -107,10 +107,8 @@
 void member_keeper::propose_next_change(instant now) {
     std::vector<agreement::member_status> members;
     for (const agreement::member& peer : replica_.replica().members()) {
-        const bool caught_up = replica_.replica().match_index(peer.id) >=
-            replica_.replica().commit_index();
-        members.push_back(
-            {peer, caught_up, now - replica_.replica().acknowledged(peer.id)});
+        members.push_back({peer, replica_.replica().has_caught_up(peer.id),
+            now - replica_.replica().acknowledged(peer.id)});
     }
     agreement::member_policy policy;
     policy.voters = voters_;
--- a/tests/agreement/cluster_disks.cpp
+++ b/tests/agreement/cluster_disks.cpp
@@ -90,9 +90,8 @@
     }
     std::vector<member_status> members;
     for (const member& peer : at.core->members()) {
-        members.push_back(
-            {peer, at.core->match_index(peer.id) >= at.core->commit_index(),
-                clock_of(at) - at.core->acknowledged(peer.id)});
+        members.push_back({peer, at.core->has_caught_up(peer.id),
+            clock_of(at) - at.core->acknowledged(peer.id)});
     }
     member_policy policy;
     policy.voters = voters_;
--- a/tests/agreement/replica_step_test.cpp
+++ b/tests/agreement/replica_step_test.cpp
@@ -367,6 +367,37 @@
     EXPECT_GE(resent, 1U);
 }
 
+// Guards against a replica that gets no vote while records are committed all
+// the time, because the others are faster: the next lost disk may then take the
+// quorum.
+TEST(replica_step, promotes_a_learner_that_is_slower_than_the_quorum) {
+    member_list members = voters(3);
+    members.back().voter = false;
+    single_replica group(members);
+    group.elect();
+    std::vector<outbound> late;
+    bool promoted = false;
+    for (int k = 0; k < 20 && !promoted; ++k) {
+        ASSERT_TRUE(group.node().propose(payload_of(10), group.now()));
+        // The voter answers, and the record is committed in the second turn.
+        for (int turn = 0; turn < 2; ++turn) {
+            for (const outbound& sent : group.ready()) {
+                if (sent.to == replica_id("c2")) {
+                    late.push_back(sent);
+                } else {
+                    group.answer(sent);
+                }
+            }
+        }
+        promoted = static_cast<bool>(group.node().change(
+            wire::replica_change::promote, members.back(), group.now()));
+        for (const outbound& sent : std::exchange(late, {})) {
+            group.answer(sent);
+        }
+    }
+    EXPECT_TRUE(promoted);
+}
+
 // Guards against resending a large snapshot with every heartbeat to a replica
 // that lacks the records before it.
 TEST(replica_step, does_not_resend_a_snapshot_in_flight) {
