--- a/review/standin/site.cpp
+++ b/review/standin/site.cpp
@@ -155,9 +155,7 @@
         {"bounds.grace_s", "6"}, {"cloud.address", vm_service_},
         {"node_name", owner.name}, {"bounds.maintenance_s", "2"},
         {"bounds.move_s", "1.5"}, {"heartbeat_ms", "1500"},
-        {"cloud.duty_per_s", "64.0"}, {"bounds.remote_factor", "1"},
-        {"#zones}}{{@}}{{,}}{{/zones", "gimpo-a"}, {"limits.memory_mb", "256"},
-        {"limits.max_fds", "4096"}};
+        {"cloud.duty_per_s", "64.0"}};
     std::string text = read_text("platform/" + owner.role + ".ini");
     for (const auto& [name, value] : values) {
         const std::string placeholder = "{{" + name + "}}";
