Log why a process doesn't start, and that a scheduler has no leader

What callers saw: nothing answered for 20 s, and no scheduler wrote a warning.

Cause of the silence: a refused setting and a failed start were printed on the standard error alone, which is no event; a replica without a leader, or one that its leader sends to without admitting it, said nothing at all.

Change: process_not_started (109) with each error, leader_unknown (215) and admission_awaited (216) every 5 s. They tell the hypotheses of the incident apart: 109 speaks for a start that fails, 215 with its count of voters for a lost quorum, 216 for a replica that isn't taken back; none of them for a process that is killed.

--- a/dragonflymount/src/Runtime/Process.cpp
+++ b/dragonflymount/src/Runtime/Process.cpp
@@ -34,6 +34,10 @@
     }
     settings::read_result read = settings::read_file(path, expected);
     if (!read.ok()) {
+        for (const settings::setting_error& error : read.errors) {
+            LOG(ERROR) << event::process_not_started << "error=\""
+                       << error.message() << '"';
+        }
         std::cerr << read.message() << '\n';
         std::exit(status_usage);
     }
@@ -78,10 +82,18 @@
               << " changes=" << apply_(read.settings);
 }
 
-int run_until_signal(asio::io_context& context, supervisor& root) {
+bool start(supervisor& root) {
     const result<done> started = root.start();
     if (!started) {
+        LOG(ERROR) << event::process_not_started << "error=\""
+                   << started.error().message() << '"';
         std::cerr << started.error().message() << '\n';
+    }
+    return static_cast<bool>(started);
+}
+
+int run_until_signal(asio::io_context& context, supervisor& root) {
+    if (!start(root)) {
         return status_failed;
     }
     const stop_signal stop(context, [&root] { root.stop(); });
--- a/dragonflymount/src/Runtime/Process.hpp
+++ b/dragonflymount/src/Runtime/Process.hpp
@@ -13,8 +13,8 @@
 inline constexpr int status_usage = 2;
 
 /// \brief Parses flags, starts the log and reads the file of --config.
-/// \returns the checked settings; on an error it prints what is wrong and
-/// exits with \c status_usage.
+/// \returns the checked settings; on an error it logs and prints what is wrong
+/// and exits with \c status_usage.
 settings::values begin_process(
     int argc, char** argv, const settings::schema& expected);
 
@@ -47,6 +47,10 @@
     apply_handler apply_;
 };
 
+/// \brief Starts \p root; on a failure it logs and prints what is wrong.
+/// \returns whether all children have started.
+bool start(supervisor& root);
+
 /// \brief Starts \p root, runs it until SIGTERM or SIGINT, and stops it.
 /// \returns the exit status.
 int run_until_signal(asio::io_context& context, supervisor& root);
--- a/programs/entry/main.cpp
+++ b/programs/entry/main.cpp
@@ -2,7 +2,6 @@
 #include "programs/entry/callers/http_face.hpp"
 #include "programs/entry/links/link_service.hpp"
 
-#include <iostream>
 
 namespace {
 
@@ -87,9 +86,7 @@
     root.add(links);
     root.add(control);
     root.add(callers);
-    const result<done> started = root.start();
-    if (!started) {
-        std::cerr << started.error().message() << '\n';
+    if (!runtime::start(root)) {
         return runtime::status_failed;
     }
     const runtime::stop_signal stop(context,
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -10,6 +10,8 @@
 // gains nothing.
 constexpr duration change_interval = std::chrono::milliseconds(200);
 constexpr duration join_interval = std::chrono::milliseconds(500);
+// Longer than a restart and an election take.
+constexpr duration isolation_report_interval = std::chrono::seconds(5);
 
 wire::MemberT to_wire(const agreement::member& subject) {
     wire::MemberT packed;
@@ -49,8 +51,10 @@
     if (!replica_.is_settled_leader()) {
         join_requests_.clear();
         ask_to_join(now);
+        report_isolation(now);
         return;
     }
+    last_in_group_ = now;
     if (now < next_change_) {
         return;
     }
@@ -60,22 +64,51 @@
     }
 }
 
+bool member_keeper::is_admitted() const {
+    const auto& members = replica_.replica().members();
+    return std::any_of(
+        members.begin(), members.end(), [this](const auto& peer) {
+            return peer.id == self_.id &&
+                peer.identity == replica_.replica().identity();
+        });
+}
+
+// Without these lines a group that has no quorum, or that is short of a voter,
+// looks like one that is idle.
+void member_keeper::report_isolation(instant now) {
+    const agreement::replica& replica = replica_.replica();
+    const bool has_leader = !replica.leader().empty();
+    if (last_in_group_ == instant{} || (has_leader && is_admitted())) {
+        last_in_group_ = now;
+    }
+    if (now - last_in_group_ < isolation_report_interval ||
+        now < next_report_) {
+        return;
+    }
+    next_report_ = now + isolation_report_interval;
+    const auto& members = replica.members();
+    LOG(WARNING) << (has_leader ? event::admission_awaited
+                                : event::leader_unknown)
+                 << "replica=" << self_.id << " leader=" << replica.leader()
+                 << " term=" << replica.term()
+                 << " last_index=" << replica.last_index()
+                 << " admitted=" << is_admitted()
+                 << " members=" << members.size() << " voters="
+                 << std::count_if(members.begin(), members.end(),
+                        [](const auto& peer) { return peer.voter; })
+                 << " disk=" << hosting::name_of(replica_.data().state());
+}
+
 void member_keeper::ask_to_join(instant now) {
     // A failed replica couldn't replicate the log. It may still be a voter, and
     // continues as one if its store recovers.
     if (replica_.replica().is_failed()) {
         return;
     }
-    const auto& members = replica_.replica().members();
-    const bool admitted =
-        std::any_of(members.begin(), members.end(), [this](const auto& peer) {
-            return peer.id == self_.id &&
-                peer.identity == replica_.replica().identity();
-        });
     // A replica that was removed during a network partition still has itself in
     // its own member list, but receives nothing from a leader.
     const bool has_leader = !replica_.replica().leader().empty();
-    if ((admitted && has_leader) || now < next_join_) {
+    if ((is_admitted() && has_leader) || now < next_join_) {
         return;
     }
     next_join_ = now + join_interval;
--- a/programs/scheduler/member_keeper.hpp
+++ b/programs/scheduler/member_keeper.hpp
@@ -33,7 +33,11 @@
     void tick(instant now);
 
 private:
+    /// \returns whether the newest member list that this replica holds has it
+    /// under its present identity.
+    bool is_admitted() const;
     void ask_to_join(instant now);
+    void report_isolation(instant now);
     bool admit_next_applicant();
     void propose_next_change(instant now);
     void propose_change(
@@ -45,6 +49,9 @@
     std::map<replica_id, agreement::member> join_requests_;
     instant next_change_{};
     instant next_join_{};
+    // When this replica last led, or was a member and knew a leader.
+    instant last_in_group_{};
+    instant next_report_{};
 };
 
 } // namespace dragonflymount::scheduler_program
--- a/programs/worker/main.cpp
+++ b/programs/worker/main.cpp
@@ -1,7 +1,6 @@
 // dfm-worker: stand-ins for the endpoints of several VMs of one zone.
 #include "programs/worker/endpoint.hpp"
 
-#include <iostream>
 #include <set>
 
 namespace {
@@ -66,9 +65,7 @@
             context, std::move(made)));
         root.add(*endpoints.back());
     }
-    const result<done> started = root.start();
-    if (!started) {
-        std::cerr << started.error().message() << '\n';
+    if (!runtime::start(root)) {
         return runtime::status_failed;
     }
     std::size_t busy = endpoints.size();
