Let a timer stay stopped that its own action has stopped

Cause: repeating_timer called its action and then scheduled the next call, whether the action had stopped it or not. A gateway that had answered all called its stop again every 100 ms until it was gone; the test saw the last of these calls, which falls on the bound itself.

--- a/dragonflymount/src/Runtime/Process.cpp
+++ b/dragonflymount/src/Runtime/Process.cpp
@@ -101,13 +101,25 @@
 }
 
 void repeating_timer::start() {
+    running_ = true;
+    schedule();
+}
+
+void repeating_timer::stop() {
+    running_ = false;
+    timer_.cancel();
+}
+
+void repeating_timer::schedule() {
     timer_.expires_after(interval_);
     timer_.async_wait([this](std::error_code code) {
-        if (code) {
+        if (code || !running_) {
             return;
         }
         action_();
-        start();
+        if (running_) {
+            schedule();
+        }
     });
 }
 
--- a/dragonflymount/src/Runtime/Process.hpp
+++ b/dragonflymount/src/Runtime/Process.hpp
@@ -18,6 +18,26 @@
 settings::values begin_process(
     int argc, char** argv, const settings::schema& expected);
 
+/// \brief Calls \p action every \p interval until stopped, which the action may
+/// do itself.
+class repeating_timer {
+public:
+    repeating_timer(asio::io_context& context, duration interval,
+        std::function<void()> action)
+        : timer_(context), interval_(interval), action_(std::move(action)) {}
+
+    void start();
+    void stop();
+
+private:
+    void schedule();
+
+    asio::steady_timer timer_;
+    duration interval_;
+    std::function<void()> action_;
+    bool running_ = false;
+};
+
 /// \brief Calls \p stop once, at SIGTERM or SIGINT.
 class stop_signal {
 public:
