Take back a replica that only the leader reaches

Cause: an empty replica asked only the seeds of its settings to be admitted. The leader sent to it, saw a new identity in each answer, and did nothing with it. A request that reached the leader over its own link was dropped as well.

Change: a member that answers under a new identity counts as one that asks. The identity is forgotten when the replica answers as a member, and at an election. Join requests are heard over either kind of connection.

kept_group.takes_back_a_replica_that_only_the_leader_reaches fails on the code before (30 s without a vote) and passes.

--- a/dragonflymount/src/Agreement/Election.cpp
+++ b/dragonflymount/src/Agreement/Election.cpp
@@ -72,6 +72,7 @@
     leader_ = options_.self;
     leader_since_ = now;
     peers_.clear();
+    unadmitted_.clear();
     // A leader may count replicas only for records of its own term, so this
     // record is needed to commit the records of earlier terms.
     first_own_index_ = log_.last_index().next();
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -143,8 +143,8 @@
     /// \brief Whether this replica leads and sends its snapshot to a replica
     /// that answers. A newer snapshot would make it begin again.
     bool is_sending_snapshot(instant now) const;
-    /// \returns the identities of replicas that have answered appends without
-    /// being members under that identity.
+    /// \returns the identities of replicas whose newest answer to this leader
+    /// came under an identity that isn't that of a member.
     const std::map<replica_id, replica_identity>& unadmitted() const {
         return unadmitted_;
     }
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -111,6 +111,7 @@
         unadmitted_[follower] = identity;
         return;
     }
+    unadmitted_.erase(follower);
     if (log_term(reply.term) > hard_.term) {
         become_follower(log_term(reply.term), replica_id(), now);
         return;
--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -47,6 +47,7 @@
 public:
     using reply_handler = std::function<void(const wire::ProposeReplyT&)>;
     using leadership_handler = std::function<void(bool)>;
+    using join_handler = std::function<void(const wire::JoinReplicaT&)>;
 
     replica_host(asio::io_context& context, replica_settings settings);
 
@@ -100,6 +101,9 @@
     void on_leadership(leadership_handler handler) {
         on_leadership_ = std::move(handler);
     }
+    /// \brief Sets the handler of requests to be admitted, which arrive from
+    /// replicas over either kind of connection.
+    void on_join(join_handler handler) { on_join_ = std::move(handler); }
 
 private:
     struct waiting_reply {
@@ -153,6 +157,7 @@
     // Proposals that aren't applied yet.
     std::map<log_index, waiting_reply> waiting_;
     leadership_handler on_leadership_;
+    join_handler on_join_;
     bool was_leader_ = false;
     // Set while a flush is posted: one flush handles all messages and proposals
     // that arrive in the same turn of the event loop.
@@ -242,6 +247,12 @@
 template <replicated_state State>
 void replica_host<State>::receive(
     const runtime::connection::pointer& from, const wire::message& content) {
+    if (const auto* request = content.body.AsJoinReplica()) {
+        if (on_join_) {
+            on_join_(*request);
+        }
+        return;
+    }
     const replica_id sender = sender_of(content);
     if (!sender.empty()) {
         last_connections_[sender] = from;
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -26,7 +26,10 @@
 
 member_keeper::member_keeper(
     replica_host& replica, agreement::member self, std::size_t voters)
-    : replica_(replica), self_(std::move(self)), voters_(voters) {}
+    : replica_(replica), self_(std::move(self)), voters_(voters) {
+    replica_.on_join(
+        [this](const wire::JoinReplicaT& request) { receive(request); });
+}
 
 void member_keeper::receive(const wire::JoinReplicaT& request) {
     if (!request.member || request.member->replica.empty() ||
@@ -59,6 +62,7 @@
         return;
     }
     next_change_ = now + change_interval;
+    note_new_identities();
     if (!admit_next_applicant()) {
         propose_next_change(now);
     }
@@ -119,6 +123,21 @@
     replica_.send_to_all(wire::make_message(std::move(request)));
 }
 
+// A replica whose disk was lost may have no way to a leader: its settings may
+// name replicas that are gone. The leader still sends to its address.
+void member_keeper::note_new_identities() {
+    for (const agreement::member& peer : replica_.replica().members()) {
+        const auto& unadmitted = replica_.replica().unadmitted();
+        const auto answered = unadmitted.find(peer.id);
+        if (answered != unadmitted.end()) {
+            agreement::member applicant = peer;
+            applicant.identity = answered->second;
+            applicant.voter = false;
+            join_requests_.try_emplace(peer.id, applicant);
+        }
+    }
+}
+
 bool member_keeper::admit_next_applicant() {
     const auto& members = replica_.replica().members();
     for (auto it = join_requests_.begin(); it != join_requests_.end();) {
--- a/programs/scheduler/member_keeper.hpp
+++ b/programs/scheduler/member_keeper.hpp
@@ -22,22 +22,26 @@
     /// \param voters number of voting replicas to maintain.
     member_keeper(
         replica_host& replica, agreement::member self, std::size_t voters);
+    member_keeper(const member_keeper&) = delete;
+    member_keeper& operator=(const member_keeper&) = delete;
 
-    /// \brief Handles a join request: the leader records it for tick(), other
-    /// replicas forward it to the leader. Requests without a replica name or
-    /// identity are ignored.
-    void receive(const wire::JoinReplicaT& request);
     /// \brief On the leader, proposes the next membership change that is due.
     /// On other replicas, asks to join if this replica isn't a member or knows
     /// no leader.
     void tick(instant now);
 
 private:
+    /// Handles a join request: the leader records it for tick(), other replicas
+    /// forward it to the leader. Requests without a replica name or identity
+    /// are ignored.
+    void receive(const wire::JoinReplicaT& request);
     /// \returns whether the newest member list that this replica holds has it
     /// under its present identity.
     bool is_admitted() const;
     void ask_to_join(instant now);
     void report_isolation(instant now);
+    /// Records members that answer under a new identity as applicants.
+    void note_new_identities();
     bool admit_next_applicant();
     void propose_next_change(instant now);
     void propose_change(
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -201,9 +201,6 @@
     case wire::Body::Query:
         receive_query(from, content.correlation, *content.body.AsQuery());
         break;
-    case wire::Body::JoinReplica:
-        members_.receive(*content.body.AsJoinReplica());
-        break;
     default:
         replica_.receive(from, content);
     }
--- a/tests/hosting/replica_host_test.cpp
+++ b/tests/hosting/replica_host_test.cpp
@@ -110,6 +110,26 @@
     }
 }
 
+// Guards against a join request that is dropped: a replica without members
+// reaches the leader over the leader's own connection alone.
+TEST(replica_host, hears_a_join_request_over_its_own_link) {
+    asio::io_context context;
+    counting_node member(context, "c1", free_address(context));
+    counting_node joining(context, "c2", free_address(context));
+    member.start({member.member(), joining.member()}, true);
+    joining.start({}, false);
+    bool heard = false;
+    member.host().on_join([&](const wire::JoinReplicaT&) { heard = true; });
+    EXPECT_TRUE(run_until(context, [&] {
+        joining.host().send(
+            replica_id("c1"), wire::make_message(wire::JoinReplicaT()));
+        return heard;
+    }));
+    for (counting_node* each : {&member, &joining}) {
+        each->stop();
+    }
+}
+
 // Guards against a lost leadership after a restart: applying the log takes
 // several election timeouts, and heartbeats must still be sent meanwhile.
 TEST(replica_host, applies_a_long_log_without_losing_leadership) {
--- /dev/null
+++ b/tests/platform/member_keeper_test.cpp
@@ -0,0 +1,92 @@
+// Tests how the leader keeps its number of voters when replicas lose their
+// disks.
+#include "programs/scheduler/member_keeper.hpp"
+#include "tests/hosting/replica_group.hpp"
+
+namespace dragonflymount::scheduler_program::test {
+namespace {
+
+using hosting_test::seconds;
+using node = hosting_test::node<jobs::state>;
+
+constexpr std::size_t voter_count = 3;
+
+/// Three replicas, each with the keeper of its members.
+class kept_group : public testing::Test {
+protected:
+    void SetUp() override {
+        for (std::size_t k = 0; k < voter_count; ++k) {
+            nodes_.push_back(std::make_unique<node>(context_,
+                "c" + std::to_string(k), hosting_test::free_address(context_)));
+            members_.push_back(nodes_.back()->member());
+        }
+        keepers_.resize(voter_count);
+        for (std::size_t k = 0; k < voter_count; ++k) {
+            start(k, members_, true);
+        }
+        ASSERT_TRUE(run_until([&] { return leader() < voter_count; }));
+    }
+    void TearDown() override {
+        for (const auto& each : nodes_) {
+            each->stop();
+        }
+    }
+
+    void start(
+        std::size_t k, const agreement::member_list& known, bool new_site) {
+        nodes_[k]->start(known, new_site);
+        keepers_[k] = std::make_unique<member_keeper>(
+            nodes_[k]->host(), nodes_[k]->member(), voter_count);
+    }
+    /// Restarts the replica on an empty disk; its settings name \p known.
+    void lose_disk(std::size_t k, const agreement::member_list& known) {
+        keepers_[k].reset();
+        nodes_[k]->stop();
+        nodes_[k]->lose_disk();
+        start(k, known, false);
+    }
+    std::size_t leader() const {
+        const auto found = std::find_if(nodes_.begin(), nodes_.end(),
+            [](const auto& each) { return each->host().is_settled_leader(); });
+        return static_cast<std::size_t>(found - nodes_.begin());
+    }
+    /// \returns whether the leader counts the votes of replica \p k.
+    bool is_voter(std::size_t k) const {
+        const std::size_t leads = leader();
+        if (leads == voter_count) {
+            return false;
+        }
+        const auto& members = nodes_[leads]->host().replica().members();
+        return std::any_of(
+            members.begin(), members.end(), [&](const auto& peer) {
+                return peer.voter && peer.id == nodes_[k]->member().id &&
+                    peer.identity == nodes_[k]->host().replica().identity();
+            });
+    }
+    template <class Predicate>
+    bool run_until(Predicate holds) {
+        return hosting_test::run_until(context_, [&] {
+            for (const auto& keeper : keepers_) {
+                keeper->tick(runtime::system_clock::now());
+            }
+            return holds();
+        });
+    }
+
+    asio::io_context context_;
+    std::vector<std::unique_ptr<node>> nodes_;
+    std::vector<std::unique_ptr<member_keeper>> keepers_;
+    agreement::member_list members_;
+};
+
+// Guards against a voter that is missing for good: the settings of a replica
+// that lost its disk name only replicas that are gone, so nobody hears it ask.
+TEST_F(kept_group, takes_back_a_replica_that_only_the_leader_reaches) {
+    const std::size_t follower = (leader() + 1) % voter_count;
+    lose_disk(follower, {});
+    ASSERT_FALSE(is_voter(follower));
+    EXPECT_TRUE(run_until([&] { return is_voter(follower); }));
+}
+
+} // namespace
+} // namespace dragonflymount::scheduler_program::test
