Let a replacement keep its vote until the silent voter is known

By reading, shown by a test: between the promotion of a replacement and the removal of the voter that it replaces there are six voters. If the leader changed then, the next one had measured no silence yet, took the silent voter for one that is back, and took the vote from the replacement; it got it again 3 s later, after the time in which two more disks may be lost.

Change: the newest voter goes only once every voter has answered this leader.

member_plan.keeps_a_replacement_until_the_silent_voter_is_known fails without it.

--- a/dragonflymount/src/Agreement/MemberPlan.cpp
+++ b/dragonflymount/src/Agreement/MemberPlan.cpp
@@ -38,7 +38,12 @@
     if (excess && lost != nullptr) {
         return make_change(wire::replica_change::remove, *lost);
     }
-    if (excess) {
+    const bool all_answered =
+        std::all_of(members.begin(), members.end(), [&](const auto& peer) {
+            return !peer.subject.voter || peer.subject.id == self ||
+                peer.answered;
+        });
+    if (excess && all_answered) {
         // The silent voter is back. The newest voter becomes a learner again.
         const auto newest =
             std::find_if(members.rbegin(), members.rend(), [&](const auto& it) {
@@ -46,6 +51,10 @@
             });
         return make_change(wire::replica_change::admit, *newest);
     }
+    if (excess) {
+        // A new leader doesn't know yet which voter is silent.
+        return std::nullopt;
+    }
     const member_status* ready = find_member(members, [&](const auto& peer) {
         return !peer.subject.voter && peer.caught_up &&
             peer.silent_for < policy.replace_after;
--- a/dragonflymount/src/Agreement/MemberPlan.hpp
+++ b/dragonflymount/src/Agreement/MemberPlan.hpp
@@ -17,6 +17,8 @@
     /// The member holds all records that were committed a moment ago, see
     /// \c replica::has_caught_up.
     bool caught_up = false;
+    /// The member has answered this leader, see \c replica::has_answered.
+    bool answered = false;
     /// Time since the leader sent the newest heartbeat that the member
     /// answered.
     duration silent_for{};
--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -188,6 +188,11 @@
         (found->second.caught_up || found->second.match >= commit_);
 }
 
+bool replica::has_answered(const replica_id& peer) const {
+    const auto found = peers_.find(peer);
+    return found != peers_.end() && found->second.acknowledged != instant{};
+}
+
 instant replica::acknowledged(const replica_id& peer) const {
     const auto found = peers_.find(peer);
     return found == peers_.end()
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -155,6 +155,9 @@
     /// were committed when its newest answered round was sent. Under constant
     /// load a replica that is slower than the quorum never holds all.
     bool has_caught_up(const replica_id& peer) const;
+    /// \returns whether \p peer has answered this leader, since a change of
+    /// members that concerned it.
+    bool has_answered(const replica_id& peer) const;
     /// \returns the send time of the newest round that \p peer has answered, or
     /// the instant at which this leader sent it its first message if that is
     /// later.
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -160,6 +160,7 @@
     std::vector<agreement::member_status> members;
     for (const agreement::member& peer : replica_.replica().members()) {
         members.push_back({peer, replica_.replica().has_caught_up(peer.id),
+            replica_.replica().has_answered(peer.id),
             now - replica_.replica().acknowledged(peer.id)});
     }
     agreement::member_policy policy;
--- a/tests/agreement/cluster_disks.cpp
+++ b/tests/agreement/cluster_disks.cpp
@@ -91,6 +91,7 @@
     std::vector<member_status> members;
     for (const member& peer : at.core->members()) {
         members.push_back({peer, at.core->has_caught_up(peer.id),
+            at.core->has_answered(peer.id),
             clock_of(at) - at.core->acknowledged(peer.id)});
     }
     member_policy policy;
--- a/tests/agreement/member_plan_test.cpp
+++ b/tests/agreement/member_plan_test.cpp
@@ -14,6 +14,7 @@
     status.subject.id = replica_id(id);
     status.subject.voter = voter;
     status.caught_up = true;
+    status.answered = true;
     status.silent_for = silent_for;
     return status;
 }
@@ -99,6 +100,20 @@
         make_status("c", true), make_status("d", false)}));
 }
 
+// Guards against a replacement that loses its vote because a new leader takes
+// the voter that it replaces for one that is back.
+TEST(member_plan, keeps_a_replacement_until_the_silent_voter_is_known) {
+    std::vector<member_status> members{make_status("a", true),
+        make_status("b", true), make_status("c", true), make_status("d", true)};
+    members[2].answered = false;
+    EXPECT_FALSE(plan(members));
+    members[2].silent_for = 4s;
+    const auto removal = plan(members);
+    ASSERT_TRUE(removal);
+    EXPECT_EQ(removal->change, wire::replica_change::remove);
+    EXPECT_EQ(removal->subject.id, replica_id("c"));
+}
+
 TEST(member_plan, removes_a_silent_learner) {
     const auto due = plan({make_status("a", true), make_status("b", true),
         make_status("c", true), make_status("d", false, 2min)});
