Let gateways find a leader that no seed names

A gateway that met the leader at its start knew its three seeds and nobody else; when the leader was gone it went round these three, for good if they were gone or empty. It also dropped the leader's address if it came within 150 ms after connecting.

Change: the leader names the members with its first reply on each connection, and after each change of them. A gateway goes round the members and its seeds, which it keeps. A leader that was named is tried as soon as the next attempt is due. leader_unknown tells what became of the attempt at each replica.

leader_client_test.finds_a_leader_that_only_the_last_one_named and .returns_to_its_seeds_if_the_members_are_gone fail on the code before.

--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -1,6 +1,8 @@
 // Connects to the leader, follows redirections and resends calls.
 #include "programs/gateway/leader_client.hpp"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -13,22 +15,23 @@
 constexpr duration attempt_interval = std::chrono::milliseconds(150);
 // If no connection opens within this time, the next replica is tried.
 constexpr duration open_timeout = std::chrono::milliseconds(600);
+// Longer than an election takes.
+constexpr duration search_report_interval = std::chrono::seconds(5);
 
 } // namespace
 
 leader_client::leader_client(
     asio::io_context& context, leader_client_settings settings)
     : context_(context), settings_(std::move(settings)),
-      replicas_(settings_.replicas),
       timer_(context, check_interval, [this] { check_calls(); }) {}
 
 result<done> leader_client::start() {
-    if (replicas_.empty()) {
-        return failure{make_error_code(errc::invalid_setting),
-            "start leader client", {}, "no replica is named"};
-    }
+    list_replicas();
     leader_lost_at_ = runtime::system_clock::now();
-    connect(replicas_.front());
+    next_report_ = leader_lost_at_ + search_report_interval;
+    if (!replicas_.empty()) {
+        connect(replicas_.front());
+    }
     timer_.start();
     return done{};
 }
@@ -62,6 +65,7 @@
         call.sent = false;
     }
     redirected_ = false;
+    named_leader_.clear();
     target_ = address;
     connected_at_ = runtime::system_clock::now();
     next_attempt_ = connected_at_ + attempt_interval;
@@ -77,16 +81,66 @@
         });
 }
 
-void leader_client::add_replicas(const std::vector<std::string>& addresses) {
-    for (const std::string& address : addresses) {
-        if (std::find(replicas_.begin(), replicas_.end(), address) ==
+void leader_client::set_seeds(std::vector<std::string> addresses) {
+    settings_.replicas = std::move(addresses);
+    list_replicas();
+}
+
+void leader_client::learn_members(const std::vector<std::string>& members) {
+    if (!members.empty() && members != members_) {
+        members_ = members;
+        list_replicas();
+    }
+}
+
+// The replicas of the settings stay in the list: all members that were named
+// may be gone.
+void leader_client::list_replicas() {
+    replicas_ = members_;
+    for (const std::string& seed : settings_.replicas) {
+        if (std::find(replicas_.begin(), replicas_.end(), seed) ==
             replicas_.end()) {
-            replicas_.push_back(address);
+            replicas_.push_back(seed);
         }
     }
+    std::erase_if(attempts_, [this](const auto& attempt) {
+        return std::find(replicas_.begin(), replicas_.end(), attempt.first) ==
+            replicas_.end();
+    });
+}
+
+void leader_client::note_attempt() {
+    if (!link_) {
+        return;
+    }
+    const char* const outcome = !link_->is_open() ? "unreachable"
+        : redirected_                             ? "not_leader"
+                                                  : "silent";
+    attempts_[target_] = outcome;
+}
+
+// Tells a group without a leader from one that can't be found.
+void leader_client::report_search(instant now) {
+    if (reaches_leader_ || now < next_report_) {
+        return;
+    }
+    next_report_ = now + search_report_interval;
+    LOG(WARNING) << event::leader_unknown
+                 << "without_us=" << (now - leader_lost_at_).count()
+                 << " replicas="
+                 << absl::StrJoin(replicas_, ",",
+                        [this](std::string* out, const std::string& address) {
+                            const auto found = attempts_.find(address);
+                            absl::StrAppend(out, address, "=",
+                                found == attempts_.end() ? "untried"
+                                                         : found->second);
+                        });
 }
 
 void leader_client::connect_next() {
+    if (replicas_.empty()) {
+        return;
+    }
     const auto found = std::find(replicas_.begin(), replicas_.end(), target_);
     const bool last =
         found == replicas_.end() || std::next(found) == replicas_.end();
@@ -121,7 +175,7 @@
 }
 
 void leader_client::send(pending_call& call) {
-    if (link_->send(call.content)) {
+    if (link_ && link_->send(call.content)) {
         call.sent = true;
         call.sent_at = runtime::system_clock::now();
     }
@@ -146,6 +200,7 @@
     }
     const auto handler = std::move(found->second.on_reply);
     pending_.erase(found);
+    learn_members(reply->replicas);
     record_answer();
     handler(std::move(*reply));
 }
@@ -155,14 +210,15 @@
     call.maybe_executed =
         call.maybe_executed || reply.status == wire::job_status::interrupted;
     redirected_ = true;
-    if (!reply.replicas.empty()) {
-        replicas_ = reply.replicas;
-    }
-    if (runtime::system_clock::now() < next_attempt_) {
+    learn_members(reply.replicas);
+    if (reply.leader_address == target_) {
         return;
     }
-    if (!reply.leader_address.empty() && reply.leader_address != target_) {
-        connect(reply.leader_address);
+    named_leader_ = reply.leader_address;
+    if (!named_leader_.empty() &&
+        runtime::system_clock::now() >= next_attempt_) {
+        note_attempt();
+        connect(std::string(named_leader_));
     }
 }
 
@@ -180,9 +236,11 @@
             (call.sent && now - call.sent_at >= settings_.answer_timeout);
     }
     const bool open_timed_out =
-        !link_->is_open() && now - connected_at_ >= open_timeout;
+        (!link_ || !link_->is_open()) && now - connected_at_ >= open_timeout;
     if ((overdue || open_timed_out || redirected_) && now >= next_attempt_) {
-        connect_next();
+        note_attempt();
+        named_leader_.empty() ? connect_next()
+                              : connect(std::string(named_leader_));
     }
     for (const std::uint64_t correlation : failed) {
         const auto node = pending_.extract(correlation);
@@ -190,6 +248,7 @@
         record_failure(call, now);
         call.on_failure(failure_of(call));
     }
+    report_search(now);
     if (!reaches_leader_ && now >= next_probe_) {
         next_probe_ = now + settings_.probe_interval;
         probe();
@@ -211,8 +270,9 @@
     if (reaches_leader_ && now - call.started_at >= settings_.unsent_limit) {
         reaches_leader_ = false;
         leader_lost_at_ = now;
-        LOG(WARNING) << event::leader_lost << "target=" << target_
-                     << " link=" << (link_->is_open() ? "open" : "closed");
+        LOG(WARNING) << event::leader_lost << "target=" << target_ << " link="
+                     << (link_ && link_->is_open() ? "open" : "closed");
+        next_report_ = now + search_report_interval;
     }
 }
 
--- a/programs/gateway/leader_client.hpp
+++ b/programs/gateway/leader_client.hpp
@@ -4,6 +4,10 @@
 // replica that doesn't lead replies with the leader's address if it knows it. A
 // call without a timely reply is sent again to the next replica. This is safe
 // because calls are idempotent by their job's id.
+//
+// The client tries the members of the group, which the leader names, and the
+// replicas of the settings. Either list may be out of date: members may have
+// been replaced, and the settings may have been written before that.
 #ifndef DRAGONFLYMOUNT_GATEWAY_LEADER_CLIENT_HPP
 #define DRAGONFLYMOUNT_GATEWAY_LEADER_CLIENT_HPP
 
@@ -23,7 +27,8 @@
 };
 
 struct leader_client_settings {
-    /// "IP:port" of the replicas that are tried first.
+    /// "IP:port" of the replicas that are tried first; may be empty while none
+    /// is known.
     std::vector<std::string> replicas;
     runtime::connection_options connections;
     /// A call without a reply for this long is sent to the next replica.
@@ -56,9 +61,11 @@
     /// \brief Ends all calls by \p last: those that have no reply by then fail,
     /// and so does each later one at once.
     void end_calls_at(instant last);
-    /// \brief Adds replicas at which the leader may be found.
-    /// \param addresses "IP:port" each; known ones are ignored.
-    void add_replicas(const std::vector<std::string>& addresses);
+    /// \brief Replaces the replicas of the settings.
+    /// \param addresses "IP:port" each.
+    void set_seeds(std::vector<std::string> addresses);
+    /// \returns the replicas among which the leader is looked for.
+    const std::vector<std::string>& replicas() const { return replicas_; }
     std::size_t pending() const { return pending_.size(); }
     /// \returns whether a leader has replied since a call last failed after
     /// unsent_limit or more. While this is false, the client sends probes.
@@ -84,6 +91,10 @@
 
     void connect(const std::string& address);
     void connect_next();
+    void learn_members(const std::vector<std::string>& members);
+    void list_replicas();
+    void note_attempt();
+    void report_search(instant now);
     void receive(wire::message&& content);
     void redirect(pending_call& call, const wire::JobReplyT& reply);
     static call_failure failure_of(const pending_call& call);
@@ -96,8 +107,16 @@
 
     asio::io_context& context_;
     leader_client_settings settings_;
+    // As the newest reply that names members has them.
+    std::vector<std::string> members_;
+    // Invariant: the members, then those replicas of the settings that aren't
+    // members.
     std::vector<std::string> replicas_;
     std::string target_;
+    // The leader's address as the target has named it, empty if it hasn't.
+    std::string named_leader_;
+    // What became of the newest attempt at each replica.
+    std::map<std::string, const char*> attempts_;
     std::unique_ptr<runtime::link> link_;
     // Replaced links. They are destroyed in check_calls(), not in connect(),
     // which may run inside one of their handlers.
@@ -115,6 +134,7 @@
     // False until the first probe or call is answered.
     bool reaches_leader_ = false;
     instant next_probe_{};
+    instant next_report_{};
     instant leader_lost_at_{};
     // No call is open after this time.
     instant last_reply_ = instant::max();
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -8,6 +8,10 @@
 // Interval between checks of leases and of held reports.
 constexpr duration tick_interval = std::chrono::milliseconds(40);
 
+// Numbers of connections that are stored. Those of closed ones are dropped with
+// the rest when there are so many, and the open ones are told once more.
+constexpr std::size_t most_told = 4096;
+
 agreement::member self_of(const scheduler_settings& settings) {
     agreement::member self;
     self.id = settings.replica.options.self;
@@ -217,7 +221,8 @@
     }
     const load_log::scope measured(load_, work::calls);
     engine_.call(call, [this, from, correlation](wire::JobReplyT reply) {
-        if (reply.status == wire::job_status::interrupted) {
+        if (reply.status == wire::job_status::interrupted ||
+            owes_members_to(*from)) {
             add_leader_hints(reply);
         }
         from->send(wire::make_message(std::move(reply), correlation));
@@ -225,6 +230,17 @@
     propose_batch();
 }
 
+// A gateway that found the leader at once hears of the other members only from
+// it, and needs them when it is gone.
+bool scheduler::owes_members_to(const runtime::connection& gateway) {
+    const auto& members = replica_.replica().members();
+    if (members != told_members_ || told_gateways_.size() >= most_told) {
+        told_members_ = members;
+        told_gateways_.clear();
+    }
+    return told_gateways_.insert(gateway.number()).second;
+}
+
 void scheduler::add_leader_hints(wire::JobReplyT& reply) const {
     reply.leader_address = replica_.leader_address();
     for (const agreement::member& peer : replica_.replica().members()) {
--- a/programs/scheduler/scheduler.hpp
+++ b/programs/scheduler/scheduler.hpp
@@ -74,6 +74,9 @@
     void receive_query(const runtime::connection::pointer& from,
         std::uint64_t correlation, const wire::QueryT& query);
     bool has_zone(const availability_zone_id& zone) const;
+    /// \returns true for the first reply on a connection since the members
+    /// changed.
+    bool owes_members_to(const runtime::connection& gateway);
     void add_leader_hints(wire::JobReplyT& reply) const;
     void change_leadership(bool leads);
     void complete_batch(const wire::JobBatchT& batch, log_term term,
@@ -91,6 +94,10 @@
     runtime::repeating_timer timer_;
     std::function<void(bool)> on_leadership_;
     bool proposing_ = false;
+    // The members that the gateways in told_gateways_ have been told, by number
+    // of their connection.
+    agreement::member_list told_members_;
+    std::set<std::uint64_t> told_gateways_;
     instant last_tick_{};
     load_log load_;
     std::function<connection_counts()> connections_;
--- a/tests/platform/leader_client_test.cpp
+++ b/tests/platform/leader_client_test.cpp
@@ -21,9 +21,10 @@
             context_, runtime::connection_options{});
         const auto started = listener_->start(
             address,
-            [](const auto& from, wire::message&& content) {
+            [this](const auto& from, wire::message&& content) {
                 wire::JobReplyT reply;
                 reply.status = wire::job_status::not_found;
+                reply.replicas = members_;
                 from->send(
                     wire::make_message(std::move(reply), content.correlation));
             },
@@ -31,12 +32,17 @@
         EXPECT_TRUE(started);
     }
     void stop() { listener_->stop(); }
+    /// Names these replicas in each reply.
+    void name_members(std::vector<std::string> members) {
+        members_ = std::move(members);
+    }
     const std::string& address() const { return address_; }
 
 private:
     asio::io_context& context_;
     std::unique_ptr<runtime::listener> listener_;
     std::string address_;
+    std::vector<std::string> members_;
 };
 
 class leader_client_test : public testing::Test {
@@ -46,6 +52,14 @@
         settings.replicas = {leader_.address()};
         return leader_client(context_, settings);
     }
+    /// Makes a call, and waits for its end.
+    void call(leader_client& client) {
+        bool ended = false;
+        client.call(
+            wire::JobCallT{}, 3s, [&](wire::JobReplyT&&) { ended = true; },
+            [&](call_failure) { ended = true; });
+        ASSERT_TRUE(run_until([&] { return ended; }));
+    }
     template <class Predicate>
     bool run_until(Predicate holds) {
         const auto limit = std::chrono::steady_clock::now() + 10s;
@@ -102,5 +116,53 @@
     context_.run_for(50ms);
 }
 
+// Guards against a gateway that never finds the next leader: it met the first
+// one at once, so no other replica has told it the members.
+TEST_F(leader_client_test, finds_a_leader_that_only_the_last_one_named) {
+    fake_leader next(context_);
+    leader_.name_members({leader_.address(), next.address()});
+    leader_client client = make_client();
+    ASSERT_TRUE(client.start());
+    ASSERT_TRUE(run_until([&] { return client.reaches_leader(); }));
+    leader_.stop();
+    call(client);
+    EXPECT_TRUE(run_until([&] {
+        return client.reaches_leader() && client.target() == next.address();
+    }));
+    client.stop();
+    context_.run_for(50ms);
+}
+
+// Guards against a gateway that asks only members that are gone.
+TEST_F(leader_client_test, returns_to_its_seeds_if_the_members_are_gone) {
+    fake_leader member(context_);
+    leader_.name_members({member.address()});
+    leader_client client = make_client();
+    ASSERT_TRUE(client.start());
+    ASSERT_TRUE(run_until([&] { return client.reaches_leader(); }));
+    leader_.stop();
+    call(client);
+    ASSERT_TRUE(run_until([&] { return client.target() == member.address(); }));
+    member.stop();
+    call(client);
+    leader_.open(leader_.address());
+    EXPECT_TRUE(run_until([&] {
+        return client.reaches_leader() && client.target() == leader_.address();
+    }));
+    client.stop();
+    context_.run_for(50ms);
+}
+
+TEST_F(leader_client_test, waits_for_its_first_seed) {
+    leader_client client(context_, {});
+    ASSERT_TRUE(client.start());
+    call(client);
+    EXPECT_FALSE(client.reaches_leader());
+    client.set_seeds({leader_.address()});
+    EXPECT_TRUE(run_until([&] { return client.reaches_leader(); }));
+    client.stop();
+    context_.run_for(50ms);
+}
+
 } // namespace
 } // namespace dragonflymount::gateway_program::test
