Start without a seed, and without a data folder

What callers saw (trial, real processes): schedulers that are started while their settings list no seed, or whose data folder is gone with the disk, end at once, and again at each new start; nothing answers any more, and nothing is in their log. On the users' platform seeds are 'three machines, or fewer if fewer serve', so a list written while none serves may be empty.

Cause: the schema refused an empty list and a missing folder, though a scheduler that holds its log needs no seed, and an empty folder is what a lost disk leaves.

Change: seeds may be empty; the last part of the path of the data folder is made.

--- a/dragonflymount/src/Settings/Settings.cpp
+++ b/dragonflymount/src/Settings/Settings.cpp
@@ -55,9 +55,10 @@
     return !code && parse_number<std::uint16_t>(text.substr(colon + 1));
 }
 
-bool are_addresses(const std::string& text) {
+bool are_addresses(const std::string& text, bool may_be_empty) {
     const std::vector<std::string> all = words_of(text, ", ");
-    return !all.empty() && std::all_of(all.begin(), all.end(), is_address);
+    return (may_be_empty || !all.empty()) &&
+        std::all_of(all.begin(), all.end(), is_address);
 }
 
 /// Permissions alone don't tell: a folder may be on a read-only file system.
@@ -77,6 +78,13 @@
     return true;
 }
 
+/// \returns whether the folder exists or could be made.
+bool has_folder(const std::string& path) {
+    std::error_code code;
+    return std::filesystem::is_directory(path, code) ||
+        std::filesystem::create_directory(path, code);
+}
+
 /// \returns what was expected, empty if the value fits.
 std::string check_value(kind type, const std::string& value) {
     switch (type) {
@@ -99,13 +107,21 @@
     case kind::list:
         return {};
     case kind::addresses:
-        return are_addresses(value)
+        return are_addresses(value, false)
             ? ""
             : "IP numbers and ports, 127.0.0.1:80,127.0.0.1:81";
+    case kind::optional_addresses:
+        return are_addresses(value, true)
+            ? ""
+            : "IP numbers and ports, 127.0.0.1:80,127.0.0.1:81, or nothing";
     case kind::folder:
         return is_writable_folder(value)
             ? ""
             : "a folder that exists and is writable";
+    case kind::made_folder:
+        return has_folder(value) && is_writable_folder(value)
+            ? ""
+            : "a writable folder, or a path in one";
     case kind::file: {
         const std::string folder =
             std::filesystem::path(value).parent_path().string();
--- a/dragonflymount/src/Settings/Settings.hpp
+++ b/dragonflymount/src/Settings/Settings.hpp
@@ -35,8 +35,13 @@
     list,
     /// IP numbers and ports, separated by commas; at least one.
     addresses,
+    /// IP numbers and ports, separated by commas; there may be none.
+    optional_addresses,
     /// A folder that must exist and be writable.
     folder,
+    /// A folder that must be writable. It is made if it is missing and the
+    /// folder above it is there.
+    made_folder,
     /// A path whose folder must exist and be writable.
     file,
 };
