Take new seeds from a settings file that changes without a signal

Cause: the file was read again at SIGHUP alone, which the platform doesn't always send, and a scheduler took nothing from it.

Change: the content is compared once a second.

settings_file.is_read_again_without_a_signal fails on the code before.

--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -17,7 +17,8 @@
 
 struct replica_settings {
     agreement::replica_options options;
-    /// The members that the site starts with, and their addresses.
+    /// The replicas that the settings name: the members that a new site starts
+    /// with, and at any later start the replicas that are asked for admission.
     agreement::member_list members;
     runtime::connection_options connections;
     std::string data;
@@ -77,6 +78,9 @@
     /// \brief Sends a message to one replica over the link to it, or else over
     /// the last connection from it. Drops the message if neither is open.
     void send(const replica_id& to, const wire::message& content);
+    /// \brief Replaces the replicas that the settings name; their members count
+    /// only if the site starts for the first time.
+    void set_seeds(agreement::member_list seeds);
     /// \brief Sends a message over all links.
     void send_to_all(const wire::message& content);
 
@@ -228,6 +232,12 @@
     }
 }
 
+template <replicated_state State>
+void replica_host<State>::set_seeds(agreement::member_list seeds) {
+    settings_.members = std::move(seeds);
+    connect_members();
+}
+
 template <replicated_state State>
 void replica_host<State>::connect(const agreement::member& peer) {
     const auto known = links_.find(peer.id);
--- a/dragonflymount/src/Runtime/Process.cpp
+++ b/dragonflymount/src/Runtime/Process.cpp
@@ -7,12 +7,27 @@
 
 #include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 ABSL_FLAG(std::string, config, "", "INI file with this process's settings");
 ABSL_FLAG(int, verbosity, 0, "log more: 1 connections, 2 messages");
 
 namespace dragonflymount::runtime {
+namespace {
+
+constexpr duration file_check_interval = std::chrono::seconds(1);
+
+/// \returns the text of the settings file, empty if it can't be read.
+std::string read_content() {
+    std::ifstream file(absl::GetFlag(FLAGS_config));
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+} // namespace
 
 settings::values begin_process(
     int argc, char** argv, const settings::schema& expected) {
@@ -57,8 +72,19 @@
 reload_signal::reload_signal(
     asio::io_context& context, settings::schema expected, apply_handler apply)
     : signals_(context, SIGHUP), expected_(std::move(expected)),
-      apply_(std::move(apply)) {
+      apply_(std::move(apply)),
+      timer_(context, file_check_interval, [this] { check_file(); }),
+      content_(read_content()) {
     wait();
+    timer_.start();
+}
+
+// A file that is being replaced may be unreadable or empty for a moment.
+void reload_signal::check_file() {
+    const std::string content = read_content();
+    if (!content.empty() && content != content_) {
+        reload();
+    }
 }
 
 void reload_signal::wait() {
@@ -70,7 +96,8 @@
     });
 }
 
-void reload_signal::reload() const {
+void reload_signal::reload() {
+    content_ = read_content();
     const std::string path = absl::GetFlag(FLAGS_config);
     const settings::read_result read = settings::read_file(path, expected_);
     if (!read.ok()) {
--- a/dragonflymount/src/Runtime/Process.hpp
+++ b/dragonflymount/src/Runtime/Process.hpp
@@ -47,8 +47,8 @@
     asio::signal_set signals_;
 };
 
-/// \brief Reads the settings file again at SIGHUP. A file with errors changes
-/// nothing; the error is logged.
+/// \brief Reads the settings file again at SIGHUP, and when its content has
+/// changed. A file with errors changes nothing; the error is logged.
 class reload_signal {
 public:
     using apply_handler = std::function<std::string(const settings::values&)>;
@@ -60,11 +60,15 @@
 
 private:
     void wait();
-    void reload() const;
+    void check_file();
+    void reload();
 
     asio::signal_set signals_;
     settings::schema expected_;
     apply_handler apply_;
+    repeating_timer timer_;
+    // The content of the file when it was last read.
+    std::string content_;
 };
 
 /// \brief Starts \p root; on a failure it logs and prints what is wrong.
@@ -75,22 +79,6 @@
 /// \returns the exit status.
 int run_until_signal(asio::io_context& context, supervisor& root);
 
-/// \brief Calls \p action every \p interval until stopped.
-class repeating_timer {
-public:
-    repeating_timer(asio::io_context& context, duration interval,
-        std::function<void()> action)
-        : timer_(context), interval_(interval), action_(std::move(action)) {}
-
-    void start();
-    void stop() { timer_.cancel(); }
-
-private:
-    asio::steady_timer timer_;
-    duration interval_;
-    std::function<void()> action_;
-};
-
 } // namespace dragonflymount::runtime
 
 #endif
--- a/programs/scheduler/scheduler.hpp
+++ b/programs/scheduler/scheduler.hpp
@@ -45,6 +45,10 @@
     void on_load_line(std::function<connection_counts()> connections) {
         connections_ = std::move(connections);
     }
+    /// \brief Replaces the replicas that the settings name.
+    void set_seeds(agreement::member_list seeds) {
+        replica_.set_seeds(std::move(seeds));
+    }
     /// \brief Begins or ends the evacuation of a zone. Callers must check
     /// \c is_ready before.
     /// \param on_reply called once: accepted after the change is agreed,
--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -100,6 +100,15 @@
     return builder;
 }
 
+agreement::member_list seeds_of(const settings::values& read) {
+    const std::uint32_t port = read.count("scheduler", "peer-port");
+    agreement::member_list seeds;
+    for (const std::string& seed : read.list("scheduler", "seeds")) {
+        seeds.push_back(member_at(seed, port));
+    }
+    return seeds;
+}
+
 scheduler_settings make_scheduler_settings(const settings::values& read) {
     scheduler_settings made;
     const std::string control = read.text("scheduler", "control");
@@ -113,9 +122,7 @@
         read.time("scheduler", "election-timeout");
     replica.options.heartbeat_interval = read.time("scheduler", "heartbeat");
     replica.options.seed = std::hash<std::string>{}(control);
-    for (const std::string& seed : read.list("scheduler", "seeds")) {
-        replica.members.push_back(member_at(seed, port));
-    }
+    replica.members = seeds_of(read);
     replica.connections = peer_connections;
     replica.data = read.text("scheduler", "data");
     replica.snapshot_records = read.count("scheduler", "snapshot-records");
--- a/programs/scheduler/settings.hpp
+++ b/programs/scheduler/settings.hpp
@@ -10,6 +10,9 @@
 /// add sections of its own.
 settings::schema_builder scheduler_settings_of();
 
+/// \returns the replicas that the settings name, as members of a new site.
+agreement::member_list seeds_of(const settings::values& read);
+
 /// \param read values that were checked against the scheduler's schema.
 scheduler_settings make_scheduler_settings(const settings::values& read);
 
