Count the copies of a round together

What callers saw: on a site whose steps allow copies, more tasks of a step were started on one worker than it may have there (ROUTE).

Cause: each copy counted the agreed runs of its step, not the other copies of the same round, nor the starts that the round had placed before. Two lagging tasks of a step got their copies on the same endpoint.

Change: a round keeps one spread for each step, which starts and copies share.

lagging_tasks.get_no_more_copies_than_their_step_may_have_together fails on the code before: 2 copies, 3 runs at one endpoint that may have 2.

--- a/dragonflymount/src/Jobs/Placement.cpp
+++ b/dragonflymount/src/Jobs/Placement.cpp
@@ -262,12 +262,20 @@
     return spread;
 }
 
+placement::step_spread& placement::spread_in_round(const open_step& open) {
+    const auto [found, is_new] = spreads_.try_emplace(key_of(open));
+    if (is_new) {
+        found->second = spread_of(open);
+    }
+    return found->second;
+}
+
 void placement::place_step(const open_step& open, std::size_t most) {
     if (is_refused(room_of_pool(open.queue->pool), need_of(open, 1)) ||
         !within_limit(*open.job, *open.spec, 1)) {
         return;
     }
-    step_spread spread = spread_of(open);
+    step_spread& spread = spread_in_round(open);
     if (open.spec->rack_local && spread.racks.empty()) {
         const rack_choice choice = choose_rack(open);
         if (choice.waits) {
--- a/dragonflymount/src/Jobs/Placement.hpp
+++ b/dragonflymount/src/Jobs/Placement.hpp
@@ -234,6 +234,8 @@
     bool within_limit(
         const wire::JobT& job, const wire::JobStepT& step, std::size_t tasks);
     step_spread spread_of(const open_step& open) const;
+    /// \returns the spread with what this round has placed so far.
+    step_spread& spread_in_round(const open_step& open);
     double remaining_ms(const endpoint_view& view, const run_ref& run) const;
     rack_forecast make_forecast(const pool_room& pool,
         const std::function<bool(const endpoint_view&)>& is_near) const;
@@ -277,6 +279,8 @@
     std::map<std::string, resources> team_usage_;
     std::set<std::string> short_pools_;
     std::set<step_key> waiting_steps_;
+    // Of the steps of which this round has placed tasks or copies.
+    std::map<step_key, step_spread> spreads_;
     // The expected room near a preferred rack, by pool and label, less what
     // waiting tasks have booked.
     std::map<std::pair<std::string, std::string>, rack_forecast> forecasts_;
--- a/dragonflymount/src/Jobs/PlacementCopies.cpp
+++ b/dragonflymount/src/Jobs/PlacementCopies.cpp
@@ -50,8 +50,7 @@
     if (!open || short_pools_.contains(open->queue->pool)) {
         return false;
     }
-    step_spread spread = spread_of(*open);
-    const bool placed = place_task(*open, name.index, spread);
+    const bool placed = place_task(*open, name.index, spread_in_round(*open));
     short_pools_.erase(open->queue->pool);
     return placed;
 }
--- a/tests/jobs/copies_test.cpp
+++ b/tests/jobs/copies_test.cpp
@@ -116,5 +116,46 @@
     EXPECT_EQ(runs(), 2U);
 }
 
+class lagging_tasks : public leading_engine {
+protected:
+    // Two tasks of three run at "e1" and lag, the third runs well at "e2".
+    void lag() {
+        for (std::uint32_t percent = 1; percent <= 8; ++percent) {
+            endpoint_report first = make_report("e1", percent + 1);
+            add_running(first, 0, percent);
+            add_running(first, 1, percent);
+            report(first);
+            endpoint_report second = make_report("e2", percent + 1);
+            add_running(second, 2, percent * 11);
+            report(second);
+            advance(200);
+        }
+    }
+    static void add_running(
+        endpoint_report& made, std::uint32_t index, std::uint32_t percent) {
+        running_task listed;
+        listed.run = {task(7, 0, index), 1};
+        listed.percent = percent;
+        made.running.push_back(listed);
+    }
+};
+
+// Guards against copies that crowd an endpoint: each of two in one round
+// counted only the runs that were agreed before.
+TEST_F(lagging_tasks, get_no_more_copies_than_their_step_may_have_together) {
+    auto job = job_builder(7).step(3).anti_affinity(2).build();
+    job->spec->steps[0]->speculative = true;
+    jobs_.submit(std::move(job));
+    report(make_report("e1", 1));
+    advance(10);
+    report(make_report("e2", 1));
+    advance(10);
+    ASSERT_EQ(jobs_.agreed.load_of({"e1", 1})->runs.size(), 2U);
+    ASSERT_EQ(jobs_.agreed.load_of({"e2", 1})->runs.size(), 1U);
+    lag();
+    EXPECT_EQ(engine_.copies_started(), 1U);
+    EXPECT_EQ(jobs_.agreed.load_of({"e2", 1})->runs.size(), 2U);
+}
+
 } // namespace
 } // namespace dragonflymount::jobs::test
