Stop no more tasks of a zone than there are other places

An evacuation stops a long-running task only if another VM has a place for it. Several tasks of a step with a budget above one, stopped in one round, each saw the same place, as only agreed runs counted: the others stayed away until room came. Now the step's tasks that are stopped or have no run take a place each. Tasks of other steps may still take it.

--- a/dragonflymount/src/Jobs/VmManager.hpp
+++ b/dragonflymount/src/Jobs/VmManager.hpp
@@ -324,7 +324,11 @@
         const pool_state& pool, const endpoint_view& view, instant now);
     bool may_move_task(const pool_state& pool, const endpoint_view& view,
         const run_ref& run, instant now) const;
-    bool has_place_in(const pool_state& pool, const task_place& task) const;
+    bool has_place_in(const pool_state& pool, const task_name& name) const;
+    /// \returns the tasks of the step that run nowhere or are being stopped.
+    std::size_t tasks_without_place(const task_name& name) const;
+    std::size_t places_at(
+        const endpoint_view& view, const task_place& task) const;
     void order_move(const vm_id& vm, const std::string& pool,
         const endpoint_life& life, std::vector<vm_order>& orders);
     const std::string* standby_pool() const;
--- a/tests/jobs/evacuation_test.cpp
+++ b/tests/jobs/evacuation_test.cpp
@@ -334,6 +334,22 @@
     EXPECT_EQ(tasks_in("a"), 1U);
 }
 
+// Guards against tasks that are stopped for one place together: each of them
+// counted only the runs that were agreed before.
+TEST_F(evacuated_vms, stop_no_more_tasks_than_there_are_other_places) {
+    zones_ = {{"e1", "a"}, {"e2", "a"}, {"e3", "b"}};
+    report_all();
+    list_all();
+    jobs_.submit(job_builder(1).step(2).long_running(2).build());
+    jobs_.start(task(1, 0, 0), 1, {"e1", 1});
+    jobs_.start(task(1, 0, 1), 1, {"e2", 1});
+    run(500);
+    apply(jobs_, change_of("a"));
+    EXPECT_EQ(run(5000), 1U);
+    EXPECT_EQ(tasks_in("a"), 1U);
+    EXPECT_EQ(tasks_in("b"), 1U);
+}
+
 TEST_F(evacuated_vms, go_to_standby_once_empty) {
     zones_ = {{"e1", "a"}, {"e2", "a"}, {"e3", "b"}};
     report_all();
