--- a/tests/jobs/copies_test.cpp
+++ b/tests/jobs/copies_test.cpp
@@ -157,5 +157,33 @@
     EXPECT_EQ(jobs_.agreed.load_of({"e2", 1})->runs.size(), 2U);
 }
 
+// As above, with a task that is started again in the same round.
+TEST_F(lagging_tasks, count_the_starts_beside_their_copies) {
+    auto job = job_builder(7).step(3).anti_affinity(2).build();
+    job->spec->steps[0]->speculative = true;
+    jobs_.submit(std::move(job));
+    jobs_.start(task(7, 0, 0), 1);
+    jobs_.start(task(7, 0, 1), 1);
+    jobs_.start(task(7, 0, 2), 1, {"e2", 1});
+    std::uint32_t sequence = 0;
+    for (std::uint32_t percent = 1; percent <= 3; ++percent) {
+        endpoint_report first = make_report("e1", ++sequence);
+        add_running(first, 0, percent);
+        add_running(first, 1, percent * 20);
+        report(first);
+        endpoint_report second = make_report("e2", sequence);
+        add_running(second, 2, percent * 11);
+        report(second);
+        advance(200);
+    }
+    // From this report on, one task lags and the other one has failed.
+    endpoint_report last = make_report("e1", ++sequence);
+    add_running(last, 0, 4);
+    last.ended.push_back({1, {task(7, 0, 1), 1}, wire::run_end::failed, ""});
+    report(last);
+    EXPECT_EQ(jobs_.agreed.load_of({"e2", 1})->runs.size(), 2U);
+    EXPECT_EQ(engine_.copies_started(), 0U);
+}
+
 } // namespace
 } // namespace dragonflymount::jobs::test
--- a/tests/jobs/placing_test.cpp
+++ b/tests/jobs/placing_test.cpp
@@ -1,5 +1,6 @@
 // Randomized simulation of the job engine and the VM manager in virtual time:
-// no task that could start waits long while there is free room.
+// no task that could start waits long while there is free room, and no start
+// exceeds an endpoint's room, a team's limit or a step's anti-affinity.
 //
 // DFM_PLACING_SEED replaces the seeds of the test by another one.
 #include "tests/jobs/machine.hpp"
@@ -26,11 +27,20 @@
 // Time after which an endpoint abandons a call without reply.
 constexpr std::int64_t call_timeout_ms = 1000;
 constexpr std::int64_t move_ms = 1500;
+constexpr std::uint32_t least_machines_of_pool = 3;
+
+enum class traffic : std::uint8_t {
+    usual,
+    // Steps whose tasks end by themselves may have copies, and only some of
+    // their tasks may run on one machine.
+    with_copies,
+};
 
 class random_scenario {
 public:
-    explicit random_scenario(std::uint64_t seed)
-        : seed_(seed), random_(seed), engine_(jobs_.agreed, engine_options{}),
+    random_scenario(std::uint64_t seed, traffic kind)
+        : seed_(seed), kind_(kind), random_(seed),
+          engine_(jobs_.agreed, engine_options{}),
           manager_(engine_, vm_manager_options{}) {
         put_catalogue();
         const int count = pick(9, 24);
@@ -59,6 +69,9 @@
             check_waiting_jobs();
         }
         EXPECT_GT(worked_ms_, least_work_ms);
+        if (kind_ == traffic::with_copies) {
+            EXPECT_GT(engine_.copies_started(), 0U);
+        }
     }
 
 private:
@@ -180,10 +193,23 @@
             const bool takes_long = step->cpu_milli < 1000 || pick(0, 5) == 0;
             step->estimate_ms = static_cast<std::uint32_t>(
                 takes_long ? pick(5000, 15'000) : pick(200, 2000));
+            if (kind_ == traffic::with_copies) {
+                allow_copies(*step);
+            }
         }
         jobs_.submit(std::move(made));
     }
 
+    // The tasks find room together on the fewest machines that a pool has.
+    void allow_copies(wire::JobStepT& step) {
+        if (step.gang || step.long_running) {
+            return;
+        }
+        step.speculative = true;
+        step.anti_affinity = step.count / least_machines_of_pool +
+            static_cast<std::uint32_t>(pick(1, 2));
+    }
+
     // ---- Machines
 
     void work() {
@@ -267,6 +293,40 @@
         each.running.emplace(run, work);
         const auto used = used_at(each);
         EXPECT_TRUE(used.fits(vm_capacity));
+        check_spread(each, run.task, *place.step);
+        check_limit(place.job->team);
+    }
+
+    void check_spread(const machine& each, const task_name& name,
+        const wire::JobStepT& step) const {
+        const auto together = std::count_if(each.running.begin(),
+            each.running.end(), [&name](const auto& entry) {
+                const task_name& other = entry.first.task;
+                return other.job == name.job &&
+                    other.occurrence == name.occurrence &&
+                    other.step == name.step;
+            });
+        EXPECT_TRUE(step.anti_affinity == 0 || together <= step.anti_affinity)
+            << "seed " << seed_ << ", " << now_ << " ms: " << to_string(name)
+            << " begins on " << each.name << ", which has " << together
+            << " of its step, at most " << step.anti_affinity;
+    }
+
+    void check_limit(const std::string& name) const {
+        const wire::JobTeamT* team = jobs_.agreed.find_team(name);
+        std::int64_t used = 0;
+        for (const machine& each : machines_) {
+            for (const auto& [run, work] : each.running) {
+                const task_place place = jobs_.agreed.find_task(run.task);
+                if (place && place.job->team == name) {
+                    used += usage_of(*place.step).cpu_milli;
+                }
+            }
+        }
+        EXPECT_TRUE(team->cpu_limit == 0 ||
+            used <= static_cast<std::int64_t>(team->cpu_limit))
+            << "seed " << seed_ << ", " << now_ << " ms: " << name << " uses "
+            << used;
     }
 
     // ---- The leader
@@ -463,6 +523,7 @@
     }
 
     std::uint64_t seed_;
+    traffic kind_;
     std::mt19937_64 random_;
     agreed_jobs jobs_;
     engine engine_;
@@ -485,11 +546,23 @@
     std::map<job_id, std::int64_t> idle_since_;
 };
 
-class placing : public testing::TestWithParam<std::uint64_t> {};
+class placing : public testing::TestWithParam<std::uint64_t> {
+protected:
+    static void run(traffic kind) {
+        const char* chosen = std::getenv("DFM_PLACING_SEED");
+        random_scenario(
+            chosen == nullptr ? GetParam() : std::stoull(chosen), kind)
+            .run();
+    }
+};
 
 TEST_P(placing, leaves_no_task_waiting_beside_free_room) {
-    const char* chosen = std::getenv("DFM_PLACING_SEED");
-    random_scenario(chosen == nullptr ? GetParam() : std::stoull(chosen)).run();
+    run(traffic::usual);
+}
+
+// ROUTE: copies of one round exceeded the anti-affinity of their step.
+TEST_P(placing, keeps_copies_within_the_limits_of_their_step) {
+    run(traffic::with_copies);
 }
 
 INSTANTIATE_TEST_SUITE_P(
