Keep the ports of the crowd's service for as long as a test runs

Seen: a process of unruly_clients.hold_bodies_of_large_chunks_open_at_a_gateway didn't start: the address was in use.

Cause: a port was free again as soon as it was drawn, so the next draw, of this process or another, could give it once more.

A socket that is bound, reuses addresses and never listens keeps the port from other draws, and the program can listen there. The bounds of the tests are as they were.

--- a/tests/crowd/small_service.hpp
+++ b/tests/crowd/small_service.hpp
@@ -17,15 +17,30 @@
 constexpr auto start_limit = std::chrono::seconds(30);
 constexpr auto answer_limit = std::chrono::seconds(30);
 
-/// \returns an address that was free a moment ago, on an IP number that no
-/// outgoing connection takes a port of.
-inline std::string free_address() {
-    constexpr const char* ip = "127.77.0.1";
-    asio::io_context context;
-    const tcp::acceptor held(
-        context, tcp::endpoint(asio::ip::make_address_v4(ip), 0));
-    return ip + (":" + std::to_string(held.local_endpoint().port()));
-}
+/// \brief An address that no other draw gives, in this process or another, as
+/// long as the object lives. A program that reuses addresses can listen there.
+///
+/// Its IP number is one that no outgoing connection takes a port of. The socket
+/// stays bound and never listens.
+class reserved_address {
+public:
+    explicit reserved_address(asio::io_context& context) : socket_(context) {
+        constexpr const char* ip = "127.77.0.1";
+        socket_.open(tcp::v4());
+        ::fcntl(socket_.native_handle(), F_SETFD, FD_CLOEXEC);
+        socket_.set_option(asio::socket_base::reuse_address(true));
+        socket_.bind({asio::ip::make_address_v4(ip), 0});
+        text_ = ip + (":" + port());
+    }
+    const std::string& text() const { return text_; }
+    std::string port() const {
+        return std::to_string(socket_.local_endpoint().port());
+    }
+
+private:
+    tcp::socket socket_;
+    std::string text_;
+};
 
 /// \brief A connection whose writes and reads give up after a while.
 class unruly_client {
@@ -91,11 +106,24 @@
 
     /// \returns the status of the reply to a small job, 0 if there was none.
     unsigned ordinary_call() {
-        return exchange(callers_, "POST", "/q/" + next_job_id(),
+        return exchange(callers(), "POST", "/q/" + next_job_id(),
             R"({"spec":"x","steps":[{"count":1,"cpu":1,"estimate_ms":1}]})");
     }
     unsigned ordinary_query() {
-        return exchange(control_, "GET", "/api/config", "");
+        return exchange(control(), "GET", "/api/config", "");
+    }
+
+    unsigned exchange(const std::string& address, const std::string& method,
+        const std::string& path, const std::string& body) {
+        unruly_client client(context_, address);
+        client.send(method + " " + path +
+            " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
+        return client.read_status();
+    }
+    std::string next_job_id() {
+        std::string digits = std::to_string(++jobs_);
+        return std::string(16 - digits.size(), '0') + digits;
     }
 
     unruly_client& join(const std::string& address) {
@@ -103,8 +131,12 @@
         return *crowd_.back();
     }
 
-    const std::string& callers() const { return callers_; }
-    const std::string& control() const { return control_; }
+    // Set before SetUp().
+    unsigned gateway_memory_mb_ = 2;
+    std::string further_scheduler_settings_;
+
+    const std::string& callers() const { return callers_.text(); }
+    const std::string& control() const { return control_.text(); }
     pid_t gateway() const { return gateway_->id(); }
     pid_t scheduler() const { return scheduler_->id(); }
 
@@ -140,20 +172,22 @@
 private:
     void start_scheduler() {
         const std::string settings = folder_.write("s.ini",
-            "[scheduler]\ncontrol = " + control_ + "\npeer-port = " +
-                port_of(peers_) + "\nmetrics = " + free_address() +
-                "\nseeds = " + control_ + "\ndata = " + folder_.make("data") +
+            "[scheduler]\ncontrol = " + control() + "\npeer-port = " +
+                peers_.port() + "\nmetrics = " + scheduler_metrics_.text() +
+                "\nseeds = " + control() + "\ndata = " + folder_.make("data") +
                 "\nnew-site = true\nlost-disks = 0\n"
-                "request-memory = 10\nconnections = 64\n"
+                "request-memory = 10\nconnections = 64\n" +
+                further_scheduler_settings_ +
                 "[vm-service]\naddress = 127.0.0.1:9\nholder = test\n");
         scheduler_ = start("dfm-platform-scheduler", settings, "s");
     }
     void start_gateway() {
         const std::string settings = folder_.write("g.ini",
-            "[gateway]\ncallers = " + callers_ + "\nreadiness = " +
-                free_address() + "\nmetrics = " + free_address() +
-                "\nseeds = " + control_ + "\npeer-port = " + port_of(peers_) +
-                "\nrequest-memory = 2\nconnections = 64\n");
+            "[gateway]\ncallers = " + callers() + "\nreadiness = " +
+                readiness_.text() + "\nmetrics = " + gateway_metrics_.text() +
+                "\nseeds = " + control() + "\npeer-port = " + peers_.port() +
+                "\nrequest-memory = " + std::to_string(gateway_memory_mb_) +
+                "\nconnections = 64\n");
         gateway_ = start("dfm-platform-gateway", settings, "g");
     }
     std::unique_ptr<process> start(const std::string& program,
@@ -162,33 +196,21 @@
             std::vector<std::string>{"--config", settings},
             folder_.file(name + ".out"), folder_.file(name + ".log"));
     }
-    static std::string port_of(const std::string& address) {
-        return address.substr(address.find(':') + 1);
-    }
     bool configure() {
-        return exchange(control_, "PUT", "/api/config",
+        return exchange(control(), "PUT", "/api/config",
                    R"({"version":1,"routes":[{"name":"q","host":"h",)"
                    R"("path_prefix":"/q/","service":"s","timeout_ms":3000,)"
                    R"("public":true}],"services":[{"name":"s"}]})") == 200;
     }
-    unsigned exchange(const std::string& address, const std::string& method,
-        const std::string& path, const std::string& body) {
-        unruly_client client(context_, address);
-        client.send(method + " " + path +
-            " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-            std::to_string(body.size()) + "\r\n\r\n" + body);
-        return client.read_status();
-    }
-    std::string next_job_id() {
-        std::string digits = std::to_string(++jobs_);
-        return std::string(16 - digits.size(), '0') + digits;
-    }
 
     asio::io_context context_;
     temporary_folder folder_;
-    std::string control_ = free_address();
-    std::string peers_ = free_address();
-    std::string callers_ = free_address();
+    reserved_address control_{context_};
+    reserved_address peers_{context_};
+    reserved_address callers_{context_};
+    reserved_address readiness_{context_};
+    reserved_address scheduler_metrics_{context_};
+    reserved_address gateway_metrics_{context_};
     std::unique_ptr<process> scheduler_;
     std::unique_ptr<process> gateway_;
     std::vector<std::unique_ptr<unruly_client>> crowd_;
