Bound the calls that a gateway keeps for a leader that doesn't answer

Seen, with lowered limits (request-memory 8 MiB): 96 requests of 250 KB that each name 20,000 steps, sent while the leader doesn't answer, brought a gateway to a peak of 151,616 KiB; the test allows 40,080.

Cause: each call was kept decoded until its reply, about ten times what was sent, and only the bytes of the request were counted.

A call is kept as the frame that is sent, which the connection's queue shares, and the frames of all calls have a bound: request-memory, at most 32 MiB, half of what a connection queues. Beyond it a call is refused at once with 503 and Retry-After, before it is sent; one may take a quarter of what is left, so the large ones are refused first (fits_share).

--- a/dragonflymount/src/Runtime/Connection.cpp
+++ b/dragonflymount/src/Runtime/Connection.cpp
@@ -111,11 +111,16 @@
 }
 
 void connection::send(const wire::message& content) {
+    if (open_) {
+        send(std::make_shared<const bytes>(wire::encode_frame(content)));
+    }
+}
+
+void connection::send(std::shared_ptr<const bytes> frame) {
     if (!open_) {
         return;
     }
-    bytes frame = wire::encode_frame(content);
-    outgoing_bytes_ += frame.size();
+    outgoing_bytes_ += frame->size();
     if (outgoing_bytes_ > options_.most_queued_bytes) {
         fail(make_error_code(errc::queue_full), "send frame");
         return;
@@ -132,13 +137,13 @@
         return;
     }
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(outgoing_.front()),
+    asio::async_write(socket_, asio::buffer(*outgoing_.front()),
         [self = shared_from_this()](std::error_code code, std::size_t) {
             if (code) {
                 self->fail(code, "write frame");
                 return;
             }
-            self->outgoing_bytes_ -= self->outgoing_.front().size();
+            self->outgoing_bytes_ -= self->outgoing_.front()->size();
             self->outgoing_.pop_front();
             self->write_next();
         });
@@ -347,4 +352,12 @@
     return true;
 }
 
+bool link::send(std::shared_ptr<const bytes> frame) {
+    if (!is_open()) {
+        return false;
+    }
+    current_->send(std::move(frame));
+    return true;
+}
+
 } // namespace dragonflymount::runtime
--- a/dragonflymount/src/Runtime/Connection.hpp
+++ b/dragonflymount/src/Runtime/Connection.hpp
@@ -38,6 +38,8 @@
     /// \brief Begins to read; the handlers are called from then on.
     void start(message_handler on_message, close_handler on_close);
     void send(const wire::message& content);
+    /// \param frame a whole frame; several connections may share it.
+    void send(std::shared_ptr<const bytes> frame);
     /// \brief Closes without calling the close handler.
     void close();
     bool is_open() const { return open_; }
@@ -61,7 +63,7 @@
     close_handler on_close_;
     std::array<std::uint8_t, wire::frame_header_bytes> header_{};
     bytes payload_;
-    std::deque<bytes> outgoing_;
+    std::deque<std::shared_ptr<const bytes>> outgoing_;
     std::size_t outgoing_bytes_ = 0;
     bool writing_ = false;
     bool open_ = true;
@@ -115,6 +117,8 @@
     void stop();
     /// \returns whether the message was handed to an open connection.
     bool send(const wire::message& content);
+    /// \param frame a whole frame, kept until it is sent.
+    bool send(std::shared_ptr<const bytes> frame);
     bool is_open() const { return current_ && current_->is_open(); }
     const std::string& address() const { return address_; }
 
--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -1,6 +1,8 @@
 // Connects to the leader, follows redirections and resends calls.
 #include "programs/gateway/leader_client.hpp"
 
+#include "dragonflymount/src/Core/MemoryShare.hpp"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <glog/logging.h>
@@ -42,6 +44,7 @@
     replaced_links_.clear();
     const auto pending = std::move(pending_);
     pending_.clear();
+    pending_bytes_ = 0;
     for (const auto& [correlation, call] : pending) {
         call.on_failure(failure_of(call));
     }
@@ -155,8 +158,15 @@
         return;
     }
     const std::uint64_t correlation = next_correlation_++;
+    auto frame = std::make_shared<const bytes>(
+        wire::encode_frame(wire::make_message(std::move(call), correlation)));
+    if (!fits_share(frame->size(), pending_bytes_, settings_.call_memory)) {
+        on_failure(call_failure::not_sent);
+        return;
+    }
+    pending_bytes_ += frame->size();
     pending_call& added = pending_[correlation];
-    added.content = wire::make_message(std::move(call), correlation);
+    added.frame = std::move(frame);
     added.on_reply = std::move(on_reply);
     added.on_failure = std::move(on_failure);
     added.started_at = now;
@@ -175,12 +185,18 @@
 }
 
 void leader_client::send(pending_call& call) {
-    if (link_ && link_->send(call.content)) {
+    if (link_ && link_->send(call.frame)) {
         call.sent = true;
         call.sent_at = runtime::system_clock::now();
     }
 }
 
+leader_client::pending_call leader_client::remove(std::uint64_t correlation) {
+    auto node = pending_.extract(correlation);
+    pending_bytes_ -= node.mapped().frame->size();
+    return std::move(node.mapped());
+}
+
 void leader_client::send_pending() {
     for (auto& [correlation, call] : pending_) {
         send(call);
@@ -198,11 +214,10 @@
         redirect(found->second, *reply);
         return;
     }
-    const auto handler = std::move(found->second.on_reply);
-    pending_.erase(found);
+    const pending_call call = remove(content.correlation);
     learn_members(reply->replicas);
     record_answer();
-    handler(std::move(*reply));
+    call.on_reply(std::move(*reply));
 }
 
 void leader_client::redirect(pending_call& call, const wire::JobReplyT& reply) {
@@ -243,8 +258,7 @@
                               : connect(std::string(named_leader_));
     }
     for (const std::uint64_t correlation : failed) {
-        const auto node = pending_.extract(correlation);
-        const pending_call& call = node.mapped();
+        const pending_call call = remove(correlation);
         record_failure(call, now);
         call.on_failure(failure_of(call));
     }
--- a/programs/gateway/leader_client.hpp
+++ b/programs/gateway/leader_client.hpp
@@ -38,6 +38,10 @@
     duration unsent_limit = std::chrono::milliseconds(800);
     /// Interval between probes while no leader is known to be reachable.
     duration probe_interval = std::chrono::milliseconds(300);
+    /// Bytes of all calls that wait for their reply, as they are sent. Beyond
+    /// it calls fail at once, the large ones first. Less than a connection
+    /// queues, so that one can take all of them.
+    std::uint64_t call_memory = 32U << 20U;
 };
 
 class leader_client {
@@ -75,7 +79,8 @@
 
 private:
     struct pending_call {
-        wire::message content;
+        // Encoded: a call takes up many times as much when it is decoded.
+        std::shared_ptr<const bytes> frame;
         reply_handler on_reply;
         failure_handler on_failure;
         instant started_at{};
@@ -98,6 +103,7 @@
     void receive(wire::message&& content);
     void redirect(pending_call& call, const wire::JobReplyT& reply);
     static call_failure failure_of(const pending_call& call);
+    pending_call remove(std::uint64_t correlation);
     void send_pending();
     void send(pending_call& call);
     void check_calls();
@@ -123,6 +129,8 @@
     std::vector<std::unique_ptr<runtime::link>> replaced_links_;
     runtime::repeating_timer timer_;
     std::map<std::uint64_t, pending_call> pending_;
+    // Invariant: the sum of the frames' sizes over pending_.
+    std::uint64_t pending_bytes_ = 0;
     std::uint64_t next_correlation_ = 1;
     instant connected_at_{};
     // Earliest time of the next connection attempt. Prevents a tight loop over
--- a/tests/crowd/unruly_clients_test.cpp
+++ b/tests/crowd/unruly_clients_test.cpp
@@ -62,6 +62,15 @@
             }
         }
     }
+    bool answers_in_time() {
+        const auto limit = std::chrono::steady_clock::now() + answer_limit;
+        while (std::chrono::steady_clock::now() < limit) {
+            if (ordinary_call() == 200) {
+                return true;
+            }
+        }
+        return false;
+    }
     void expect_bounds(pid_t process, std::size_t memory_before_kb) {
         let_it_read(process);
         const std::size_t peak_kb = peak_memory_kb(process);
@@ -132,5 +141,39 @@
     EXPECT_EQ(ordinary_call(), 200U);
 }
 
+// A gateway's calls on their way to a leader that doesn't answer.
+class unanswered_calls : public unruly_clients {
+protected:
+    unanswered_calls() { gateway_memory_mb_ = request_mb; }
+    static constexpr unsigned request_mb = 8;
+};
+
+// Bodies of 250 KB that name 20,000 steps took up many times as much while they
+// waited, beside the memory of requests.
+TEST_F(unanswered_calls, of_many_steps_stay_within_bounds) {
+    constexpr unsigned steps = 20'000;
+    // Requests, as many bytes of calls, and one call that is being decoded.
+    constexpr std::size_t bound_kb = (2 * request_mb + 4 + 13) * 1024;
+    std::string body = R"({"steps":[{"count":1})";
+    for (unsigned k = 1; k < steps; ++k) {
+        body += R"(,{"count":1})";
+    }
+    body += "]}";
+    const std::size_t before_kb = peak_memory_kb(gateway());
+    ::kill(scheduler(), SIGSTOP);
+    for (std::size_t k = 0; k < crowd_size; ++k) {
+        join(callers()).send("POST /q/" + next_job_id() +
+            " HTTP/1.1\r\nHost: h\r\nX-Dragonflymount-Deadline-Ms: 60000\r\n"
+            "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+    let_it_read(gateway());
+    const std::size_t peak_kb = peak_memory_kb(gateway());
+    ::kill(scheduler(), SIGCONT);
+    EXPECT_GT(peak_kb, 0U) << "the process has ended";
+    EXPECT_LE(peak_kb, before_kb + bound_kb);
+    EXPECT_TRUE(answers_in_time());
+}
+
 } // namespace
 } // namespace dragonflymount::crowd_test
