Refuse jobs that there is no memory for at submission

Seen, in a crowd test: 150 requests of 30 bytes, each a job of 20,000 tasks, were all accepted; the scheduler's peak rose to 312,892 KiB and grows with each further one (its machine has 384 MB).

Cause: nothing bounded what accepted jobs take up.

A job takes up at most a quarter of what is left; another gets 503 with Retry-After at once and is neither stored nor proposed. The leader decides; what is applied from the log is as it was. A known job is acknowledged also when there is no room. Further occurrences of repeating jobs begin once there is room.

--- a/dragonflymount/jobs.hpp
+++ b/dragonflymount/jobs.hpp
@@ -9,6 +9,7 @@
 #include "dragonflymount/src/Jobs/Endpoints.hpp"
 #include "dragonflymount/src/Jobs/Engine.hpp"
 #include "dragonflymount/src/Jobs/Evacuations.hpp"
+#include "dragonflymount/src/Jobs/JobMemory.hpp"
 #include "dragonflymount/src/Jobs/Placement.hpp"
 #include "dragonflymount/src/Jobs/RackForecast.hpp"
 #include "dragonflymount/src/Jobs/RouteTable.hpp"
--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -71,6 +71,8 @@
     leads_ = false;
     batch_in_flight_ = false;
     submitted_.clear();
+    submitted_memory_ = 0;
+    memory_in_flight_ = 0;
     cancelled_.clear();
     ended_.clear();
     catalogue_.reset();
@@ -120,6 +122,7 @@
     batch.catalogue = std::move(catalogue_);
     batch.submitted = std::move(submitted_);
     submitted_.clear();
+    memory_in_flight_ = std::exchange(submitted_memory_, 0);
     batch.waves = std::move(waves_);
     waves_.clear();
     batch.maintained = std::move(maintained_);
@@ -240,7 +243,8 @@
     for (const job_id id : agreed_.repeating_jobs()) {
         const wire::JobT& job = *agreed_.find_job(id);
         if (start_time_ms(*job.spec, job.next_occurrence) <= wall_ms &&
-            has_room_for_occurrence(job)) {
+            has_room_for_occurrence(job) &&
+            (job.occurrences.empty() || job_memory() < options_.job_memory)) {
             auto order = std::make_unique<wire::OccurrenceDueT>();
             order->job = id.value();
             order->number = job.next_occurrence;
@@ -291,6 +295,7 @@
     }
     batch_in_flight_ = false;
     evacuations_in_flight_ = false;
+    memory_in_flight_ = 0;
     unconfirmed_.commit();
     placement_due_ = true;
     reset_scan_limits();
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -17,6 +17,7 @@
 #include "dragonflymount/src/Jobs/UnconfirmedJobs.hpp"
 
 #include <functional>
+#include <limits>
 
 namespace dragonflymount::jobs {
 
@@ -78,6 +79,9 @@
     double remote_factor = 1;
     /// Maximum number of starts in one batch.
     std::size_t most_starts = 256;
+    /// Bytes that all jobs may take up besides their runs. Beyond it jobs are
+    /// refused, the large ones first.
+    std::uint64_t job_memory = std::numeric_limits<std::uint64_t>::max();
 };
 
 class engine {
@@ -151,6 +155,8 @@
     std::uint64_t steps_waited() const { return steps_waited_; }
     /// \returns the number of copies of lagging tasks started so far.
     std::uint64_t copies_started() const { return copies_started_; }
+    /// \returns the number of jobs refused so far for want of memory.
+    std::uint64_t jobs_refused() const { return jobs_refused_; }
 
 private:
     struct held_report {
@@ -169,6 +175,7 @@
 
     void submit(const wire::JobCallT& call, const wire::JobQueueT& queue,
         const wire::JobTeamT* team, job_id id, call_handler on_reply);
+    std::uint64_t job_memory() const;
     void read(job_id id, const call_handler& on_reply) const;
     void cancel(job_id id, call_handler on_reply);
     void count_pending(
@@ -239,6 +246,8 @@
 
     // Collected for the next batch.
     std::vector<std::unique_ptr<wire::JobT>> submitted_;
+    // Invariant: the sum of memory_of over submitted_.
+    std::uint64_t submitted_memory_ = 0;
     std::set<job_id> cancelled_;
     std::vector<pending_end> ended_;
     std::unique_ptr<wire::CatalogueT> catalogue_;
@@ -260,6 +269,8 @@
     // The batch in flight.
     bool batch_in_flight_ = false;
     bool evacuations_in_flight_ = false;
+    // Of the jobs that the batch in flight submits.
+    std::uint64_t memory_in_flight_ = 0;
     std::vector<pending_end> ends_in_flight_;
 
     // Callbacks that wait for a batch to be committed.
@@ -292,6 +303,7 @@
     std::uint64_t lapse_checks_ = 0;
     std::uint64_t steps_waited_ = 0;
     std::uint64_t copies_started_ = 0;
+    std::uint64_t jobs_refused_ = 0;
     // Number of ended lives at the time of the last lapse check.
     std::uint64_t ended_lives_ = 0;
     instant next_cleanup_{};
--- a/dragonflymount/src/Jobs/EngineCalls.cpp
+++ b/dragonflymount/src/Jobs/EngineCalls.cpp
@@ -1,6 +1,7 @@
 // Calls of job owners and commands of operators.
 #include "dragonflymount/src/Jobs/Engine.hpp"
 
+#include "dragonflymount/src/Jobs/JobMemory.hpp"
 #include "dragonflymount/src/Jobs/JobReply.hpp"
 
 namespace dragonflymount::jobs {
@@ -12,6 +13,9 @@
 // an election.
 constexpr std::uint32_t unready_retry_ms = 1000;
 
+// Retry delay for callers whose job there is no memory for: jobs end meanwhile.
+constexpr std::uint32_t full_retry_ms = 5000;
+
 } // namespace
 
 // ---- Calls -----------------------------------------------------------------
@@ -73,9 +77,9 @@
         on_reply(reply_of(wire::job_status::malformed));
         return;
     }
-    auto& waiting = submitters_[id];
-    waiting.push_back(std::move(on_reply));
-    if (waiting.size() > 1) {
+    if (const auto waiting = submitters_.find(id);
+        waiting != submitters_.end()) {
+        waiting->second.push_back(std::move(on_reply));
         return;
     }
     auto job = std::make_unique<wire::JobT>();
@@ -83,9 +87,24 @@
     job->queue = queue.name;
     job->team = team == nullptr ? "" : team->name;
     job->spec = std::make_unique<wire::JobSpecT>(*call.spec);
+    const std::uint64_t memory = memory_of(*job);
+    if (!fits_share(memory, job_memory(), options_.job_memory)) {
+        ++jobs_refused_;
+        wire::JobReplyT reply = reply_of(wire::job_status::not_accepted);
+        reply.retry_after_ms = full_retry_ms;
+        reply.detail = "the jobs so far leave too little memory for this one";
+        on_reply(std::move(reply));
+        return;
+    }
+    submitters_[id].push_back(std::move(on_reply));
+    submitted_memory_ += memory;
     submitted_.push_back(std::move(job));
 }
 
+std::uint64_t engine::job_memory() const {
+    return agreed_.job_memory() + memory_in_flight_ + submitted_memory_;
+}
+
 void engine::read(job_id id, const call_handler& on_reply) const {
     const wire::JobT* job = agreed_.find_job(id);
     if (job == nullptr) {
--- a/dragonflymount/src/Jobs/State.cpp
+++ b/dragonflymount/src/Jobs/State.cpp
@@ -2,6 +2,8 @@
 // queries on it.
 #include "dragonflymount/src/Jobs/State.hpp"
 
+#include "dragonflymount/src/Jobs/JobMemory.hpp"
+
 #include <algorithm>
 
 namespace dragonflymount::jobs {
@@ -248,12 +250,20 @@
     auto& stored =
         *jobs_.emplace(id.value(), std::make_unique<wire::JobT>(std::move(job)))
              .first->second;
+    job_memory_ += memory_of(stored);
     if (stored.spec->repeats == 0) {
         begin_occurrence(stored, 0);
     }
     index_active(stored);
 }
 
+template <class Change>
+void state::change_job(wire::JobT& job, Change change) {
+    job_memory_ -= memory_of(job);
+    change();
+    job_memory_ += memory_of(job);
+}
+
 void state::begin_occurrence(wire::JobT& job, std::uint32_t number) {
     auto occurrence = std::make_unique<wire::JobOccurrenceT>();
     occurrence->number = number;
@@ -264,7 +274,7 @@
         }
         occurrence->steps.push_back(std::move(group));
     }
-    job.occurrences.push_back(std::move(occurrence));
+    change_job(job, [&] { job.occurrences.push_back(std::move(occurrence)); });
     job.next_occurrence = number + 1;
 }
 
@@ -333,8 +343,10 @@
         return;
     }
     wire::JobT& job = *place.job;
-    std::erase_if(job.occurrences, [](const auto& occurrence) {
-        return is_done(*occurrence) && !has_runs(*occurrence);
+    change_job(job, [&job] {
+        std::erase_if(job.occurrences, [](const auto& occurrence) {
+            return is_done(*occurrence) && !has_runs(*occurrence);
+        });
     });
     index_startable(job);
 }
@@ -441,17 +453,20 @@
 // An occurrence of an ended job is stored until its last run has ended, since
 // each run may still use capacity of a VM.
 void state::remove_idle_occurrences(wire::JobT& job) {
-    std::erase_if(job.occurrences,
-        [](const auto& occurrence) { return !has_runs(*occurrence); });
-    if (job.occurrences.empty()) {
-        job.spec = std::make_unique<wire::JobSpecT>();
-    }
+    change_job(job, [&job] {
+        std::erase_if(job.occurrences,
+            [](const auto& occurrence) { return !has_runs(*occurrence); });
+        if (job.occurrences.empty()) {
+            job.spec = std::make_unique<wire::JobSpecT>();
+        }
+    });
 }
 
 void state::remove_expired() {
     while (!ended_.empty() && ended_.front().first + retention_ms < time_ms_) {
         const auto found = jobs_.find(ended_.front().second.value());
         if (found != jobs_.end() && found->second->occurrences.empty()) {
+            job_memory_ -= memory_of(*found->second);
             jobs_.erase(found);
         } else if (found != jobs_.end()) {
             ended_.emplace_back(time_ms_, ended_.front().second);
--- a/dragonflymount/src/Jobs/State.hpp
+++ b/dragonflymount/src/Jobs/State.hpp
@@ -147,6 +147,8 @@
     /// been started.
     std::uint32_t pending_in(const std::string& queue) const;
     std::size_t job_count() const { return jobs_.size(); }
+    /// \returns about how many bytes all jobs take up besides their runs.
+    std::uint64_t job_memory() const { return job_memory_; }
     /// \returns the records of a task, or null pointers if there is none.
     task_place find_task(const task_name& name) const;
     /// \returns the record of the run, or null if the run has ended or was
@@ -189,6 +191,8 @@
     void finish_task(const task_place& place);
     void finish_job(wire::JobT& job, wire::job_phase phase);
     void remove_idle_occurrences(wire::JobT& job);
+    template <class Change>
+    void change_job(wire::JobT& job, Change change);
     void remove_expired();
     void apply(const wire::MaintenanceStepT& step);
     void set_catalogue(std::shared_ptr<const wire::CatalogueT> catalogue);
@@ -230,6 +234,8 @@
     // Invariant: exactly the tasks of active jobs that aren't done and for
     // which is_suspect holds.
     std::set<task_name> suspects_;
+    // Invariant: the sum of memory_of over jobs_.
+    std::uint64_t job_memory_ = 0;
     // The number of active jobs that haven't begun, by queue name.
     std::map<std::string, std::uint32_t> pending_;
     // Invariant: exactly the runs in jobs_, by the life that executes them.
--- a/dragonflymount/src/Jobs/StateIndexes.cpp
+++ b/dragonflymount/src/Jobs/StateIndexes.cpp
@@ -2,6 +2,8 @@
 // an image is loaded.
 #include "dragonflymount/src/Jobs/State.hpp"
 
+#include "dragonflymount/src/Jobs/JobMemory.hpp"
+
 #include <algorithm>
 
 namespace dragonflymount::jobs {
@@ -33,7 +35,9 @@
     load_of_life_.clear();
     team_usage_.clear();
     ended_.clear();
+    job_memory_ = 0;
     for (const auto& [id, job] : jobs_) {
+        job_memory_ += memory_of(*job);
         if (job->phase == wire::job_phase::active) {
             index_active(*job);
         } else {
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -130,6 +130,10 @@
         agreed().catalogue().version);
     add_metric("dfm_jobs_active", "gauge", "Jobs that are not over.",
         agreed().active_jobs().size());
+    add_metric("dfm_job_memory_bytes", "gauge",
+        "Memory of all jobs besides their runs, about.", agreed().job_memory());
+    add_metric("dfm_jobs_refused_total", "counter",
+        "Jobs refused here for want of memory.", engine_.jobs_refused());
     add_metric("dfm_endpoints", "gauge",
         "Endpoints that this leader has heard.",
         engine_.endpoints().views().size());
--- a/tests/crowd/unruly_clients_test.cpp
+++ b/tests/crowd/unruly_clients_test.cpp
@@ -62,6 +62,9 @@
             }
         }
     }
+    unsigned submit(const std::string& body) {
+        return exchange(callers(), "POST", "/q/" + next_job_id(), body);
+    }
     bool answers_in_time() {
         const auto limit = std::chrono::steady_clock::now() + answer_limit;
         while (std::chrono::steady_clock::now() < limit) {
@@ -175,5 +178,31 @@
     EXPECT_TRUE(answers_in_time());
 }
 
+// Small requests whose jobs have many tasks.
+class accepted_jobs : public unruly_clients {
+protected:
+    accepted_jobs() { further_scheduler_settings_ = "job-memory = 40\n"; }
+    static constexpr unsigned job_mb = 40;
+};
+
+TEST_F(accepted_jobs, of_many_tasks_stay_within_bounds) {
+    constexpr std::size_t bound_kb = scheduler_bound_kb + job_mb * 1024;
+    constexpr unsigned jobs = 150;
+    const std::size_t before_kb = peak_memory_kb(scheduler());
+    unsigned refused = 0;
+    for (unsigned k = 0; k < jobs; ++k) {
+        const unsigned status = submit(R"({"steps":[{"count":20000}]})");
+        EXPECT_TRUE(status == 200 || status == 503) << status;
+        refused += status == 503 ? 1 : 0;
+    }
+    let_it_read(scheduler());
+    const std::size_t peak_kb = peak_memory_kb(scheduler());
+    EXPECT_GT(peak_kb, 0U) << "the process has ended";
+    EXPECT_LE(peak_kb, before_kb + bound_kb);
+    EXPECT_GT(refused, 0U);
+    EXPECT_LT(refused, jobs);
+    EXPECT_EQ(ordinary_call(), 200U);
+}
+
 } // namespace
 } // namespace dragonflymount::crowd_test
