Don't call a job refused that an earlier copy may have handed in

A gateway sends a call again when the leader is silent. If the second copy is refused while the first is still on its way, the caller was told 503, which promises that the job never runs. It is told 504 now.

--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -217,6 +217,12 @@
     const pending_call call = remove(content.correlation);
     learn_members(reply->replicas);
     record_answer();
+    // A refusal promises that the call never runs, but one sent before may.
+    if (reply->status == wire::job_status::not_accepted &&
+        call.maybe_executed) {
+        call.on_failure(call_failure::unanswered);
+        return;
+    }
     call.on_reply(std::move(*reply));
 }
 
--- a/tests/platform/leader_client_test.cpp
+++ b/tests/platform/leader_client_test.cpp
@@ -22,8 +22,12 @@
         const auto started = listener_->start(
             address,
             [this](const auto& from, wire::message&& content) {
+                ++calls_;
+                if (silent_) {
+                    return;
+                }
                 wire::JobReplyT reply;
-                reply.status = wire::job_status::not_found;
+                reply.status = status_;
                 reply.replicas = members_;
                 from->send(
                     wire::make_message(std::move(reply), content.correlation));
@@ -38,6 +42,11 @@
     }
     const std::string& address() const { return address_; }
 
+    // What it does with calls.
+    bool silent_ = false;
+    wire::job_status status_ = wire::job_status::not_found;
+    unsigned calls_ = 0;
+
 private:
     asio::io_context& context_;
     std::unique_ptr<runtime::listener> listener_;
@@ -101,6 +110,29 @@
     context_.run_for(50ms);
 }
 
+// A refused call was to run nowhere, but an earlier copy of it may.
+TEST_F(
+    leader_client_test, reports_a_call_refused_after_a_resend_as_unanswered) {
+    leader_client client = make_client();
+    ASSERT_TRUE(client.start());
+    ASSERT_TRUE(run_until([&] { return client.reaches_leader(); }));
+    leader_.silent_ = true;
+    leader_.status_ = wire::job_status::not_accepted;
+    const unsigned before = leader_.calls_;
+    std::optional<call_failure> failed;
+    bool refused = false;
+    client.call(
+        wire::JobCallT{}, 8s, [&](wire::JobReplyT&&) { refused = true; },
+        [&](call_failure reason) { failed = reason; });
+    ASSERT_TRUE(run_until([&] { return leader_.calls_ > before; }));
+    leader_.silent_ = false;
+    ASSERT_TRUE(run_until([&] { return failed || refused; }));
+    EXPECT_FALSE(refused);
+    EXPECT_EQ(failed, call_failure::unanswered);
+    client.stop();
+    context_.run_for(50ms);
+}
+
 TEST_F(leader_client_test, ignores_failures_of_calls_with_a_short_limit) {
     leader_client client = make_client();
     ASSERT_TRUE(client.start());
