Make room for a frame as it comes, not as its header says

Seen, in a crowd test: 16 connections to the port for replicas that send eight bytes each, the header of a frame of 16 MiB, brought a scheduler to 269,640 KiB; the test allows 21,768. 24 of them would fill its machine.

Cause: the payload's buffer had its whole size before any byte of it came.

It grows to twice what has come now, from 64 KiB.

--- a/dragonflymount/src/Runtime/Connection.cpp
+++ b/dragonflymount/src/Runtime/Connection.cpp
@@ -6,12 +6,16 @@
 #include <absl/strings/str_cat.h>
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace dragonflymount::runtime {
 namespace {
 
 constexpr duration first_retry_delay = std::chrono::milliseconds(50);
 constexpr duration longest_retry_delay = std::chrono::seconds(1);
 constexpr duration connect_timeout = std::chrono::seconds(2);
+// Room for the begin of a frame's payload.
+constexpr std::size_t first_part_bytes = 64U << 10U;
 
 std::uint64_t next_number() {
     static std::uint64_t last = 0;
@@ -82,18 +86,28 @@
                     header.error().detail);
                 return;
             }
+            self->payload_.clear();
             self->read_payload(*header);
         });
 }
 
+// Reads on until the payload is whole. A header alone makes no room for it:
+// the payload grows to at most twice what has come, or first_part_bytes.
 void connection::read_payload(const wire::frame_header& header) {
-    payload_.resize(header.length);
-    asio::async_read(socket_, asio::buffer(payload_),
+    const std::size_t before = payload_.size();
+    payload_.resize(std::min<std::size_t>(
+        header.length, std::max(before * 2, first_part_bytes)));
+    asio::async_read(socket_,
+        asio::buffer(payload_.data() + before, payload_.size() - before),
         [self = shared_from_this(), header](std::error_code code, std::size_t) {
             if (code) {
                 self->fail(code, "read frame payload");
                 return;
             }
+            if (self->payload_.size() < header.length) {
+                self->read_payload(header);
+                return;
+            }
             self->last_read_ = system_clock::now();
             auto content = wire::decode_payload(header, self->payload_);
             if (!content) {
--- a/tests/crowd/small_service.hpp
+++ b/tests/crowd/small_service.hpp
@@ -137,6 +137,7 @@
 
     const std::string& callers() const { return callers_.text(); }
     const std::string& control() const { return control_.text(); }
+    const std::string& peers() const { return peers_.text(); }
     pid_t gateway() const { return gateway_->id(); }
     pid_t scheduler() const { return scheduler_->id(); }
 
--- a/tests/crowd/unruly_clients_test.cpp
+++ b/tests/crowd/unruly_clients_test.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t body_bytes = 250'000;
 constexpr std::size_t trailer_bytes = 32'000'000;
 constexpr std::size_t idle_crowd_size = 300;
+constexpr std::size_t announcing_crowd_size = 16;
 
 // What the settings allow, and 64 KiB for each of 64 connections.
 constexpr std::size_t gateway_bound_kb = (2 + 4) * 1024;
@@ -144,6 +145,18 @@
     EXPECT_EQ(ordinary_call(), 200U);
 }
 
+// Headers of frames that never follow made room for 16 MiB each.
+TEST_F(unruly_clients, announce_large_frames_to_a_scheduler) {
+    const std::size_t before_kb = peak_memory_kb(scheduler());
+    // Length 16 MiB, any checksum.
+    const std::string header("\0\0\0\1\0\0\0\0", 8);
+    for (std::size_t k = 0; k < announcing_crowd_size; ++k) {
+        join(peers()).send(header);
+    }
+    expect_bounds(scheduler(), before_kb);
+    EXPECT_EQ(ordinary_query(), 200U);
+}
+
 // A gateway's calls on their way to a leader that doesn't answer.
 class unanswered_calls : public unruly_clients {
 protected:
