Sync the data folder before what was read replaces files

The platform keeps or loses each unsynced name by itself; the tests' disk lost all of them or none.

The disk of the tests now loses names independently, which is stricter.

--- a/dragonflymount/src/Agreement/FileStore.hpp
+++ b/dragonflymount/src/Agreement/FileStore.hpp
@@ -183,6 +183,12 @@
             return damage_failure(needed, "the file is missing");
         }
     }
+    // A killed process may have left a new name that isn't durable yet. Files
+    // that it replaces are removed below.
+    const result<done> durable = folder_->sync_folder();
+    if (!durable) {
+        return durable.error();
+    }
     opened_log opened;
     const auto identity_bytes = read_file(identity_file);
     if (!identity_bytes) {
--- a/tests/agreement/memory_disk.hpp
+++ b/tests/agreement/memory_disk.hpp
@@ -9,6 +9,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace dragonflymount::agreement {
 
@@ -113,13 +114,27 @@
     }
 
     /// Simulates a power loss. Each write since the last sync of its file is
-    /// kept, lost or torn. The file names are either those of the folder's last
-    /// sync or the newest ones. \p draw returns a random number below its
-    /// argument.
+    /// kept, lost or torn. Each name that was made, renamed or removed since
+    /// the folder's last sync is kept or lost by itself. \p draw returns a
+    /// random number below its argument.
     template <class Draw>
     void lose_power(Draw draw) {
-        if (draw(2) == 0) {
-            names_ = durable_names_;
+        for (const auto& [name, number] : std::exchange(names_, {})) {
+            const auto durable = durable_names_.find(name);
+            const bool same =
+                durable != durable_names_.end() && durable->second == number;
+            if (same || draw(2) == 0) {
+                names_[name] = number;
+            } else if (durable != durable_names_.end()) {
+                names_[name] = durable->second;
+            }
+            durable_names_.erase(name);
+        }
+        // What is left was removed or renamed.
+        for (const auto& [name, number] : durable_names_) {
+            if (draw(2) == 0) {
+                names_[name] = number;
+            }
         }
         durable_names_ = names_;
         for (auto& [number, content] : files_) {
--- a/tests/agreement/store_recovery_test.cpp
+++ b/tests/agreement/store_recovery_test.cpp
@@ -249,6 +249,13 @@
     run_histories(fixed_seed, fixed_runs);
 }
 
+// Guards against a folder without a snapshot: a process ended before the name
+// of a new one was durable, the next one removed the old one, and a power loss
+// undid the first change but not the second.
+TEST(store_recovery, keeps_a_snapshot_until_the_next_one_is_durable) {
+    run_history(313743636004094);
+}
+
 TEST(store_recovery, keeps_what_was_synced_with_fresh_seeds) {
     if (const char* seed = std::getenv("DFM_STORE_SEED")) {
         run_history(std::stoull(seed));
