--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -140,8 +140,9 @@
     log_index members_index() const { return log_.members_index(); }
     std::size_t log_size() const { return log_.size(); }
     bool is_failed() const { return failed_; }
-    /// \brief Whether this replica leads and sends its snapshot to a replica
-    /// that answers. A newer snapshot would make it begin again.
+    /// \brief Whether this replica leads, and a replica that answers receives
+    /// its snapshot or the records after it. A newer snapshot would make it
+    /// begin again.
     bool is_sending_snapshot(instant now) const;
     /// \returns the identities of replicas whose newest answer to this leader
     /// came under an identity that isn't that of a member.
@@ -196,6 +197,9 @@
         // The snapshot of which this peer holds the first bytes, and how many.
         log_index part_index;
         std::size_t part_bytes = 0;
+        // Set from the first part of a snapshot until an answer shows that the
+        // peer holds all records that were committed when its round was sent.
+        bool installing = false;
     };
 
     void receive(const wire::VoteRequestT& request, instant now);
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -13,6 +13,11 @@
 // sets how long the leader waits for an answer before it resends a snapshot.
 constexpr std::int64_t image_bytes_per_millisecond = 2000;
 
+duration transfer_time(std::size_t image_bytes) {
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(image_bytes) / image_bytes_per_millisecond);
+}
+
 } // namespace
 
 void replica::reply_append(const std::string& leader, std::uint64_t round,
@@ -135,6 +140,7 @@
         state.next = std::max(state.next, state.match.next());
         state.caught_up =
             sent != state.rounds.end() && state.match >= sent->second.commit;
+        state.installing = state.installing && !state.caught_up;
         return;
     }
     // A rejection may arrive late. The match index never decreases in a term.
@@ -253,20 +259,22 @@
     request.round = round_;
     request.part = std::make_unique<wire::SnapshotPartT>(
         make_part(image, received, options_.part_bytes));
-    const auto missing =
-        static_cast<std::int64_t>(image.state.size() - request.part->offset);
     const duration transfer =
-        std::chrono::milliseconds(missing / image_bytes_per_millisecond);
+        transfer_time(image.state.size() - request.part->offset);
+    state.installing = true;
     mark_in_flight(state, options_.election_timeout + transfer, now);
     send(peer.id, std::move(request));
 }
 
 bool replica::is_sending_snapshot(instant now) const {
+    // A peer answers nothing while it syncs and loads the image.
+    const duration longest_silence =
+        options_.election_timeout + transfer_time(log_.base().state.size());
     return is_leader() &&
         std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
             const progress& state = entry.second;
-            return state.next < log_.first_index() &&
-                now - state.acknowledged < options_.election_timeout;
+            return state.installing &&
+                now - state.acknowledged < longest_silence;
         });
 }
 
--- a/tests/agreement/replica_step_test.cpp
+++ b/tests/agreement/replica_step_test.cpp
@@ -95,6 +95,50 @@
         return replies;
     }
 
+    /// Commits a record that \p silent neither receives nor answers.
+    void commit_without(const std::string& silent) {
+        node_.propose(bytes(1), now_);
+        heartbeat_without(silent);
+        ready();
+    }
+    /// Lets a heartbeat interval pass, in which all peers but \p silent answer.
+    /// \returns the messages to \p silent.
+    std::vector<outbound> heartbeat_without(const std::string& silent) {
+        advance_time(replica_options{}.heartbeat_interval);
+        node_.tick(now_);
+        std::vector<outbound> unanswered;
+        for (const outbound& sent : ready()) {
+            if (sent.to == replica_id(silent)) {
+                unanswered.push_back(sent);
+            } else {
+                answer(sent);
+            }
+        }
+        return unanswered;
+    }
+    /// Answers \p sent as a replica without a log that holds all parts up to
+    /// this one. \returns whether the snapshot is complete.
+    bool hold_part(const outbound& sent) {
+        const auto* install = sent.content.body.AsInstallSnapshot();
+        wire::AppendReplyT reply;
+        reply.term = node_.term().value();
+        reply.follower = sent.to.str();
+        reply.identity = initial_identity.value();
+        if (install == nullptr) {
+            reply.round = sent.content.body.AsAppendRequest()->round;
+        } else {
+            const wire::SnapshotPartT& part = *install->part;
+            reply.round = install->round;
+            reply.part_index = part.last_index;
+            reply.part_bytes = part.offset + part.data.size();
+            reply.accepted = reply.part_bytes == part.state_bytes;
+            reply.match_index = reply.accepted ? part.last_index : 0;
+        }
+        const bool whole = reply.accepted;
+        node_.receive(wire::make_message(std::move(reply)), now_);
+        return whole;
+    }
+
     void advance_time(duration span) { now_ += span; }
     instant now() const { return now_; }
     replica& node() { return node_; }
@@ -432,5 +476,37 @@
     EXPECT_GE(heartbeats, 10U);
 }
 
+// Guards against a replica that never catches up under load: once it held the
+// image, the leader saved a newer one and dropped the records in between.
+TEST(replica_step, keeps_its_log_until_the_receiver_of_a_snapshot_holds_it) {
+    constexpr std::size_t image_bytes = 8U << 20U;
+    single_replica group(voters(3));
+    group.elect();
+    group.commit_without("c2");
+    ASSERT_TRUE(group.node().save_snapshot(
+        group.store(), group.node().commit_index(), payload_of(image_bytes)));
+    group.commit_without("c2");
+    std::vector<outbound> late;
+    bool whole = false;
+    for (int k = 0; k < 100 && !whole; ++k) {
+        late = group.heartbeat_without("c2");
+        ASSERT_FALSE(late.empty());
+        whole = group.hold_part(late.back());
+    }
+    ASSERT_TRUE(whole);
+    EXPECT_TRUE(group.node().is_sending_snapshot(group.now()));
+    // The replica syncs and loads the image meanwhile.
+    for (int k = 0; k < 10; ++k) {
+        late = group.heartbeat_without("c2");
+    }
+    EXPECT_TRUE(group.node().is_sending_snapshot(group.now()));
+    for (int k = 0; k < 10; ++k) {
+        for (const outbound& sent : group.heartbeat_without("c2")) {
+            group.answer(sent);
+        }
+    }
+    EXPECT_FALSE(group.node().is_sending_snapshot(group.now()));
+}
+
 } // namespace
 } // namespace dragonflymount::agreement
