Replace a voter that never answers a new leader after 1 s

A leader that is gone for good remained a voter for 3 s from the next election, so for more than the 4 s after which a replacement counts and further disks may be lost; they would then take the quorum. A voter that runs answers the first message of a leader, so 1 s of silence after an election is enough.

--- a/dragonflymount/src/Agreement/MemberPlan.cpp
+++ b/dragonflymount/src/Agreement/MemberPlan.cpp
@@ -18,6 +18,11 @@
     return {change, status.subject};
 }
 
+bool is_lost(const member_status& voter, const member_policy& policy) {
+    return voter.silent_for >=
+        (voter.answered ? policy.replace_after : policy.replace_unheard_after);
+}
+
 } // namespace
 
 // A replacement is promoted before the silent voter is removed. In the opposite
@@ -33,7 +38,7 @@
     const bool excess = voting > policy.voters && voting % 2 == 0;
     const member_status* lost = find_member(members, [&](const auto& peer) {
         return peer.subject.voter && peer.subject.id != self &&
-            peer.silent_for >= policy.replace_after;
+            is_lost(peer, policy);
     });
     if (excess && lost != nullptr) {
         return make_change(wire::replica_change::remove, *lost);
--- a/dragonflymount/src/Agreement/MemberPlan.hpp
+++ b/dragonflymount/src/Agreement/MemberPlan.hpp
@@ -35,6 +35,10 @@
     /// A voter that is silent for this long is replaced by a learner that has
     /// caught up. Longer than a restart takes.
     duration replace_after = std::chrono::seconds(3);
+    /// The same for a voter that hasn't answered this leader at all. It was
+    /// silent during the election too, and elections in a row mustn't put off
+    /// its replacement.
+    duration replace_unheard_after = std::chrono::seconds(1);
     /// A learner that is silent for this long is removed.
     duration remove_after = std::chrono::seconds(60);
 };
--- a/tests/agreement/cluster.hpp
+++ b/tests/agreement/cluster.hpp
@@ -103,6 +103,8 @@
     /// \returns whether no disk was lost, and the loss of any one would leave
     /// a quorum of voters with intact disks in each replica's member list.
     bool can_lose_any_disk() const;
+    /// \returns whether there is a leader, and all voters of its list run.
+    bool do_all_voters_run() const;
     /// \returns the longest time without a newly committed record since the
     /// last call.
     duration take_longest_pause();
--- a/tests/agreement/cluster_disks.cpp
+++ b/tests/agreement/cluster_disks.cpp
@@ -118,6 +118,19 @@
     return can;
 }
 
+bool cluster::do_all_voters_run() const {
+    const auto leads = leader();
+    return leads &&
+        std::all_of(nodes_.begin(), nodes_.end(), [&](const node& at) {
+            const member_list& members = nodes_[*leads].core->members();
+            return at.state == condition::running ||
+                std::none_of(
+                    members.begin(), members.end(), [&](const member& peer) {
+                        return peer.voter && peer.id == at.id;
+                    });
+        });
+}
+
 void cluster::note_progress() {
     if (committed_.size() > progress_) {
         progress_ = committed_.size();
--- a/tests/agreement/full_disks_test.cpp
+++ b/tests/agreement/full_disks_test.cpp
@@ -205,6 +205,22 @@
     }
 }
 
+// Guards against a leader that is gone for good and still a voter when the next
+// disks may be lost, 4 s after its replacement started.
+TEST(silent_voters, are_replaced_within_2_s_of_an_election) {
+    for (std::uint64_t seed = fixed_seed; seed < fixed_seed + 10; ++seed) {
+        cluster group(6, seed, 5);
+        group.run(seconds(4));
+        group.kill(group.leader().value_or(0), seconds(60));
+        for (int k = 0; k < 500 && !group.leader(); ++k) {
+            group.run(milliseconds(20));
+        }
+        group.run(seconds(2));
+        EXPECT_TRUE(group.do_all_voters_run()) << "seed " << seed << '\n'
+                                               << group.trace();
+    }
+}
+
 // The same with a disk that is lost in this moment.
 TEST(silent_voters, are_replaced_while_another_voter_loses_its_disk) {
     for (std::uint64_t seed = fixed_seed; seed < fixed_seed + 10; ++seed) {
--- a/tests/agreement/member_plan_test.cpp
+++ b/tests/agreement/member_plan_test.cpp
@@ -114,6 +114,17 @@
     EXPECT_EQ(removal->subject.id, replica_id("c"));
 }
 
+TEST(member_plan, replaces_a_voter_that_never_answered_sooner) {
+    std::vector<member_status> members{make_status("a", true),
+        make_status("b", true), make_status("c", true, 2s),
+        make_status("d", false)};
+    EXPECT_FALSE(plan(members));
+    members[2].answered = false;
+    const auto due = plan(members);
+    ASSERT_TRUE(due);
+    EXPECT_EQ(due->change, wire::replica_change::promote);
+}
+
 TEST(member_plan, removes_a_silent_learner) {
     const auto due = plan({make_status("a", true), make_status("b", true),
         make_status("c", true), make_status("d", false, 2min)});
