Ignore late join requests of a former disk

A voter lost its vote for a while if a request under the identity of its former disk was passed on late: the leader admitted the old identity. A request is now dropped while the member answers under its present identity, and an answer under a new identity replaces an older request. The new test failed before.

--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -63,7 +63,7 @@
     }
     next_change_ = now + change_interval;
     note_new_identities();
-    if (!admit_next_applicant()) {
+    if (!admit_next_applicant(now)) {
         propose_next_change(now);
     }
 }
@@ -133,12 +133,23 @@
             agreement::member applicant = peer;
             applicant.identity = answered->second;
             applicant.voter = false;
-            join_requests_.try_emplace(peer.id, applicant);
+            // An earlier request may be that of the disk before.
+            join_requests_.try_emplace(peer.id, applicant)
+                .first->second.identity = applicant.identity;
         }
     }
 }
 
-bool member_keeper::admit_next_applicant() {
+// A request that was under way for long may name a disk that was lost since.
+bool member_keeper::is_outdated(
+    const agreement::member& applicant, instant now) const {
+    const agreement::replica& replica = replica_.replica();
+    return !replica.unadmitted().contains(applicant.id) &&
+        replica.has_answered(applicant.id) &&
+        now - replica.acknowledged(applicant.id) < join_interval;
+}
+
+bool member_keeper::admit_next_applicant(instant now) {
     const auto& members = replica_.replica().members();
     for (auto it = join_requests_.begin(); it != join_requests_.end();) {
         const agreement::member& applicant = it->second;
@@ -147,7 +158,7 @@
                 return peer.id == applicant.id &&
                     peer.identity == applicant.identity;
             });
-        if (!known) {
+        if (!known && !is_outdated(applicant, now)) {
             propose_change(wire::replica_change::admit, applicant);
             return true;
         }
--- a/programs/scheduler/member_keeper.hpp
+++ b/programs/scheduler/member_keeper.hpp
@@ -42,7 +42,10 @@
     void report_isolation(instant now);
     /// Records members that answer under a new identity as applicants.
     void note_new_identities();
-    bool admit_next_applicant();
+    /// \returns whether a member answers this leader under another identity
+    /// than that of its request, which is then older.
+    bool is_outdated(const agreement::member& applicant, instant now) const;
+    bool admit_next_applicant(instant now);
     void propose_next_change(instant now);
     void propose_change(
         wire::replica_change kind, const agreement::member& subject);
--- a/tests/platform/member_keeper_test.cpp
+++ b/tests/platform/member_keeper_test.cpp
@@ -88,5 +88,25 @@
     EXPECT_TRUE(run_until([&] { return is_voter(follower); }));
 }
 
+// Guards against a voter that loses its vote to the disk that it lost before:
+// that disk's request was passed on late.
+TEST_F(kept_group, ignores_a_late_request_of_a_former_disk) {
+    const std::size_t follower = (leader() + 1) % voter_count;
+    lose_disk(follower, members_);
+    ASSERT_TRUE(run_until([&] { return is_voter(follower); }));
+    wire::JoinReplicaT late;
+    late.member = std::make_unique<wire::MemberT>();
+    late.member->replica = nodes_[follower]->member().id.str();
+    late.member->address = nodes_[follower]->member().address;
+    late.member->identity = agreement::initial_identity.value();
+    nodes_[leader()]->host().receive(
+        nullptr, wire::make_message(std::move(late)));
+    const auto end = std::chrono::steady_clock::now() + seconds(1);
+    EXPECT_TRUE(run_until([&] {
+        return !is_voter(follower) || std::chrono::steady_clock::now() > end;
+    }));
+    EXPECT_TRUE(is_voter(follower));
+}
+
 } // namespace
 } // namespace dragonflymount::scheduler_program::test
