Take no late answer for a new identity

Change: an identity counts only in an answer of this term to a round that was sent since the last change that concerned the member.

replica_step.does_not_take_a_late_answer_for_a_new_identity guards it.

--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -206,6 +206,7 @@
     void receive(const wire::VoteReplyT& reply, instant now);
     void receive(const wire::AppendRequestT& request, instant now);
     void receive(const wire::AppendReplyT& reply, instant now);
+    void note_unadmitted(const wire::AppendReplyT& reply);
     void receive(const wire::InstallSnapshotT& request, instant now);
 
     const member* find_member(const replica_id& id) const;
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -108,12 +108,24 @@
     reply_append(request.leader, request.round, true, commit_);
 }
 
+// A reply that was held up may come from a life that ended since. Rounds are
+// forgotten when a member is admitted under a new identity.
+void replica::note_unadmitted(const wire::AppendReplyT& reply) {
+    const replica_id follower(reply.follower);
+    const auto sent_to = peers_.find(follower);
+    if (is_leader() && log_term(reply.term) == hard_.term &&
+        sent_to != peers_.end() &&
+        sent_to->second.rounds.contains(reply.round)) {
+        unadmitted_[follower] = replica_identity(reply.identity);
+    }
+}
+
 void replica::receive(const wire::AppendReplyT& reply, instant now) {
     const replica_id follower(reply.follower);
     const replica_identity identity(reply.identity);
     const member* peer = find_member(follower);
     if (peer == nullptr || peer->identity != identity) {
-        unadmitted_[follower] = identity;
+        note_unadmitted(reply);
         return;
     }
     unadmitted_.erase(follower);
--- a/tests/agreement/replica_step_test.cpp
+++ b/tests/agreement/replica_step_test.cpp
@@ -444,6 +444,39 @@
 
 // Guards against resending a large snapshot with every heartbeat to a replica
 // that lacks the records before it.
+// Guards against a former life that takes the place of the newer one: its
+// answer was held up, and arrives after the newer one was admitted.
+TEST(replica_step, does_not_take_a_late_answer_for_a_new_identity) {
+    single_replica group(voters(3));
+    group.elect();
+    group.advance_time(replica_options{}.heartbeat_interval);
+    group.node().tick(group.now());
+    const std::vector<outbound> sent = group.ready();
+    const auto answer_under = [&](std::uint64_t identity) {
+        for (const outbound& each : sent) {
+            const auto* append = each.content.body.AsAppendRequest();
+            if (append == nullptr || each.to != replica_id("c1")) {
+                continue;
+            }
+            wire::AppendReplyT reply;
+            reply.term = append->term;
+            reply.follower = "c1";
+            reply.identity = identity;
+            reply.round = append->round;
+            group.node().receive(
+                wire::make_message(std::move(reply)), group.now());
+        }
+    };
+    answer_under(7);
+    ASSERT_EQ(group.node().unadmitted().count(replica_id("c1")), 1U);
+    member renewed = voter("c1");
+    renewed.identity = replica_identity(7);
+    ASSERT_TRUE(
+        group.node().change(wire::replica_change::admit, renewed, group.now()));
+    answer_under(initial_identity.value());
+    EXPECT_TRUE(group.node().unadmitted().empty());
+}
+
 TEST(replica_step, does_not_resend_a_snapshot_in_flight) {
     constexpr std::size_t image_bytes = 8U << 20U;
     single_replica group(voters(3));
