Notice that a leader is no longer heard

By reading: a replica without a vote stands for no election, so it never forgot its leader. One that was cut off for good neither asked to be admitted again nor logged anything. A leader that never settles said nothing, either.

An unsettled leader counts as out of the group. No test of its own.

--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -188,6 +188,14 @@
         (found->second.caught_up || found->second.match >= commit_);
 }
 
+bool replica::hears_leader(instant now) const {
+    constexpr int timeouts_of_silence = 4;
+    return is_leader() ||
+        (!leader_.empty() &&
+            now - last_leader_contact_ <
+                options_.election_timeout * timeouts_of_silence);
+}
+
 bool replica::has_answered(const replica_id& peer) const {
     const auto found = peers_.find(peer);
     return found != peers_.end() && found->second.acknowledged != instant{};
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -132,6 +132,10 @@
     log_index commit_index() const { return commit_; }
     log_index last_index() const { return log_.last_index(); }
     const replica_id& leader() const { return leader_; }
+    /// \returns whether this replica leads, or has heard the leader within a
+    /// few election timeouts. One without a vote stands for no election, so it
+    /// never forgets its leader.
+    bool hears_leader(instant now) const;
     const replica_id& self() const { return options_.self; }
     replica_identity identity() const { return identity_; }
     const member_list& members() const { return log_.members(); }
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -81,8 +81,10 @@
 // looks like one that is idle.
 void member_keeper::report_isolation(instant now) {
     const agreement::replica& replica = replica_.replica();
-    const bool has_leader = !replica.leader().empty();
-    if (last_in_group_ == instant{} || (has_leader && is_admitted())) {
+    const bool has_leader = replica.hears_leader(now);
+    // A leader that isn't settled yet serves nobody either.
+    const bool in_group = has_leader && is_admitted() && !replica.is_leader();
+    if (last_in_group_ == instant{} || in_group) {
         last_in_group_ = now;
     }
     if (now - last_in_group_ < isolation_report_interval ||
@@ -111,7 +113,7 @@
     }
     // A replica that was removed during a network partition still has itself in
     // its own member list, but receives nothing from a leader.
-    const bool has_leader = !replica_.replica().leader().empty();
+    const bool has_leader = replica_.replica().hears_leader(now);
     if ((is_admitted() && has_leader) || now < next_join_) {
         return;
     }
