Pass over a named leader that doesn't answer

By reading: a replica that still takes a leader that is gone for the leader named it to a gateway, which tried it for 600 ms, went on to the next in the list, the same replica, and was sent back: the others were never tried. And a settings file without a seed took away the seeds that a gateway had.

Change: a replica that answered nothing isn't followed as the named leader until the list has been gone round or a leader has answered. An empty list of seeds is ignored.

leader_client_test.passes_over_a_named_leader_that_does_not_answer guards it.

--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -84,7 +84,11 @@
         });
 }
 
+// The platform may list none while none serves; the earlier ones may come back.
 void leader_client::set_seeds(std::vector<std::string> addresses) {
+    if (addresses.empty()) {
+        return;
+    }
     settings_.replicas = std::move(addresses);
     list_replicas();
 }
@@ -120,6 +124,9 @@
         : redirected_                             ? "not_leader"
                                                   : "silent";
     attempts_[target_] = outcome;
+    if (!redirected_) {
+        unanswered_.insert(target_);
+    }
 }
 
 // Tells a group without a leader from one that can't be found.
@@ -147,6 +154,9 @@
     const auto found = std::find(replicas_.begin(), replicas_.end(), target_);
     const bool last =
         found == replicas_.end() || std::next(found) == replicas_.end();
+    if (last) {
+        unanswered_.clear();
+    }
     connect(last ? replicas_.front() : *std::next(found));
 }
 
@@ -232,7 +242,8 @@
         call.maybe_executed || reply.status == wire::job_status::interrupted;
     redirected_ = true;
     learn_members(reply.replicas);
-    if (reply.leader_address == target_) {
+    if (reply.leader_address == target_ ||
+        unanswered_.contains(reply.leader_address)) {
         return;
     }
     named_leader_ = reply.leader_address;
@@ -260,8 +271,11 @@
         (!link_ || !link_->is_open()) && now - connected_at_ >= open_timeout;
     if ((overdue || open_timed_out || redirected_) && now >= next_attempt_) {
         note_attempt();
-        named_leader_.empty() ? connect_next()
-                              : connect(std::string(named_leader_));
+        if (named_leader_.empty()) {
+            connect_next();
+        } else {
+            connect(std::string(named_leader_));
+        }
     }
     for (const std::uint64_t correlation : failed) {
         const pending_call call = remove(correlation);
@@ -276,6 +290,7 @@
 }
 
 void leader_client::record_answer() {
+    unanswered_.clear();
     if (!reaches_leader_) {
         reaches_leader_ = true;
         LOG(INFO) << event::leader_elected << "target=" << target_
--- a/programs/gateway/leader_client.hpp
+++ b/programs/gateway/leader_client.hpp
@@ -14,6 +14,7 @@
 #include "dragonflymount/runtime.hpp"
 
 #include <map>
+#include <set>
 
 namespace dragonflymount::gateway_program {
 
@@ -65,7 +66,7 @@
     /// \brief Ends all calls by \p last: those that have no reply by then fail,
     /// and so does each later one at once.
     void end_calls_at(instant last);
-    /// \brief Replaces the replicas of the settings.
+    /// \brief Replaces the replicas of the settings, unless there is none.
     /// \param addresses "IP:port" each.
     void set_seeds(std::vector<std::string> addresses);
     /// \returns the replicas among which the leader is looked for.
@@ -121,6 +122,10 @@
     std::string target_;
     // The leader's address as the target has named it, empty if it hasn't.
     std::string named_leader_;
+    // Replicas that answered nothing since the list was begun or the last
+    // answer of a leader. They aren't followed as the leader that another one
+    // names: that one may not know yet that it is gone.
+    std::set<std::string> unanswered_;
     // What became of the newest attempt at each replica.
     std::map<std::string, const char*> attempts_;
     std::unique_ptr<runtime::link> link_;
--- a/tests/platform/leader_client_test.cpp
+++ b/tests/platform/leader_client_test.cpp
@@ -29,6 +29,7 @@
                 wire::JobReplyT reply;
                 reply.status = status_;
                 reply.replicas = members_;
+                reply.leader_address = named_leader_;
                 from->send(
                     wire::make_message(std::move(reply), content.correlation));
             },
@@ -45,6 +46,7 @@
     // What it does with calls.
     bool silent_ = false;
     wire::job_status status_ = wire::job_status::not_found;
+    std::string named_leader_;
     unsigned calls_ = 0;
 
 private:
@@ -185,6 +187,26 @@
     context_.run_for(50ms);
 }
 
+// Guards against a gateway that goes to and fro between a replica that is gone
+// and one that still takes it for the leader.
+TEST_F(leader_client_test, passes_over_a_named_leader_that_does_not_answer) {
+    fake_leader outdated(context_);
+    fake_leader gone(context_);
+    outdated.status_ = wire::job_status::not_leader;
+    outdated.named_leader_ = gone.address();
+    outdated.name_members(
+        {gone.address(), outdated.address(), leader_.address()});
+    gone.stop();
+    leader_client_settings settings;
+    settings.replicas = {outdated.address()};
+    leader_client client(context_, settings);
+    ASSERT_TRUE(client.start());
+    EXPECT_TRUE(run_until([&] { return client.reaches_leader(); }));
+    EXPECT_EQ(client.target(), leader_.address());
+    client.stop();
+    context_.run_for(50ms);
+}
+
 TEST_F(leader_client_test, waits_for_its_first_seed) {
     leader_client client(context_, {});
     ASSERT_TRUE(client.start());
