--- a/dragonflymount/src/Settings/Settings.cpp
+++ b/dragonflymount/src/Settings/Settings.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -78,11 +79,25 @@
     return true;
 }
 
-/// \returns whether the folder exists or could be made.
+bool sync_folder(const std::string& path) {
+    const int opened = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    const bool synced = opened >= 0 && ::fsync(opened) == 0;
+    if (opened >= 0) {
+        ::close(opened);
+    }
+    return synced;
+}
+
+/// \returns whether the folder exists or could be made, in which case a loss of
+/// power doesn't take it away again.
 bool has_folder(const std::string& path) {
     std::error_code code;
-    return std::filesystem::is_directory(path, code) ||
-        std::filesystem::create_directory(path, code);
+    if (std::filesystem::is_directory(path, code)) {
+        return true;
+    }
+    const std::string above = std::filesystem::path(path).parent_path();
+    return std::filesystem::create_directory(path, code) &&
+        sync_folder(above.empty() ? "." : above);
 }
 
 /// \returns what was expected, empty if the value fits.
