Refuse a new site without seeds

Each scheduler of a new site whose settings name no seed would make an identity of its own and wait for good. The start is refused again, and logged.

--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -86,6 +86,11 @@
         .derive("scheduler", "longest-lease", kind::time, &longest_lease_of)
         .derive("scheduler", "task-lease", kind::time, &task_lease_of)
         .verify({"scheduler", "new-site", {}, "true or false", &is_truth_value})
+        .verify({"scheduler", "new-site", {}, "false without 'seeds'",
+            [](const settings::values& read) {
+                return read.text("scheduler", "new-site") != "true" ||
+                    !read.list("scheduler", "seeds").empty();
+            }})
         .verify({"scheduler", "heartbeat", "election-timeout",
             "at most half of 'election-timeout'",
             [](const settings::values& read) {
