--- a/dragonflymount/src/Jobs/EngineCalls.cpp
+++ b/dragonflymount/src/Jobs/EngineCalls.cpp
@@ -1,6 +1,7 @@
 // Calls of job owners and commands of operators.
 #include "dragonflymount/src/Jobs/Engine.hpp"
 
+#include "dragonflymount/src/Core/MemoryShare.hpp"
 #include "dragonflymount/src/Jobs/JobMemory.hpp"
 #include "dragonflymount/src/Jobs/JobReply.hpp"
 
--- a/programs/entry/main.cpp
+++ b/programs/entry/main.cpp
@@ -2,7 +2,6 @@
 #include "programs/entry/callers/http_face.hpp"
 #include "programs/entry/links/link_service.hpp"
 
-
 namespace {
 
 using namespace dragonflymount;
