--- a/tests/platform/member_keeper_test.cpp
+++ b/tests/platform/member_keeper_test.cpp
@@ -1,6 +1,6 @@
 // Tests how the leader keeps its number of voters when replicas lose their
-// disks.
-#include "programs/scheduler/member_keeper.hpp"
+// disks, and to whom it names the members.
+#include "programs/scheduler/scheduler.hpp"
 #include "tests/hosting/replica_group.hpp"
 
 namespace dragonflymount::scheduler_program::test {
@@ -108,5 +108,74 @@
     EXPECT_TRUE(is_voter(follower));
 }
 
+/// A scheduler that leads alone.
+class lone_scheduler : public testing::Test {
+protected:
+    void SetUp() override {
+        scheduler_settings settings;
+        settings.listen = address_;
+        settings.voters = 1;
+        settings.replica.options.self = replica_id("c0");
+        settings.replica.members = {{replica_id("c0"), address_,
+            availability_zone_id("z"), agreement::initial_identity, true}};
+        settings.replica.data = folder_.string();
+        settings.replica.snapshot_records = 4096;
+        settings.replica.new_site = true;
+        std::filesystem::remove_all(folder_);
+        std::filesystem::create_directories(folder_);
+        scheduler_.emplace(context_, settings);
+        ASSERT_TRUE(scheduler_->start());
+        ASSERT_TRUE(hosting_test::run_until(
+            context_, [&] { return scheduler_->is_ready(); }));
+    }
+    void TearDown() override {
+        scheduler_->stop();
+        context_.poll();
+        std::filesystem::remove_all(folder_);
+    }
+    /// \returns the members that the reply to the next call names.
+    std::vector<std::string> members_named_to(runtime::link& gateway) {
+        wire::JobCallT call;
+        call.verb = wire::job_verb::read;
+        reply_.reset();
+        gateway.send(wire::make_message(std::move(call), 1));
+        EXPECT_TRUE(hosting_test::run_until(
+            context_, [&] { return reply_.has_value(); }));
+        return reply_ ? reply_->replicas : std::vector<std::string>{};
+    }
+    void open(runtime::link& gateway) {
+        gateway.start([](const auto&) {},
+            [this](const auto&, wire::message&& content) {
+                if (auto* reply = content.body.AsJobReply()) {
+                    reply_ = std::move(*reply);
+                }
+            },
+            [](const auto&, const failure&) {});
+        ASSERT_TRUE(hosting_test::run_until(
+            context_, [&] { return gateway.is_open(); }));
+    }
+
+    asio::io_context context_;
+    std::string address_ = hosting_test::free_address(context_);
+    std::filesystem::path folder_ = std::filesystem::path(testing::TempDir()) /
+        ("dfm-lone-" + std::to_string(::getpid()));
+    std::optional<scheduler> scheduler_;
+    std::optional<wire::JobReplyT> reply_;
+};
+
+// Guards against gateways that know their seeds alone.
+TEST_F(lone_scheduler, names_the_members_once_to_each_gateway) {
+    runtime::link first(context_, address_, {});
+    runtime::link second(context_, address_, {});
+    open(first);
+    open(second);
+    const std::vector<std::string> members{address_};
+    EXPECT_EQ(members_named_to(first), members);
+    EXPECT_TRUE(members_named_to(first).empty());
+    EXPECT_EQ(members_named_to(second), members);
+    first.stop();
+    second.stop();
+}
+
 } // namespace
 } // namespace dragonflymount::scheduler_program::test
