--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <unistd.h>
 
 namespace dragonflymount::platform {
 namespace {
@@ -163,8 +164,8 @@
 // Guards against a scheduler that never starts again after its disk, and the
 // folder with it, was lost.
 TEST(platform_settings, make_a_lost_data_folder) {
-    const auto folder =
-        std::filesystem::path(testing::TempDir()) / "dfm-lost-data-folder";
+    const auto folder = std::filesystem::path(testing::TempDir()) /
+        absl::StrCat("dfm-lost-data-folder-", ::getpid());
     std::filesystem::remove_all(folder);
     const deployment site{.name = "no_folder", .data = folder.string()};
     const auto read =
--- a/tests/runtime/reload_test.cpp
+++ b/tests/runtime/reload_test.cpp
@@ -7,6 +7,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <unistd.h>
 
 ABSL_DECLARE_FLAG(std::string, config);
 
@@ -37,7 +38,8 @@
     }
 
     asio::io_context context_;
-    std::string path_ = testing::TempDir() + "dfm-reload.ini";
+    std::string path_ = testing::TempDir() + "dfm-reload-" +
+        std::to_string(::getpid()) + ".ini";
     std::string applied_;
     reload_signal reload_{context_,
         settings::schema_builder()
