--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -93,8 +93,9 @@
     }
     next_report_ = now + isolation_report_interval;
     const auto& members = replica.members();
-    LOG(WARNING) << (has_leader ? event::admission_awaited
-                                : event::leader_unknown)
+    LOG(WARNING) << (has_leader && !replica.is_leader()
+                            ? event::admission_awaited
+                            : event::leader_unknown)
                  << "replica=" << self_.id << " leader=" << replica.leader()
                  << " term=" << replica.term()
                  << " last_index=" << replica.last_index()
