--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -147,7 +147,7 @@
             .seeds = "127.0.0.1:9101"}),
     [](const auto& info) { return info.param.name; });
 
-// Guards against processes that never start again: the platform lists no
+// Guards against processes that never start again: the platform may list no
 // scheduler while none runs.
 TEST(platform_settings, are_valid_without_a_seed) {
     const deployment site{.name = "no_seed", .seeds = ""};
