Give messages room for packed records and for lost seats

Replicas far behind are to be sent less, and a group that has lost the disks of most voters is to go on by what the others say. The fields are not used yet: an older process skips them, so the messages stay readable both ways.

--- a/dragonflymount/src/Wire/messages_generated.h
+++ b/dragonflymount/src/Wire/messages_generated.h
@@ -364,6 +364,10 @@
 struct AppendRequestBuilder;
 struct AppendRequestT;
 
+struct LogEntries;
+struct LogEntriesBuilder;
+struct LogEntriesT;
+
 struct AppendReply;
 struct AppendReplyBuilder;
 struct AppendReplyT;
@@ -388,6 +392,10 @@
 struct ChangeReplicaBuilder;
 struct ChangeReplicaT;
 
+struct ReformGroup;
+struct ReformGroupBuilder;
+struct ReformGroupT;
+
 struct Query;
 struct QueryBuilder;
 struct QueryT;
@@ -1168,11 +1176,12 @@
   JobReply = 32,
   JoinReplica = 33,
   Evacuate = 34,
+  ReformGroup = 35,
   MIN = NONE,
-  MAX = Evacuate
+  MAX = ReformGroup
 };
 
-inline const Body (&EnumValuesBody())[35] {
+inline const Body (&EnumValuesBody())[36] {
   static const Body values[] = {
     Body::NONE,
     Body::Submit,
@@ -1208,13 +1217,14 @@
     Body::JobCall,
     Body::JobReply,
     Body::JoinReplica,
-    Body::Evacuate
+    Body::Evacuate,
+    Body::ReformGroup
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[36] = {
+  static const char * const names[37] = {
     "NONE",
     "Submit",
     "Answer",
@@ -1250,13 +1260,14 @@
     "JobReply",
     "JoinReplica",
     "Evacuate",
+    "ReformGroup",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Evacuate)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ReformGroup)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -1401,6 +1412,10 @@
   static const Body enum_value = Body::Evacuate;
 };
 
+template<> struct BodyTraits<dragonflymount::wire::ReformGroup> {
+  static const Body enum_value = Body::ReformGroup;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -1541,6 +1556,10 @@
   static const Body enum_value = Body::Evacuate;
 };
 
+template<> struct BodyUnionTraits<dragonflymount::wire::ReformGroupT> {
+  static const Body enum_value = Body::ReformGroup;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1843,6 +1862,14 @@
     return type == Body::Evacuate ?
       reinterpret_cast<const dragonflymount::wire::EvacuateT *>(value) : nullptr;
   }
+  dragonflymount::wire::ReformGroupT *AsReformGroup() {
+    return type == Body::ReformGroup ?
+      reinterpret_cast<dragonflymount::wire::ReformGroupT *>(value) : nullptr;
+  }
+  const dragonflymount::wire::ReformGroupT *AsReformGroup() const {
+    return type == Body::ReformGroup ?
+      reinterpret_cast<const dragonflymount::wire::ReformGroupT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -12220,6 +12247,7 @@
   uint64_t last_index = 0;
   uint64_t last_term = 0;
   bool pre_vote = false;
+  uint64_t attempt = 0;
 };
 
 struct VoteRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -12232,7 +12260,8 @@
     VT_IDENTITY = 8,
     VT_LAST_INDEX = 10,
     VT_LAST_TERM = 12,
-    VT_PRE_VOTE = 14
+    VT_PRE_VOTE = 14,
+    VT_ATTEMPT = 16
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -12252,6 +12281,9 @@
   bool pre_vote() const {
     return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
   }
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -12261,6 +12293,7 @@
            VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
            VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            verifier.EndTable();
   }
   VoteRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -12290,6 +12323,9 @@
   void add_pre_vote(bool pre_vote) {
     fbb_.AddElement<uint8_t>(VoteRequest::VT_PRE_VOTE, static_cast<uint8_t>(pre_vote), 0);
   }
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(VoteRequest::VT_ATTEMPT, attempt, 0);
+  }
   explicit VoteRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -12308,8 +12344,10 @@
     uint64_t identity = 0,
     uint64_t last_index = 0,
     uint64_t last_term = 0,
-    bool pre_vote = false) {
+    bool pre_vote = false,
+    uint64_t attempt = 0) {
   VoteRequestBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
   builder_.add_last_term(last_term);
   builder_.add_last_index(last_index);
   builder_.add_identity(identity);
@@ -12331,7 +12369,8 @@
     uint64_t identity = 0,
     uint64_t last_index = 0,
     uint64_t last_term = 0,
-    bool pre_vote = false) {
+    bool pre_vote = false,
+    uint64_t attempt = 0) {
   auto candidate__ = candidate ? _fbb.CreateString(candidate) : 0;
   return dragonflymount::wire::CreateVoteRequest(
       _fbb,
@@ -12340,7 +12379,8 @@
       identity,
       last_index,
       last_term,
-      pre_vote);
+      pre_vote,
+      attempt);
 }
 
 flatbuffers::Offset<VoteRequest> CreateVoteRequest(flatbuffers::FlatBufferBuilder &_fbb, const VoteRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -12352,6 +12392,9 @@
   uint64_t identity = 0;
   bool granted = false;
   bool pre_vote = false;
+  uint64_t attempt = 0;
+  uint64_t last_index = 0;
+  uint64_t last_term = 0;
 };
 
 struct VoteReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -12363,7 +12406,10 @@
     VT_VOTER = 6,
     VT_IDENTITY = 8,
     VT_GRANTED = 10,
-    VT_PRE_VOTE = 12
+    VT_PRE_VOTE = 12,
+    VT_ATTEMPT = 14,
+    VT_LAST_INDEX = 16,
+    VT_LAST_TERM = 18
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -12380,6 +12426,15 @@
   bool pre_vote() const {
     return GetField<uint8_t>(VT_PRE_VOTE, 0) != 0;
   }
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
+  uint64_t last_index() const {
+    return GetField<uint64_t>(VT_LAST_INDEX, 0);
+  }
+  uint64_t last_term() const {
+    return GetField<uint64_t>(VT_LAST_TERM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -12388,6 +12443,9 @@
            VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
            VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
            VerifyField<uint8_t>(verifier, VT_PRE_VOTE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
            verifier.EndTable();
   }
   VoteReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -12414,6 +12472,15 @@
   void add_pre_vote(bool pre_vote) {
     fbb_.AddElement<uint8_t>(VoteReply::VT_PRE_VOTE, static_cast<uint8_t>(pre_vote), 0);
   }
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(VoteReply::VT_ATTEMPT, attempt, 0);
+  }
+  void add_last_index(uint64_t last_index) {
+    fbb_.AddElement<uint64_t>(VoteReply::VT_LAST_INDEX, last_index, 0);
+  }
+  void add_last_term(uint64_t last_term) {
+    fbb_.AddElement<uint64_t>(VoteReply::VT_LAST_TERM, last_term, 0);
+  }
   explicit VoteReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -12431,8 +12498,14 @@
     flatbuffers::Offset<flatbuffers::String> voter = 0,
     uint64_t identity = 0,
     bool granted = false,
-    bool pre_vote = false) {
+    bool pre_vote = false,
+    uint64_t attempt = 0,
+    uint64_t last_index = 0,
+    uint64_t last_term = 0) {
   VoteReplyBuilder builder_(_fbb);
+  builder_.add_last_term(last_term);
+  builder_.add_last_index(last_index);
+  builder_.add_attempt(attempt);
   builder_.add_identity(identity);
   builder_.add_term(term);
   builder_.add_voter(voter);
@@ -12452,7 +12525,10 @@
     const char *voter = nullptr,
     uint64_t identity = 0,
     bool granted = false,
-    bool pre_vote = false) {
+    bool pre_vote = false,
+    uint64_t attempt = 0,
+    uint64_t last_index = 0,
+    uint64_t last_term = 0) {
   auto voter__ = voter ? _fbb.CreateString(voter) : 0;
   return dragonflymount::wire::CreateVoteReply(
       _fbb,
@@ -12460,7 +12536,10 @@
       voter__,
       identity,
       granted,
-      pre_vote);
+      pre_vote,
+      attempt,
+      last_index,
+      last_term);
 }
 
 flatbuffers::Offset<VoteReply> CreateVoteReply(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -12474,6 +12553,8 @@
   uint64_t commit = 0;
   uint64_t round = 0;
   std::vector<std::unique_ptr<dragonflymount::wire::LogEntryT>> entries{};
+  std::vector<uint8_t> packed{};
+  uint32_t packed_bytes = 0;
   AppendRequestT() = default;
   AppendRequestT(const AppendRequestT &o);
   AppendRequestT(AppendRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -12491,7 +12572,9 @@
     VT_PREVIOUS_TERM = 10,
     VT_COMMIT = 12,
     VT_ROUND = 14,
-    VT_ENTRIES = 16
+    VT_ENTRIES = 16,
+    VT_PACKED = 18,
+    VT_PACKED_BYTES = 20
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -12514,6 +12597,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *>(VT_ENTRIES);
   }
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
+  }
+  uint32_t packed_bytes() const {
+    return GetField<uint32_t>(VT_PACKED_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -12526,6 +12615,9 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyOffset(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
+           VerifyField<uint32_t>(verifier, VT_PACKED_BYTES, 4) &&
            verifier.EndTable();
   }
   AppendRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -12558,6 +12650,12 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>> entries) {
     fbb_.AddOffset(AppendRequest::VT_ENTRIES, entries);
   }
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(AppendRequest::VT_PACKED, packed);
+  }
+  void add_packed_bytes(uint32_t packed_bytes) {
+    fbb_.AddElement<uint32_t>(AppendRequest::VT_PACKED_BYTES, packed_bytes, 0);
+  }
   explicit AppendRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -12577,13 +12675,17 @@
     uint64_t previous_term = 0,
     uint64_t commit = 0,
     uint64_t round = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>> entries = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0,
+    uint32_t packed_bytes = 0) {
   AppendRequestBuilder builder_(_fbb);
   builder_.add_round(round);
   builder_.add_commit(commit);
   builder_.add_previous_term(previous_term);
   builder_.add_previous_index(previous_index);
   builder_.add_term(term);
+  builder_.add_packed_bytes(packed_bytes);
+  builder_.add_packed(packed);
   builder_.add_entries(entries);
   builder_.add_leader(leader);
   return builder_.Finish();
@@ -12602,9 +12704,12 @@
     uint64_t previous_term = 0,
     uint64_t commit = 0,
     uint64_t round = 0,
-    const std::vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *entries = nullptr,
+    const std::vector<uint8_t> *packed = nullptr,
+    uint32_t packed_bytes = 0) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>(*entries) : 0;
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
   return dragonflymount::wire::CreateAppendRequest(
       _fbb,
       term,
@@ -12613,11 +12718,86 @@
       previous_term,
       commit,
       round,
-      entries__);
+      entries__,
+      packed__,
+      packed_bytes);
 }
 
 flatbuffers::Offset<AppendRequest> CreateAppendRequest(flatbuffers::FlatBufferBuilder &_fbb, const AppendRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LogEntriesT : public flatbuffers::NativeTable {
+  typedef LogEntries TableType;
+  std::vector<std::unique_ptr<dragonflymount::wire::LogEntryT>> entries{};
+  LogEntriesT() = default;
+  LogEntriesT(const LogEntriesT &o);
+  LogEntriesT(LogEntriesT&&) FLATBUFFERS_NOEXCEPT = default;
+  LogEntriesT &operator=(LogEntriesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LogEntries FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LogEntriesT NativeTableType;
+  typedef LogEntriesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENTRIES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           verifier.EndTable();
+  }
+  LogEntriesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LogEntriesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LogEntries> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LogEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LogEntriesBuilder {
+  typedef LogEntries Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>> entries) {
+    fbb_.AddOffset(LogEntries::VT_ENTRIES, entries);
+  }
+  explicit LogEntriesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LogEntries> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LogEntries>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LogEntries> CreateLogEntries(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>> entries = 0) {
+  LogEntriesBuilder builder_(_fbb);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+struct LogEntries::Traits {
+  using type = LogEntries;
+  static auto constexpr Create = CreateLogEntries;
+};
+
+inline flatbuffers::Offset<LogEntries> CreateLogEntriesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::LogEntry>>(*entries) : 0;
+  return dragonflymount::wire::CreateLogEntries(
+      _fbb,
+      entries__);
+}
+
+flatbuffers::Offset<LogEntries> CreateLogEntries(flatbuffers::FlatBufferBuilder &_fbb, const LogEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct AppendReplyT : public flatbuffers::NativeTable {
   typedef AppendReply TableType;
   uint64_t term = 0;
@@ -12628,6 +12808,7 @@
   uint64_t round = 0;
   uint64_t part_index = 0;
   uint64_t part_bytes = 0;
+  bool reads_packed = false;
 };
 
 struct AppendReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -12642,7 +12823,8 @@
     VT_MATCH_INDEX = 12,
     VT_ROUND = 14,
     VT_PART_INDEX = 16,
-    VT_PART_BYTES = 18
+    VT_PART_BYTES = 18,
+    VT_READS_PACKED = 20
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -12668,6 +12850,9 @@
   uint64_t part_bytes() const {
     return GetField<uint64_t>(VT_PART_BYTES, 0);
   }
+  bool reads_packed() const {
+    return GetField<uint8_t>(VT_READS_PACKED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -12679,6 +12864,7 @@
            VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
            VerifyField<uint64_t>(verifier, VT_PART_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_PART_BYTES, 8) &&
+           VerifyField<uint8_t>(verifier, VT_READS_PACKED, 1) &&
            verifier.EndTable();
   }
   AppendReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -12714,6 +12900,9 @@
   void add_part_bytes(uint64_t part_bytes) {
     fbb_.AddElement<uint64_t>(AppendReply::VT_PART_BYTES, part_bytes, 0);
   }
+  void add_reads_packed(bool reads_packed) {
+    fbb_.AddElement<uint8_t>(AppendReply::VT_READS_PACKED, static_cast<uint8_t>(reads_packed), 0);
+  }
   explicit AppendReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -12734,7 +12923,8 @@
     uint64_t match_index = 0,
     uint64_t round = 0,
     uint64_t part_index = 0,
-    uint64_t part_bytes = 0) {
+    uint64_t part_bytes = 0,
+    bool reads_packed = false) {
   AppendReplyBuilder builder_(_fbb);
   builder_.add_part_bytes(part_bytes);
   builder_.add_part_index(part_index);
@@ -12743,6 +12933,7 @@
   builder_.add_identity(identity);
   builder_.add_term(term);
   builder_.add_follower(follower);
+  builder_.add_reads_packed(reads_packed);
   builder_.add_accepted(accepted);
   return builder_.Finish();
 }
@@ -12761,7 +12952,8 @@
     uint64_t match_index = 0,
     uint64_t round = 0,
     uint64_t part_index = 0,
-    uint64_t part_bytes = 0) {
+    uint64_t part_bytes = 0,
+    bool reads_packed = false) {
   auto follower__ = follower ? _fbb.CreateString(follower) : 0;
   return dragonflymount::wire::CreateAppendReply(
       _fbb,
@@ -12772,7 +12964,8 @@
       match_index,
       round,
       part_index,
-      part_bytes);
+      part_bytes,
+      reads_packed);
 }
 
 flatbuffers::Offset<AppendReply> CreateAppendReply(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -12785,6 +12978,7 @@
   uint64_t offset = 0;
   uint64_t state_bytes = 0;
   std::vector<uint8_t> data{};
+  uint32_t packed_bytes = 0;
   SnapshotPartT() = default;
   SnapshotPartT(const SnapshotPartT &o);
   SnapshotPartT(SnapshotPartT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -12801,7 +12995,8 @@
     VT_MEMBERS = 8,
     VT_OFFSET = 10,
     VT_STATE_BYTES = 12,
-    VT_DATA = 14
+    VT_DATA = 14,
+    VT_PACKED_BYTES = 16
   };
   uint64_t last_index() const {
     return GetField<uint64_t>(VT_LAST_INDEX, 0);
@@ -12821,6 +13016,9 @@
   const flatbuffers::Vector<uint8_t> *data() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
   }
+  uint32_t packed_bytes() const {
+    return GetField<uint32_t>(VT_PACKED_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
@@ -12831,6 +13029,7 @@
            VerifyField<uint64_t>(verifier, VT_STATE_BYTES, 8) &&
            VerifyOffset(verifier, VT_DATA) &&
            verifier.VerifyVector(data()) &&
+           VerifyField<uint32_t>(verifier, VT_PACKED_BYTES, 4) &&
            verifier.EndTable();
   }
   SnapshotPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -12860,6 +13059,9 @@
   void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
     fbb_.AddOffset(SnapshotPart::VT_DATA, data);
   }
+  void add_packed_bytes(uint32_t packed_bytes) {
+    fbb_.AddElement<uint32_t>(SnapshotPart::VT_PACKED_BYTES, packed_bytes, 0);
+  }
   explicit SnapshotPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -12878,12 +13080,14 @@
     flatbuffers::Offset<dragonflymount::wire::MemberList> members = 0,
     uint64_t offset = 0,
     uint64_t state_bytes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0,
+    uint32_t packed_bytes = 0) {
   SnapshotPartBuilder builder_(_fbb);
   builder_.add_state_bytes(state_bytes);
   builder_.add_offset(offset);
   builder_.add_last_term(last_term);
   builder_.add_last_index(last_index);
+  builder_.add_packed_bytes(packed_bytes);
   builder_.add_data(data);
   builder_.add_members(members);
   return builder_.Finish();
@@ -12901,7 +13105,8 @@
     flatbuffers::Offset<dragonflymount::wire::MemberList> members = 0,
     uint64_t offset = 0,
     uint64_t state_bytes = 0,
-    const std::vector<uint8_t> *data = nullptr) {
+    const std::vector<uint8_t> *data = nullptr,
+    uint32_t packed_bytes = 0) {
   auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
   return dragonflymount::wire::CreateSnapshotPart(
       _fbb,
@@ -12910,7 +13115,8 @@
       members,
       offset,
       state_bytes,
-      data__);
+      data__,
+      packed_bytes);
 }
 
 flatbuffers::Offset<SnapshotPart> CreateSnapshotPart(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -13334,6 +13540,90 @@
 
 flatbuffers::Offset<ChangeReplica> CreateChangeReplica(flatbuffers::FlatBufferBuilder &_fbb, const ChangeReplicaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ReformGroupT : public flatbuffers::NativeTable {
+  typedef ReformGroup TableType;
+  std::vector<std::string> lost{};
+  std::string author{};
+};
+
+struct ReformGroup FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReformGroupT NativeTableType;
+  typedef ReformGroupBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOST = 4,
+    VT_AUTHOR = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *lost() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LOST);
+  }
+  const flatbuffers::String *author() const {
+    return GetPointer<const flatbuffers::String *>(VT_AUTHOR);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LOST) &&
+           verifier.VerifyVector(lost()) &&
+           verifier.VerifyVectorOfStrings(lost()) &&
+           VerifyOffset(verifier, VT_AUTHOR) &&
+           verifier.VerifyString(author()) &&
+           verifier.EndTable();
+  }
+  ReformGroupT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ReformGroupT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ReformGroup> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReformGroupT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ReformGroupBuilder {
+  typedef ReformGroup Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_lost(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lost) {
+    fbb_.AddOffset(ReformGroup::VT_LOST, lost);
+  }
+  void add_author(flatbuffers::Offset<flatbuffers::String> author) {
+    fbb_.AddOffset(ReformGroup::VT_AUTHOR, author);
+  }
+  explicit ReformGroupBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReformGroup> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReformGroup>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReformGroup> CreateReformGroup(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lost = 0,
+    flatbuffers::Offset<flatbuffers::String> author = 0) {
+  ReformGroupBuilder builder_(_fbb);
+  builder_.add_author(author);
+  builder_.add_lost(lost);
+  return builder_.Finish();
+}
+
+struct ReformGroup::Traits {
+  using type = ReformGroup;
+  static auto constexpr Create = CreateReformGroup;
+};
+
+inline flatbuffers::Offset<ReformGroup> CreateReformGroupDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *lost = nullptr,
+    const char *author = nullptr) {
+  auto lost__ = lost ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lost) : 0;
+  auto author__ = author ? _fbb.CreateString(author) : 0;
+  return dragonflymount::wire::CreateReformGroup(
+      _fbb,
+      lost__,
+      author__);
+}
+
+flatbuffers::Offset<ReformGroup> CreateReformGroup(flatbuffers::FlatBufferBuilder &_fbb, const ReformGroupT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct QueryT : public flatbuffers::NativeTable {
   typedef Query TableType;
   std::string subject{};
@@ -13819,6 +14109,9 @@
   const dragonflymount::wire::Evacuate *body_as_Evacuate() const {
     return body_type() == dragonflymount::wire::Body::Evacuate ? static_cast<const dragonflymount::wire::Evacuate *>(body()) : nullptr;
   }
+  const dragonflymount::wire::ReformGroup *body_as_ReformGroup() const {
+    return body_type() == dragonflymount::wire::Body::ReformGroup ? static_cast<const dragonflymount::wire::ReformGroup *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -13968,6 +14261,10 @@
   return body_as_Evacuate();
 }
 
+template<> inline const dragonflymount::wire::ReformGroup *Envelope::body_as<dragonflymount::wire::ReformGroup>() const {
+  return body_as_ReformGroup();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -17792,6 +18089,7 @@
   { auto _e = last_index(); _o->last_index = _e; }
   { auto _e = last_term(); _o->last_term = _e; }
   { auto _e = pre_vote(); _o->pre_vote = _e; }
+  { auto _e = attempt(); _o->attempt = _e; }
 }
 
 inline flatbuffers::Offset<VoteRequest> VoteRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -17808,6 +18106,7 @@
   auto _last_index = _o->last_index;
   auto _last_term = _o->last_term;
   auto _pre_vote = _o->pre_vote;
+  auto _attempt = _o->attempt;
   return dragonflymount::wire::CreateVoteRequest(
       _fbb,
       _term,
@@ -17815,7 +18114,8 @@
       _identity,
       _last_index,
       _last_term,
-      _pre_vote);
+      _pre_vote,
+      _attempt);
 }
 
 inline VoteReplyT *VoteReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -17832,6 +18132,9 @@
   { auto _e = identity(); _o->identity = _e; }
   { auto _e = granted(); _o->granted = _e; }
   { auto _e = pre_vote(); _o->pre_vote = _e; }
+  { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = last_index(); _o->last_index = _e; }
+  { auto _e = last_term(); _o->last_term = _e; }
 }
 
 inline flatbuffers::Offset<VoteReply> VoteReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -17847,13 +18150,19 @@
   auto _identity = _o->identity;
   auto _granted = _o->granted;
   auto _pre_vote = _o->pre_vote;
+  auto _attempt = _o->attempt;
+  auto _last_index = _o->last_index;
+  auto _last_term = _o->last_term;
   return dragonflymount::wire::CreateVoteReply(
       _fbb,
       _term,
       _voter,
       _identity,
       _granted,
-      _pre_vote);
+      _pre_vote,
+      _attempt,
+      _last_index,
+      _last_term);
 }
 
 inline AppendRequestT::AppendRequestT(const AppendRequestT &o)
@@ -17862,7 +18171,9 @@
         previous_index(o.previous_index),
         previous_term(o.previous_term),
         commit(o.commit),
-        round(o.round) {
+        round(o.round),
+        packed(o.packed),
+        packed_bytes(o.packed_bytes) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new dragonflymount::wire::LogEntryT(*entries_) : nullptr); }
 }
@@ -17875,6 +18186,8 @@
   std::swap(commit, o.commit);
   std::swap(round, o.round);
   std::swap(entries, o.entries);
+  std::swap(packed, o.packed);
+  std::swap(packed_bytes, o.packed_bytes);
   return *this;
 }
 
@@ -17894,6 +18207,8 @@
   { auto _e = commit(); _o->commit = _e; }
   { auto _e = round(); _o->round = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<dragonflymount::wire::LogEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = packed(); if (_e) { _o->packed.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed.begin()); } }
+  { auto _e = packed_bytes(); _o->packed_bytes = _e; }
 }
 
 inline flatbuffers::Offset<AppendRequest> AppendRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -17911,6 +18226,8 @@
   auto _commit = _o->commit;
   auto _round = _o->round;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateLogEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _packed = _o->packed.size() ? _fbb.CreateVector(_o->packed) : 0;
+  auto _packed_bytes = _o->packed_bytes;
   return dragonflymount::wire::CreateAppendRequest(
       _fbb,
       _term,
@@ -17919,6 +18236,44 @@
       _previous_term,
       _commit,
       _round,
+      _entries,
+      _packed,
+      _packed_bytes);
+}
+
+inline LogEntriesT::LogEntriesT(const LogEntriesT &o) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new dragonflymount::wire::LogEntryT(*entries_) : nullptr); }
+}
+
+inline LogEntriesT &LogEntriesT::operator=(LogEntriesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(entries, o.entries);
+  return *this;
+}
+
+inline LogEntriesT *LogEntries::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LogEntriesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LogEntries::UnPackTo(LogEntriesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<dragonflymount::wire::LogEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LogEntries> LogEntries::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LogEntriesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLogEntries(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LogEntries> CreateLogEntries(flatbuffers::FlatBufferBuilder &_fbb, const LogEntriesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LogEntriesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<dragonflymount::wire::LogEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateLogEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return dragonflymount::wire::CreateLogEntries(
+      _fbb,
       _entries);
 }
 
@@ -17939,6 +18294,7 @@
   { auto _e = round(); _o->round = _e; }
   { auto _e = part_index(); _o->part_index = _e; }
   { auto _e = part_bytes(); _o->part_bytes = _e; }
+  { auto _e = reads_packed(); _o->reads_packed = _e; }
 }
 
 inline flatbuffers::Offset<AppendReply> AppendReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AppendReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -17957,6 +18313,7 @@
   auto _round = _o->round;
   auto _part_index = _o->part_index;
   auto _part_bytes = _o->part_bytes;
+  auto _reads_packed = _o->reads_packed;
   return dragonflymount::wire::CreateAppendReply(
       _fbb,
       _term,
@@ -17966,7 +18323,8 @@
       _match_index,
       _round,
       _part_index,
-      _part_bytes);
+      _part_bytes,
+      _reads_packed);
 }
 
 inline SnapshotPartT::SnapshotPartT(const SnapshotPartT &o)
@@ -17975,7 +18333,8 @@
         members((o.members) ? new dragonflymount::wire::MemberListT(*o.members) : nullptr),
         offset(o.offset),
         state_bytes(o.state_bytes),
-        data(o.data) {
+        data(o.data),
+        packed_bytes(o.packed_bytes) {
 }
 
 inline SnapshotPartT &SnapshotPartT::operator=(SnapshotPartT o) FLATBUFFERS_NOEXCEPT {
@@ -17985,6 +18344,7 @@
   std::swap(offset, o.offset);
   std::swap(state_bytes, o.state_bytes);
   std::swap(data, o.data);
+  std::swap(packed_bytes, o.packed_bytes);
   return *this;
 }
 
@@ -18003,6 +18363,7 @@
   { auto _e = offset(); _o->offset = _e; }
   { auto _e = state_bytes(); _o->state_bytes = _e; }
   { auto _e = data(); if (_e) { _o->data.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->data.begin()); } }
+  { auto _e = packed_bytes(); _o->packed_bytes = _e; }
 }
 
 inline flatbuffers::Offset<SnapshotPart> SnapshotPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SnapshotPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -18019,6 +18380,7 @@
   auto _offset = _o->offset;
   auto _state_bytes = _o->state_bytes;
   auto _data = _o->data.size() ? _fbb.CreateVector(_o->data) : 0;
+  auto _packed_bytes = _o->packed_bytes;
   return dragonflymount::wire::CreateSnapshotPart(
       _fbb,
       _last_index,
@@ -18026,7 +18388,8 @@
       _members,
       _offset,
       _state_bytes,
-      _data);
+      _data,
+      _packed_bytes);
 }
 
 inline InstallSnapshotT::InstallSnapshotT(const InstallSnapshotT &o)
@@ -18191,6 +18554,35 @@
       _author);
 }
 
+inline ReformGroupT *ReformGroup::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ReformGroupT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReformGroup::UnPackTo(ReformGroupT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = lost(); if (_e) { _o->lost.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lost[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = author(); if (_e) _o->author = _e->str(); }
+}
+
+inline flatbuffers::Offset<ReformGroup> ReformGroup::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReformGroupT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReformGroup(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReformGroup> CreateReformGroup(flatbuffers::FlatBufferBuilder &_fbb, const ReformGroupT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReformGroupT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _lost = _o->lost.size() ? _fbb.CreateVectorOfStrings(_o->lost) : 0;
+  auto _author = _o->author.empty() ? 0 : _fbb.CreateString(_o->author);
+  return dragonflymount::wire::CreateReformGroup(
+      _fbb,
+      _lost,
+      _author);
+}
+
 inline QueryT *Query::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<QueryT>();
   UnPackTo(_o.get(), _resolver);
@@ -18788,6 +19180,10 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::Evacuate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ReformGroup: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::ReformGroup *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -18943,6 +19339,10 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::Evacuate *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ReformGroup: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::ReformGroup *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -19086,6 +19486,10 @@
       auto ptr = reinterpret_cast<const dragonflymount::wire::EvacuateT *>(value);
       return CreateEvacuate(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ReformGroup: {
+      auto ptr = reinterpret_cast<const dragonflymount::wire::ReformGroupT *>(value);
+      return CreateReformGroup(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -19228,6 +19632,10 @@
       value = new dragonflymount::wire::EvacuateT(*reinterpret_cast<dragonflymount::wire::EvacuateT *>(u.value));
       break;
     }
+    case Body::ReformGroup: {
+      value = new dragonflymount::wire::ReformGroupT(*reinterpret_cast<dragonflymount::wire::ReformGroupT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -19405,6 +19813,11 @@
       delete ptr;
       break;
     }
+    case Body::ReformGroup: {
+      auto ptr = reinterpret_cast<dragonflymount::wire::ReformGroupT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
