--- a/dragonflymount/src/Wire/messages_generated.h
+++ b/dragonflymount/src/Wire/messages_generated.h
@@ -12395,6 +12395,7 @@
   uint64_t attempt = 0;
   uint64_t last_index = 0;
   uint64_t last_term = 0;
+  uint64_t members_digest = 0;
 };
 
 struct VoteReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -12409,7 +12410,8 @@
     VT_PRE_VOTE = 12,
     VT_ATTEMPT = 14,
     VT_LAST_INDEX = 16,
-    VT_LAST_TERM = 18
+    VT_LAST_TERM = 18,
+    VT_MEMBERS_DIGEST = 20
   };
   uint64_t term() const {
     return GetField<uint64_t>(VT_TERM, 0);
@@ -12435,6 +12437,9 @@
   uint64_t last_term() const {
     return GetField<uint64_t>(VT_LAST_TERM, 0);
   }
+  uint64_t members_digest() const {
+    return GetField<uint64_t>(VT_MEMBERS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
@@ -12446,6 +12451,7 @@
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            VerifyField<uint64_t>(verifier, VT_LAST_INDEX, 8) &&
            VerifyField<uint64_t>(verifier, VT_LAST_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            verifier.EndTable();
   }
   VoteReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -12481,6 +12487,9 @@
   void add_last_term(uint64_t last_term) {
     fbb_.AddElement<uint64_t>(VoteReply::VT_LAST_TERM, last_term, 0);
   }
+  void add_members_digest(uint64_t members_digest) {
+    fbb_.AddElement<uint64_t>(VoteReply::VT_MEMBERS_DIGEST, members_digest, 0);
+  }
   explicit VoteReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -12501,8 +12510,10 @@
     bool pre_vote = false,
     uint64_t attempt = 0,
     uint64_t last_index = 0,
-    uint64_t last_term = 0) {
+    uint64_t last_term = 0,
+    uint64_t members_digest = 0) {
   VoteReplyBuilder builder_(_fbb);
+  builder_.add_members_digest(members_digest);
   builder_.add_last_term(last_term);
   builder_.add_last_index(last_index);
   builder_.add_attempt(attempt);
@@ -12528,7 +12539,8 @@
     bool pre_vote = false,
     uint64_t attempt = 0,
     uint64_t last_index = 0,
-    uint64_t last_term = 0) {
+    uint64_t last_term = 0,
+    uint64_t members_digest = 0) {
   auto voter__ = voter ? _fbb.CreateString(voter) : 0;
   return dragonflymount::wire::CreateVoteReply(
       _fbb,
@@ -12539,7 +12551,8 @@
       pre_vote,
       attempt,
       last_index,
-      last_term);
+      last_term,
+      members_digest);
 }
 
 flatbuffers::Offset<VoteReply> CreateVoteReply(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -18135,6 +18148,7 @@
   { auto _e = attempt(); _o->attempt = _e; }
   { auto _e = last_index(); _o->last_index = _e; }
   { auto _e = last_term(); _o->last_term = _e; }
+  { auto _e = members_digest(); _o->members_digest = _e; }
 }
 
 inline flatbuffers::Offset<VoteReply> VoteReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VoteReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -18153,6 +18167,7 @@
   auto _attempt = _o->attempt;
   auto _last_index = _o->last_index;
   auto _last_term = _o->last_term;
+  auto _members_digest = _o->members_digest;
   return dragonflymount::wire::CreateVoteReply(
       _fbb,
       _term,
@@ -18162,7 +18177,8 @@
       _pre_vote,
       _attempt,
       _last_index,
-      _last_term);
+      _last_term,
+      _members_digest);
 }
 
 inline AppendRequestT::AppendRequestT(const AppendRequestT &o)
