Keep a connection open while a message advances

Cause: only a whole frame counted as a sign of life.

Now each KiB of a payload counts, which any link that carries something brings within the limit: it is less than a segment. Room is made as before, for at most twice what has come. Each piece that has arrived is read at once instead of whole parts.

--- a/dragonflymount/src/Runtime/Connection.cpp
+++ b/dragonflymount/src/Runtime/Connection.cpp
@@ -16,6 +16,9 @@
 constexpr duration connect_timeout = std::chrono::seconds(2);
 // Room for the begin of a frame's payload.
 constexpr std::size_t first_part_bytes = 64U << 10U;
+// Of a frame's payload, to count as a sign of life: less than a segment of TCP,
+// so that any link that carries something satisfies it.
+constexpr std::size_t least_progress_bytes = 1024;
 
 std::uint64_t next_number() {
     static std::uint64_t last = 0;
@@ -87,6 +90,7 @@
                 return;
             }
             self->payload_.clear();
+            self->received_ = 0;
             self->read_payload(*header);
         });
 }
@@ -94,36 +98,54 @@
 // Reads on until the payload is whole. A header alone makes no room for it:
 // the payload grows to at most twice what has come, or first_part_bytes.
 void connection::read_payload(const wire::frame_header& header) {
-    const std::size_t before = payload_.size();
-    payload_.resize(std::min<std::size_t>(
-        header.length, std::max(before * 2, first_part_bytes)));
-    asio::async_read(socket_,
-        asio::buffer(payload_.data() + before, payload_.size() - before),
-        [self = shared_from_this(), header](std::error_code code, std::size_t) {
+    if (received_ == payload_.size()) {
+        payload_.resize(std::min<std::size_t>(
+            header.length, std::max(received_ * 2, first_part_bytes)));
+    }
+    socket_.async_read_some(
+        asio::buffer(payload_.data() + received_, payload_.size() - received_),
+        [self = shared_from_this(), header](
+            std::error_code code, std::size_t size) {
             if (code) {
                 self->fail(code, "read frame payload");
                 return;
             }
-            if (self->payload_.size() < header.length) {
+            self->received_ += size;
+            if (self->received_ < header.length) {
+                self->note_progress(size);
                 self->read_payload(header);
                 return;
             }
-            self->last_read_ = system_clock::now();
-            auto content = wire::decode_payload(header, self->payload_);
-            if (!content) {
-                self->fail(content.error().code, "decode frame",
-                    content.error().detail);
-                return;
-            }
-            if (content->body.type != wire::Body::Ping && self->open_) {
-                self->on_message_(self, std::move(*content));
-            }
-            if (self->open_) {
-                self->read_header();
-            }
+            self->take_frame(header);
         });
 }
 
+// A slow link may carry a frame for longer than the silence limit. Single bytes
+// don't count: a peer could hold a frame's memory with them for good.
+void connection::note_progress(std::size_t size) {
+    progress_ += size;
+    if (progress_ >= least_progress_bytes) {
+        progress_ = 0;
+        last_read_ = system_clock::now();
+    }
+}
+
+void connection::take_frame(const wire::frame_header& header) {
+    progress_ = 0;
+    last_read_ = system_clock::now();
+    auto content = wire::decode_payload(header, payload_);
+    if (!content) {
+        fail(content.error().code, "decode frame", content.error().detail);
+        return;
+    }
+    if (content->body.type != wire::Body::Ping && open_) {
+        on_message_(shared_from_this(), std::move(*content));
+    }
+    if (open_) {
+        read_header();
+    }
+}
+
 void connection::send(const wire::message& content) {
     if (open_) {
         send(std::make_shared<const bytes>(wire::encode_frame(content)));
--- a/dragonflymount/src/Runtime/Connection.hpp
+++ b/dragonflymount/src/Runtime/Connection.hpp
@@ -18,8 +18,9 @@
 namespace dragonflymount::runtime {
 
 struct connection_options {
-    /// A connection on which nothing arrives for this long is closed. Both
-    /// sides send pings, so only a dead connection is that quiet.
+    /// A connection is closed on which neither a message nor 1 KiB of one
+    /// arrives for this long. Both sides send pings, so only a dead connection
+    /// or a peer that holds a message back is that quiet.
     duration silence_limit = std::chrono::seconds(3);
     duration ping_interval = std::chrono::milliseconds(800);
     /// Bytes waiting to be sent; a peer that reads too slowly is cut off.
@@ -50,6 +51,8 @@
 private:
     void read_header();
     void read_payload(const wire::frame_header& header);
+    void note_progress(std::size_t size);
+    void take_frame(const wire::frame_header& header);
     void write_next();
     void watch();
     void fail(std::error_code code, std::string step, std::string detail = {});
@@ -63,6 +66,11 @@
     close_handler on_close_;
     std::array<std::uint8_t, wire::frame_header_bytes> header_{};
     bytes payload_;
+    // Invariant: at most payload_.size(), the bytes of the payload that have
+    // come.
+    std::size_t received_ = 0;
+    // Bytes of the payload that have come since last_read_.
+    std::size_t progress_ = 0;
     std::deque<std::shared_ptr<const bytes>> outgoing_;
     std::size_t outgoing_bytes_ = 0;
     bool writing_ = false;
