Reach a replica soon that was down

Seen: a leader's link to a machine that was without power opens up to 2 s and a second after the machine is back.

Cause: an attempt to connect that was begun while nothing answered lasts until the system sends the opening packet again, 1 s later, or its time of 2 s is over; and refused attempts are made up to 1 s apart. A shorter time for an attempt is no way out: a slow link may take as long for it.

Now the next attempt is begun beside one that is unanswered after 0.4 s, and the first that succeeds is kept; at most five wait at a time. The bound of the time between refused attempts is an option, 0.2 s between schedulers.

--- a/dragonflymount/src/Runtime/Connection.cpp
+++ b/dragonflymount/src/Runtime/Connection.cpp
@@ -7,13 +7,15 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflymount::runtime {
 namespace {
 
 constexpr duration first_retry_delay = std::chrono::milliseconds(50);
-constexpr duration longest_retry_delay = std::chrono::seconds(1);
 constexpr duration connect_timeout = std::chrono::seconds(2);
+// From the begin of an attempt that goes unanswered to that of the next.
+constexpr duration attempt_interval = std::chrono::milliseconds(400);
 // Room for the begin of a frame's payload.
 constexpr std::size_t first_part_bytes = 64U << 10U;
 // Of a frame's payload, to count as a sign of life: less than a segment of TCP,
@@ -322,59 +324,84 @@
 void link::stop() {
     *alive_ = false;
     timer_.cancel();
+    drop_attempts();
     if (current_) {
         current_->close();
         current_.reset();
     }
 }
 
+// A machine that is down answers nothing at all. An attempt that was begun just
+// before it comes back may take until its end, while a slow link takes long for
+// each, so the next one is begun beside it.
 void link::connect() {
     const auto endpoint = parse_address(address_);
     if (!endpoint) {
         LOG(ERROR) << event::connection_failed << endpoint.error().message();
         return;
     }
-    auto socket = std::make_shared<asio::ip::tcp::socket>(context_);
-    timer_.expires_after(connect_timeout);
-    timer_.async_wait([socket, alive = alive_](std::error_code code) {
-        if (!code && *alive) {
+    auto begun = std::make_shared<attempt>(context_);
+    attempts_.insert(begun);
+    begun->timer.expires_after(connect_timeout);
+    begun->timer.async_wait([begun](std::error_code code) {
+        if (!code) {
             asio::error_code ignored;
-            socket->close(ignored);
+            begun->socket.close(ignored);
         }
     });
-    socket->async_connect(
-        *endpoint, [this, socket, alive = alive_](std::error_code code) {
-            if (!*alive) {
+    begun->socket.async_connect(
+        *endpoint, [this, begun, alive = alive_](std::error_code code) {
+            begun->timer.cancel();
+            // Otherwise the link is gone, or another attempt succeeded.
+            if (!*alive || attempts_.erase(begun) == 0) {
                 return;
             }
-            timer_.cancel();
-            if (code) {
+            if (!code) {
+                open(std::move(begun->socket));
+            } else if (attempts_.empty()) {
                 retry();
+            }
+        });
+    connect_after(attempt_interval);
+}
+
+void link::open(asio::ip::tcp::socket socket) {
+    timer_.cancel();
+    drop_attempts();
+    retry_delay_ = first_retry_delay;
+    current_ = std::make_shared<connection>(std::move(socket), options_);
+    current_->start(on_message_,
+        [this, alive = alive_](
+            const connection::pointer& closed, const failure& error) {
+            if (!*alive) {
                 return;
             }
-            retry_delay_ = first_retry_delay;
-            current_ =
-                std::make_shared<connection>(std::move(*socket), options_);
-            current_->start(on_message_,
-                [this, alive](
-                    const connection::pointer& closed, const failure& error) {
-                    if (!*alive) {
-                        return;
-                    }
-                    VLOG(1) << event::connection_failed << error.message();
-                    current_.reset();
-                    on_close_(closed, error);
-                    retry();
-                });
-            on_open_(current_);
+            VLOG(1) << event::connection_failed << error.message();
+            current_.reset();
+            on_close_(closed, error);
+            retry();
         });
+    on_open_(current_);
+}
+
+void link::drop_attempts() {
+    for (const auto& begun : std::exchange(attempts_, {})) {
+        asio::error_code ignored;
+        begun->timer.cancel();
+        begun->socket.close(ignored);
+    }
 }
 
 void link::retry() {
-    timer_.expires_after(retry_delay_);
-    retry_delay_ = std::min(retry_delay_ * 2, longest_retry_delay);
+    const duration delay = retry_delay_;
+    retry_delay_ = std::min(retry_delay_ * 2, options_.longest_retry_delay);
+    connect_after(delay);
+}
+
+void link::connect_after(duration delay) {
+    timer_.expires_after(delay);
     timer_.async_wait([this, alive = alive_](std::error_code code) {
-        if (!code && *alive) {
+        if (!code && *alive && !current_) {
             connect();
         }
     });
--- a/dragonflymount/src/Runtime/Connection.hpp
+++ b/dragonflymount/src/Runtime/Connection.hpp
@@ -25,6 +25,9 @@
     duration ping_interval = std::chrono::milliseconds(800);
     /// Bytes waiting to be sent; a peer that reads too slowly is cut off.
     std::size_t most_queued_bytes = 64U << 20U;
+    /// Bound of the time between two attempts to open a link, which doubles
+    /// from attempt to attempt.
+    duration longest_retry_delay = std::chrono::seconds(1);
 };
 
 class connection : public std::enable_shared_from_this<connection> {
@@ -131,13 +134,26 @@
     const std::string& address() const { return address_; }
 
 private:
+    /// An attempt to open a connection.
+    struct attempt {
+        explicit attempt(asio::io_context& context)
+            : socket(context), timer(context) {}
+        asio::ip::tcp::socket socket;
+        asio::steady_timer timer;
+    };
+
     void connect();
+    void open(asio::ip::tcp::socket socket);
+    void drop_attempts();
     void retry();
+    void connect_after(duration delay);
 
     asio::io_context& context_;
     std::string address_;
     connection_options options_;
     asio::steady_timer timer_;
+    // Invariant: empty while current_ is set.
+    std::set<std::shared_ptr<attempt>> attempts_;
     connection::pointer current_;
     open_handler on_open_;
     connection::message_handler on_message_;
--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -9,10 +9,12 @@
 constexpr duration reopen_interval = std::chrono::milliseconds(400);
 
 // A connection that receives nothing must be closed not much later than an
-// election timeout.
+// election timeout. A replica that comes back has little time to catch up, so
+// it must not wait long for the next attempt to reach it.
 constexpr runtime::connection_options peer_connections{
     .silence_limit = std::chrono::milliseconds(1500),
-    .ping_interval = std::chrono::milliseconds(500)};
+    .ping_interval = std::chrono::milliseconds(500),
+    .longest_retry_delay = std::chrono::milliseconds(200)};
 
 agreement::member member_at(
     const std::string& control, std::uint32_t peer_port) {
