--- a/dragonflymount/src/Agreement/Election.cpp
+++ b/dragonflymount/src/Agreement/Election.cpp
@@ -170,4 +170,11 @@
     }
 }
 
+result<done> replica::reform(
+    const std::set<replica_id>& lost, instant /*now*/) {
+    return failure{make_error_code(errc::conflict), "reform group",
+        lost.empty() ? std::string() : lost.begin()->str(),
+        "no target number of voters is set"};
+}
+
 } // namespace dragonflymount::agreement
--- a/dragonflymount/src/Agreement/Membership.cpp
+++ b/dragonflymount/src/Agreement/Membership.cpp
@@ -1,4 +1,5 @@
-// Changes the members of the replicated log, one member at a time.
+// Changes the members of the replicated log, one member at a time, and commits
+// the records that enough voters hold.
 #include "dragonflymount/src/Agreement/Replica.hpp"
 
 #include <algorithm>
@@ -81,4 +82,27 @@
     }
 }
 
+void replica::advance_commit() {
+    std::vector<log_index> matched;
+    for (const member& peer : log_.members()) {
+        if (!peer.voter) {
+            continue;
+        }
+        if (peer.id == options_.self) {
+            matched.push_back(log_index(unsaved_from_.value() - 1));
+        } else {
+            matched.push_back(match_index(peer.id));
+        }
+    }
+    if (matched.empty()) {
+        return;
+    }
+    std::sort(matched.begin(), matched.end(), std::greater<>());
+    const log_index majority_match = matched[matched.size() / 2];
+    if (majority_match > commit_ &&
+        log_.term_at(majority_match) == hard_.term) {
+        commit_ = majority_match;
+    }
+}
+
 } // namespace dragonflymount::agreement
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -51,6 +51,10 @@
     /// Largest part of a snapshot's state in one message, in bytes.
     std::size_t part_bytes = 1U << 20U;
     std::uint64_t seed = 1;
+    /// Target number of voters, the seats. While fewer vote, a record is
+    /// committed only if a majority of the seats holds it, or all voters do.
+    /// Zero: a majority of voters commits, and elects.
+    std::size_t voters = 0;
 };
 
 struct outbound {
@@ -93,6 +97,14 @@
     result<log_index> change(
         wire::replica_change change, const member& subject, instant now);
 
+    /// \brief Counts the members \p lost, whose machines are gone, as voters
+    /// without a disk in the elections of this replica, until it leads or
+    /// hears a leader. What only their disks held is lost.
+    /// \returns \c errc::conflict if this replica isn't an admitted voter or
+    /// hears a leader, if no target number of voters is set, or if \p lost
+    /// names no member, no other member than this replica, or an unknown one.
+    result<done> reform(const std::set<replica_id>& lost, instant now);
+
     /// \brief Writes and syncs unsaved changes, then returns the messages and
     /// committed records.
     /// \returns a failure if the disk failed, now or earlier; the replica sends
@@ -127,6 +139,12 @@
     /// never has.
     lead_end last_lead_end() const { return lead_end_; }
 
+    /// \returns the voters without whose votes this replica began to lead, as
+    /// their disks are lost; empty if it doesn't lead or a majority elected it.
+    const std::vector<replica_id>& seats_given_up() const {
+        return seats_given_up_;
+    }
+
     role current_role() const { return role_; }
     log_term term() const { return hard_.term; }
     log_index commit_index() const { return commit_; }
@@ -271,6 +289,7 @@
     std::vector<outbound> outbox_;
     std::map<replica_id, progress> peers_;
     std::set<replica_id> votes_;
+    std::vector<replica_id> seats_given_up_;
     std::map<replica_id, replica_identity> unadmitted_;
     std::uint64_t round_ = 0;
     // The latest \c now that the caller has passed in.
