Go on without voters whose disks are lost

Callers saw a group of five (lost-disks = 2) without a leader for good: two disks lost, 7.4 s later two of the three voters that were left, while the first two were still catching up. Cause: a replaced replica has no vote until it has caught up, so a record was committed on two of three voters, and the one voter that was left can't be a majority of three, whatever it holds.

Seats now count in the commit quorum, so that all three voters hold each record, and a candidate may lead without the voters that answer under another identity, if fewer disks are lost than voters hold each record. Off without a target number of voters.

Tests: on the code before, with losses allowed by the new rule, the tests lead_again_after_two_losses_and_two_more and outlast_series_of_lost_disks fail (no leader within 15 s, no convergence).

can_lose_disk allows more than before: also losses that leave the commit quorum of every list a living holder. It counts the lists of replicas that are down as well. Answers of replicas that aren't admitted are allowed if they grant nothing.

--- a/dragonflymount/src/Agreement/Election.cpp
+++ b/dragonflymount/src/Agreement/Election.cpp
@@ -4,6 +4,22 @@
 #include <algorithm>
 
 namespace dragonflymount::agreement {
+namespace {
+
+// A leader whose disk is lost, and all its voters, may have used terms that no
+// living replica knows. Its messages may arrive late; each election takes at
+// least an election timeout, so it used far fewer terms meanwhile.
+constexpr std::uint64_t lost_terms = 1000;
+
+bool has_voter(const result<member_list>& list, const replica_id& id,
+    replica_identity identity) {
+    return list &&
+        std::any_of(list->begin(), list->end(), [&](const member& peer) {
+            return peer.voter && peer.id == id && peer.identity == identity;
+        });
+}
+
+} // namespace
 
 // Replicas may pack the same state into different bytes, so the parts of two
 // leaders don't fit together.
@@ -26,6 +42,7 @@
     if (is_leader()) {
         lead_end_ = reason;
         role_ = role::follower;
+        seats_given_up_.clear();
     }
 }
 
@@ -36,23 +53,35 @@
     role_ = role::follower;
     leader_ = leader;
     votes_.clear();
+    if (!leader.empty()) {
+        declared_lost_.clear();
+    }
     reset_election_timer(now);
 }
 
 void replica::start_election(bool pre_vote, instant now) {
-    role_ = pre_vote ? role::pre_candidate : role::candidate;
-    leader_ = replica_id();
-    votes_ = {options_.self};
     if (!pre_vote) {
         begin_term({hard_.term.next(), options_.self});
     }
+    request_votes(pre_vote, now);
+}
+
+void replica::request_votes(bool pre_vote, instant now) {
+    role_ = pre_vote ? role::pre_candidate : role::candidate;
+    leader_ = replica_id();
+    votes_ = {options_.self};
     reset_election_timer(now);
-    if (is_majority(votes_.size())) {
-        pre_vote ? start_election(false, now) : become_leader(now);
-        return;
+    if (options_.voters != 0) {
+        // A restart begins the same series of random numbers again, but later.
+        attempt_ = next_random() ^
+            static_cast<std::uint64_t>(now.time_since_epoch().count());
+        attempt_began_ = now;
+        highest_answer_term_ = hard_.term;
+        answers_ = {{options_.self, {identity_, true, false}}};
     }
     for (const member& peer : log_.members()) {
-        if (!peer.voter || peer.id == options_.self) {
+        const bool asked = peer.voter || options_.voters != 0;
+        if (!asked || peer.id == options_.self) {
             continue;
         }
         wire::VoteRequestT request;
@@ -63,8 +92,54 @@
         request.last_index = log_.last_index().value();
         request.last_term = log_.last_term().value();
         request.pre_vote = pre_vote;
+        request.attempt = attempt_;
         send(peer.id, std::move(request));
     }
+    count_votes(now);
+}
+
+attempt_answers replica::answers_at(instant now) const {
+    attempt_answers attempt{answers_, {}};
+    // One that was named by mistake has this long to answer.
+    if (now - attempt_began_ >= options_.election_timeout / 2) {
+        attempt.declared_lost = declared_lost_;
+    }
+    return attempt;
+}
+
+// A list that may not be committed may give way to the one before it, under
+// which records may be committed as well.
+bool replica::may_lead_without_lost(instant now) const {
+    const attempt_answers attempt = answers_at(now);
+    const auto allows = [&](const member_list& members) {
+        return agreement::may_lead_without_lost(
+            members, options_.voters, attempt);
+    };
+    if (!allows(log_.members())) {
+        return false;
+    }
+    const member_list before = is_list_committed()
+        ? member_list()
+        : members_before(log_.members_index());
+    return before.empty() || has_majority(before, attempt) || allows(before);
+}
+
+void replica::count_votes(instant now) {
+    if (role_ != role::pre_candidate && role_ != role::candidate) {
+        return;
+    }
+    const bool pre_vote = role_ == role::pre_candidate;
+    if (declared_lost_.empty() && is_majority(votes_.size())) {
+        pre_vote ? start_election(false, now) : become_leader(now);
+    } else if (may_lead_without_lost(now)) {
+        if (!pre_vote) {
+            lead_reformed_group(now);
+            return;
+        }
+        begin_term({log_term(highest_answer_term_.value() + lost_terms),
+            options_.self});
+        request_votes(false, now);
+    }
 }
 
 void replica::become_leader(instant now) {
@@ -73,6 +148,8 @@
     leader_since_ = now;
     peers_.clear();
     unadmitted_.clear();
+    declared_lost_.clear();
+    confirmed_members_ = log_index(0);
     // A leader may count replicas only for records of its own term, so this
     // record is needed to commit the records of earlier terms.
     first_own_index_ = log_.last_index().next();
@@ -81,6 +158,18 @@
     broadcast(now, true);
 }
 
+// The record with the new members comes first: nothing before it may be
+// committed by the votes of the old list.
+void replica::lead_reformed_group(instant now) {
+    reformed_group reformed = reform_members(log_.members(), answers_at(now));
+    if (reformed.members != log_.members()) {
+        append({hard_.term, log_.last_index().next(), record_kind::members,
+            encode_members(reformed.members)});
+    }
+    become_leader(now);
+    seats_given_up_ = std::move(reformed.lost_voters);
+}
+
 bool replica::has_committed_in_term() const {
     return is_leader() && commit_ >= first_own_index_;
 }
@@ -92,11 +181,49 @@
     return index >= log_.last_index();
 }
 
+bool replica::is_up_to_date_with(log_index index, log_term term) const {
+    return log_.last_term() > term ||
+        (log_.last_term() == term && log_.last_index() >= index);
+}
+
 bool replica::is_same_log(const wire::VoteRequestT& request) const {
     return log_index(request.last_index) == log_.last_index() &&
         log_term(request.last_term) == log_.last_term();
 }
 
+wire::VoteReplyT replica::make_vote_reply(
+    const wire::VoteRequestT& request) const {
+    wire::VoteReplyT reply;
+    reply.term = hard_.term.value();
+    reply.voter = options_.self.str();
+    reply.identity = identity_.value();
+    reply.pre_vote = request.pre_vote;
+    reply.attempt = request.attempt;
+    reply.last_index = log_.last_index().value();
+    reply.last_term = log_.last_term().value();
+    reply.members_digest = digest_of(list_to_compare(request));
+    return reply;
+}
+
+// The log of the candidate may be the beginning of this one. A newer list that
+// never gave this replica a vote wasn't committed with its help, so the
+// candidate needn't know of it.
+member_list replica::list_to_compare(const wire::VoteRequestT& request) const {
+    const log_index last(request.last_index);
+    if (log_.term_at(last) != log_term(request.last_term)) {
+        return log_.members();
+    }
+    for (log_index at = last.next(); at <= log_.last_index(); at = at.next()) {
+        const log_record& record = log_.at(at);
+        const bool had_vote = record.kind == record_kind::members &&
+            has_voter(decode_members(record.payload), options_.self, identity_);
+        if (had_vote) {
+            return log_.members();
+        }
+    }
+    return members_before(last.next());
+}
+
 void replica::receive(const wire::VoteRequestT& request, instant now) {
     const replica_id candidate(request.candidate);
     const log_term term(request.term);
@@ -110,7 +237,8 @@
     const bool longer = up_to_date && !is_same_log(request);
     const bool between_voters =
         can_vote() && is_voter(candidate, replica_identity(request.identity));
-    if (!is_admitted() || (!between_voters && !longer)) {
+    const bool may_grant = is_admitted() && (between_voters || longer);
+    if (!may_grant && options_.voters == 0) {
         return;
     }
     // Requests of other candidates are ignored while a leader is active.
@@ -119,15 +247,18 @@
     if (leader_alive && leader_ != candidate) {
         return;
     }
-    wire::VoteReplyT reply;
-    reply.voter = options_.self.str();
-    reply.identity = identity_.value();
-    reply.pre_vote = request.pre_vote;
+    wire::VoteReplyT reply = make_vote_reply(request);
+    if (!may_grant) {
+        send(candidate, std::move(reply));
+        return;
+    }
     if (request.pre_vote) {
         reply.granted = term > hard_.term && up_to_date;
         // A denial carries this replica's own term. A candidate with an older
         // term adopts it; otherwise all its later requests would be denied.
-        reply.term = reply.granted ? request.term : hard_.term.value();
+        if (reply.granted) {
+            reply.term = request.term;
+        }
         send(candidate, std::move(reply));
         return;
     }
@@ -146,35 +277,74 @@
     send(candidate, std::move(reply));
 }
 
-void replica::receive(const wire::VoteReplyT& reply, instant now) {
-    const replica_id voter(reply.voter);
-    if (!is_voter(voter, replica_identity(reply.identity))) {
-        return;
-    }
-    if (!reply.granted) {
-        if (log_term(reply.term) > hard_.term) {
-            become_follower(log_term(reply.term), replica_id(), now);
-        }
+void replica::note_answer(const wire::VoteReplyT& reply) {
+    const role asked = reply.pre_vote ? role::pre_candidate : role::candidate;
+    if (options_.voters == 0 || role_ != asked || reply.attempt != attempt_) {
         return;
     }
-    const bool counts = reply.pre_vote
-        ? role_ == role::pre_candidate &&
-            log_term(reply.term) == hard_.term.next()
-        : role_ == role::candidate && log_term(reply.term) == hard_.term;
-    if (!counts) {
+    const log_term term(reply.term);
+    highest_answer_term_ = std::max(highest_answer_term_, term);
+    // A leader's term must not be below one that a replica already uses.
+    if (!reply.pre_vote && term > hard_.term) {
         return;
     }
-    votes_.insert(voter);
-    if (is_majority(votes_.size())) {
-        reply.pre_vote ? start_election(false, now) : become_leader(now);
+    vote_answer& answer = answers_[replica_id(reply.voter)];
+    answer.identity = replica_identity(reply.identity);
+    answer.granted = reply.granted;
+    const bool holds_no_more = is_up_to_date_with(
+        log_index(reply.last_index), log_term(reply.last_term));
+    answer.newer_list = answer.newer_list ||
+        (!reply.granted && !holds_no_more &&
+            reply.members_digest != digest_of(log_.members()));
+}
+
+void replica::receive(const wire::VoteReplyT& reply, instant now) {
+    const replica_id voter(reply.voter);
+    const log_term term(reply.term);
+    note_answer(reply);
+    if (is_voter(voter, replica_identity(reply.identity))) {
+        if (!reply.granted && term > hard_.term) {
+            become_follower(term, replica_id(), now);
+            return;
+        }
+        const bool counts = reply.pre_vote
+            ? role_ == role::pre_candidate && term == hard_.term.next()
+            : role_ == role::candidate && term == hard_.term;
+        if (reply.granted && counts) {
+            votes_.insert(voter);
+        }
     }
+    count_votes(now);
 }
 
-result<done> replica::reform(
-    const std::set<replica_id>& lost, instant /*now*/) {
-    return failure{make_error_code(errc::conflict), "reform group",
-        lost.empty() ? std::string() : lost.begin()->str(),
-        "no target number of voters is set"};
+result<done> replica::reform(const std::set<replica_id>& lost, instant now) {
+    const auto refuse = [&](std::string why) {
+        return failure{make_error_code(errc::conflict), "reform group",
+            options_.self.str(), std::move(why)};
+    };
+    check_quorum(now);
+    if (options_.voters == 0 || !can_vote()) {
+        return refuse("this replica has no vote");
+    }
+    // A leader that can't commit serves nobody, and can't change members.
+    const bool stalled = is_leader() && !has_committed_in_term();
+    if (hears_leader(now) && !stalled) {
+        return refuse("there is a leader");
+    }
+    if (lost.empty()) {
+        return refuse("no member is named");
+    }
+    for (const replica_id& id : lost) {
+        if (id == options_.self || find_member(id) == nullptr) {
+            return refuse(id.str() + " is no other member");
+        }
+    }
+    if (stalled) {
+        end_lead(lead_end::silent_quorum);
+        become_follower(hard_.term, replica_id(), now);
+    }
+    declared_lost_ = lost;
+    return done{};
 }
 
 } // namespace dragonflymount::agreement
--- a/dragonflymount/src/Agreement/Membership.cpp
+++ b/dragonflymount/src/Agreement/Membership.cpp
@@ -15,16 +15,34 @@
 
 } // namespace
 
+std::string_view replica::find_seat_conflict(
+    wire::replica_change change, const member& subject) const {
+    const member* found = find_member(subject.id);
+    const bool is_living_voter = found != nullptr && found->voter &&
+        (change == wire::replica_change::remove ||
+            found->identity == subject.identity);
+    const bool takes_vote = change == wire::replica_change::remove ||
+        change == wire::replica_change::admit;
+    if (options_.voters != 0 && takes_vote && is_living_voter &&
+        voter_count(log_.members()) <= options_.voters) {
+        return "no voter is to spare";
+    }
+    return {};
+}
+
 result<log_index> replica::change(
     wire::replica_change change, const member& subject, instant now) {
     check_quorum(now);
     if (failed_ || !has_committed_in_term()) {
         return change_failure(subject.id, errc::not_leader, "ask the leader");
     }
-    if (log_.members_index() > commit_) {
+    if (!is_list_committed()) {
         return change_failure(
             subject.id, errc::conflict, "another change is under way");
     }
+    if (const auto why = find_seat_conflict(change, subject); !why.empty()) {
+        return change_failure(subject.id, errc::conflict, std::string(why));
+    }
     member_list members = log_.members();
     const auto found = std::find_if(members.begin(), members.end(),
         [&](const member& peer) { return peer.id == subject.id; });
@@ -82,6 +100,55 @@
     }
 }
 
+member_list replica::members_before(log_index end) const {
+    while (end > log_.first_index()) {
+        end = log_index(end.value() - 1);
+        const log_record& record = log_.at(end);
+        if (record.kind != record_kind::members) {
+            continue;
+        }
+        if (auto list = decode_members(record.payload)) {
+            return *std::move(list);
+        }
+    }
+    return log_.base().members;
+}
+
+// A list is repeated only after it was committed.
+bool replica::is_list_committed() const {
+    return log_.members_index() <= commit_ ||
+        (options_.voters != 0 &&
+            members_before(log_.members_index()) == log_.members());
+}
+
+void replica::confirm_members() {
+    const log_index newest = log_.members_index();
+    if (options_.voters == 0 || !has_committed_in_term() || newest > commit_ ||
+        newest == confirmed_members_) {
+        return;
+    }
+    confirmed_members_ = newest;
+    if (newest != log_index(0) &&
+        members_before(log_.members_index()) != log_.members()) {
+        confirmed_members_ = log_.last_index().next();
+        append({hard_.term, confirmed_members_, record_kind::members,
+            encode_members(log_.members())});
+    }
+}
+
+// A voter whose disk is known to be lost can't hold a record any more. All
+// others have to, so that an election without the lost ones finds the record.
+std::size_t replica::voters_to_commit() const {
+    const member_list& members = log_.members();
+    const auto lost = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [&](const auto& peer) {
+            return peer.voter && unadmitted_.contains(peer.id);
+        }));
+    const std::size_t voters = voter_count(members);
+    return std::max(voters / 2 + 1,
+        std::min(commit_quorum(members, options_.voters), voters - lost));
+}
+
 void replica::advance_commit() {
     std::vector<log_index> matched;
     for (const member& peer : log_.members()) {
@@ -98,10 +165,9 @@
         return;
     }
     std::sort(matched.begin(), matched.end(), std::greater<>());
-    const log_index majority_match = matched[matched.size() / 2];
-    if (majority_match > commit_ &&
-        log_.term_at(majority_match) == hard_.term) {
-        commit_ = majority_match;
+    const log_index held = matched[voters_to_commit() - 1];
+    if (held > commit_ && log_.term_at(held) == hard_.term) {
+        commit_ = held;
     }
 }
 
--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -63,6 +63,8 @@
     }
     if (now >= election_deadline_ && can_vote()) {
         start_election(true, now);
+    } else if (!declared_lost_.empty()) {
+        count_votes(now);
     }
 }
 
@@ -168,13 +170,8 @@
     return !failed_ && own != nullptr && own->identity == identity_;
 }
 
-std::size_t replica::voter_count() const {
-    return static_cast<std::size_t>(std::count_if(log_.members().begin(),
-        log_.members().end(), [](const member& peer) { return peer.voter; }));
-}
-
 bool replica::is_majority(std::size_t count) const {
-    return count * 2 > voter_count();
+    return count * 2 > voter_count(log_.members());
 }
 
 log_index replica::match_index(const replica_id& peer) const {
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -10,6 +10,7 @@
 #define DRAGONFLYMOUNT_AGREEMENT_REPLICA_HPP
 
 #include "dragonflymount/src/Agreement/Log.hpp"
+#include "dragonflymount/src/Agreement/LostSeats.hpp"
 #include "dragonflymount/src/Agreement/SnapshotParts.hpp"
 
 #include <functional>
@@ -238,19 +239,47 @@
     /// or a learner.
     bool is_admitted() const;
     bool is_up_to_date(log_index index, log_term term) const;
+    /// \returns whether a log that ends at \p index isn't newer than this one.
+    bool is_up_to_date_with(log_index index, log_term term) const;
     bool is_same_log(const wire::VoteRequestT& request) const;
-    std::size_t voter_count() const;
     bool is_majority(std::size_t count) const;
 
     void become_follower(log_term term, const replica_id& leader, instant now);
     void end_lead(lead_end reason);
     void start_election(bool pre_vote, instant now);
+    /// Begins an attempt and asks the other replicas. A pre-vote asks for the
+    /// term after this replica's.
+    void request_votes(bool pre_vote, instant now);
+    wire::VoteReplyT make_vote_reply(const wire::VoteRequestT& request) const;
+    /// \returns the list that the candidate has to know, by its answer's
+    /// digest.
+    member_list list_to_compare(const wire::VoteRequestT& request) const;
+    /// Notes an answer to the attempt under way, by the rule of lost seats.
+    void note_answer(const wire::VoteReplyT& reply);
+    /// Goes on with the election if the answers allow it.
+    void count_votes(instant now);
+    attempt_answers answers_at(instant now) const;
+    bool may_lead_without_lost(instant now) const;
     void become_leader(instant now);
+    /// Leads without the lost voters, and takes their votes first.
+    void lead_reformed_group(instant now);
     void reset_election_timer(instant now);
     /// Steps down if no majority has answered for an election timeout.
     void check_quorum(instant now);
     void begin_round(progress& state, instant now);
     void step_down_if_removed(instant now);
+    /// \returns why \p change of the voter or learner \p peer would take a
+    /// living voter out of a seat, empty if it wouldn't.
+    std::string_view find_seat_conflict(
+        wire::replica_change change, const member& subject) const;
+    /// \returns the newest list in the records before \p end.
+    member_list members_before(log_index end) const;
+    bool is_list_committed() const;
+    /// Repeats a list once it is committed: a replica that finds a list twice
+    /// in its log knows that, also after a restart.
+    void confirm_members();
+    /// \returns how many voters must hold a record before it is committed.
+    std::size_t voters_to_commit() const;
     void broadcast(instant now, bool heartbeat);
     void send_records(const member& peer, progress& state, instant now);
     void send_heartbeat(const member& peer, progress& state, instant now);
@@ -289,7 +318,16 @@
     std::vector<outbound> outbox_;
     std::map<replica_id, progress> peers_;
     std::set<replica_id> votes_;
+    // The attempt of this replica's election, and what came back.
+    std::uint64_t attempt_ = 0;
+    instant attempt_began_{};
+    std::map<replica_id, vote_answer> answers_;
+    log_term highest_answer_term_;
+    // Empty unless this replica hears no leader.
+    std::set<replica_id> declared_lost_;
     std::vector<replica_id> seats_given_up_;
+    // The newest member list that confirm_members has dealt with.
+    log_index confirmed_members_;
     std::map<replica_id, replica_identity> unadmitted_;
     std::uint64_t round_ = 0;
     // The latest \c now that the caller has passed in.
@@ -348,6 +386,7 @@
     if (is_leader()) {
         advance_commit();
         step_down_if_removed(now);
+        confirm_members();
     }
     ready_actions actions;
     actions.messages = std::move(outbox_);
--- a/tests/agreement/cluster.hpp
+++ b/tests/agreement/cluster.hpp
@@ -95,6 +95,26 @@
     /// \brief Kills the process of replica \p k, which starts again after
     /// \p down. Its disk stays as it is, also a full one.
     void kill(std::size_t k, duration down);
+    /// \brief Loses the disk of replica \p k, which starts again after \p down
+    /// under a new identity, if that leaves each committed record on a disk.
+    /// \returns whether the disk was lost.
+    bool lose_disk(std::size_t k, duration down);
+    /// \brief The same, whatever it leaves.
+    void replace_disk(std::size_t k, duration down);
+    /// \brief Lets only messages without records and snapshots reach replica
+    /// \p k for \p span.
+    void hold_records(std::size_t k, duration span);
+    /// \brief Cuts replica \p k off for \p span.
+    void cut_off(std::size_t k, duration span);
+    /// \brief Delays messages to and from replica \p k for \p span.
+    void delay_messages(std::size_t k, duration span);
+    /// \brief Gives the operator's word that \p lost won't come back to replica
+    /// \p k. \returns whether it was accepted.
+    bool reform(std::size_t k, const std::set<std::size_t>& lost);
+    /// \returns the voters in the member list of replica \p k; empty while it
+    /// doesn't run.
+    std::set<std::size_t> voters_of(std::size_t k) const;
+    const replica* core(std::size_t k) const { return nodes_[k].core.get(); }
     /// \brief Cuts the power of all replicas; they start again within a
     /// second. Full disks stay full.
     void lose_power();
@@ -144,6 +164,7 @@
         instant frozen_until{};
         instant outgoing_cut_until{};
         instant incoming_cut_until{};
+        instant records_held_until{};
         instant messages_until{};
         fault message_fault = fault::lost_messages;
         // By how much this node's clock is ahead of the simulation's.
@@ -154,6 +175,8 @@
         duration last_tick_ahead{};
         instant leader_since{};
         log_term led_term;
+        // What it listed when it was killed, if it hasn't lost its disk since.
+        member_list members_before;
         log_index applied;
         log_index snapshot;
         std::uint64_t digest = 0;
@@ -182,6 +205,7 @@
     void note_progress();
     void advance(std::size_t k);
     void apply(std::size_t k, const ready_actions& actions);
+    void note_members(const log_record& record);
     void send(std::size_t k, outbound message);
     void deliver_due();
     void receive(queued_message&& queued);
@@ -203,6 +227,8 @@
     void expect(bool holds, const std::string& what);
     void add_trace_line(const std::string& what);
     bool can_lose_disk(std::size_t k) const;
+    bool leaves_majority(const member_list& members, std::size_t k) const;
+    bool leaves_seats(const member_list& members, std::size_t k) const;
     bool is_frozen(const node& at) const { return now_ < at.frozen_until; }
     instant clock_of(const node& at) const { return now_ + at.clock_ahead; }
     std::uint64_t draw(std::uint64_t bound) { return random_() % bound; }
@@ -223,6 +249,11 @@
     // digest of the state after it.
     std::map<log_index, std::pair<log_term, bytes>> committed_;
     std::map<log_index, std::uint64_t> digests_;
+    // The newest member list that a replica has applied, and its index; and the
+    // newest one that was applied twice.
+    member_list newest_members_;
+    log_index newest_list_;
+    member_list agreed_members_;
     std::map<log_term, replica_id> leaders_;
     std::map<std::pair<log_term, replica_id>, replica_id> votes_;
     std::set<std::pair<replica_id, replica_identity>> lost_;
