--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -123,6 +123,7 @@
     made.voters = 2 * read.count("scheduler", "lost-disks") + 1;
     hosting::replica_settings& replica = made.replica;
     replica.options.self = replica_id(control);
+    replica.options.voters = made.voters;
     replica.options.election_timeout =
         read.time("scheduler", "election-timeout");
     replica.options.heartbeat_interval = read.time("scheduler", "heartbeat");
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -74,6 +74,7 @@
     EXPECT_GT(endpoints.silence_limit, made.engine.idle_hold * 2);
     const auto& replica = made.replica.options;
     EXPECT_LE(replica.heartbeat_interval * 2, replica.election_timeout);
+    EXPECT_EQ(replica.voters, made.voters);
     EXPECT_GT(vms.manager.move_time, duration::zero());
     EXPECT_GT(vms.manager.maintenance_time, duration::zero());
     EXPECT_GT(vms.manager.report_interval, duration::zero());
