Try lost seats with seven replicas and beyond the promise

Series with seven replicas and three losses at a time, and series that lose more disks than a group can bear: it may have no leader then, but never one without a committed record.

--- a/tests/agreement/lost_seats_test.cpp
+++ b/tests/agreement/lost_seats_test.cpp
@@ -18,18 +18,19 @@
 
 constexpr std::uint64_t fixed_seed = 20261207;
 constexpr std::uint64_t fixed_runs = 40;
-constexpr std::size_t replicas = 5;
 // The users' bound on an election (recover_s).
 constexpr duration recovery_bound = seconds(15);
 constexpr duration restart = milliseconds(500);
 
-/// Five replicas of which two may lose their disks at a time.
+/// Five replicas of which two may lose their disks at a time, or seven and
+/// three.
 class seats : public testing::Test {
 protected:
-    void begin(std::uint64_t seed) {
+    void begin(std::uint64_t seed, std::size_t size = 5) {
         seed_ = seed;
+        size_ = size;
         random_.seed(seed);
-        group_ = std::make_unique<cluster>(replicas, seed, replicas);
+        group_ = std::make_unique<cluster>(size, seed, size);
         group_->run(seconds(4));
     }
 
@@ -64,7 +65,7 @@
             group_->hold_records(k, seconds(600));
         }
         ASSERT_TRUE(run_until(recovery_bound, [&] {
-            return voters().size() == replicas - 2;
+            return voters().size() == size_ - 2;
         })) << describe();
         group_->run(seconds(1));
     }
@@ -108,6 +109,7 @@
     std::unique_ptr<cluster> group_;
     std::mt19937_64 random_;
     std::uint64_t seed_ = 0;
+    std::size_t size_ = 0;
 };
 
 // Guards against the end of a group that lost two disks, and two of its three
@@ -145,12 +147,12 @@
         begin(seed);
         const std::size_t stale = draw_voter();
         group_->cut_off(stale, seconds(600));
-        for (std::size_t k = 0; k < replicas; ++k) {
+        for (std::size_t k = 0; k < size_; ++k) {
             if (k == stale) {
                 continue;
             }
             ASSERT_TRUE(run_until(seconds(30), [&] {
-                return voters().size() + 1 >= replicas;
+                return voters().size() + 1 >= size_;
             })) << describe();
             group_->replace_disk(k, restart);
             group_->run(seconds(3));
@@ -190,7 +192,7 @@
 }
 
 void seats::cause_trouble() {
-    const std::size_t k = draw(replicas);
+    const std::size_t k = draw(size_);
     const duration span = milliseconds(draw(4000));
     switch (draw(6)) {
     case 0:
@@ -216,9 +218,9 @@
 }
 
 void seats::run_series(std::uint64_t seed) {
-    begin(seed);
+    begin(seed, seed % 2 == 0 ? 5 : 7);
     for (int round = 0; round < 20 && group_->violation().empty(); ++round) {
-        const std::size_t k = draw(replicas);
+        const std::size_t k = draw(size_);
         if (group_->lose_disk(k, milliseconds(draw(1500))) && draw(2) == 0) {
             group_->hold_records(k, milliseconds(draw(15000)));
         }
@@ -232,9 +234,9 @@
 /// Loses more disks than a group can: it may have no leader any more, but never
 /// one that lacks a committed record.
 void seats::run_excess(std::uint64_t seed) {
-    begin(seed);
+    begin(seed, seed % 2 == 0 ? 5 : 7);
     for (int round = 0; round < 20 && group_->violation().empty(); ++round) {
-        const std::size_t k = draw(replicas);
+        const std::size_t k = draw(size_);
         group_->replace_disk(k, milliseconds(draw(1500)));
         if (draw(2) == 0) {
             group_->hold_records(k, milliseconds(draw(5000)));
@@ -246,6 +248,63 @@
     EXPECT_EQ(group_->violation(), "") << describe();
 }
 
+member_list make_members(std::size_t voters, std::size_t learners) {
+    member_list made;
+    for (std::size_t k = 0; k < voters + learners; ++k) {
+        made.push_back({replica_id("c" + std::to_string(k)), "",
+            availability_zone_id("z"), initial_identity, k < voters});
+    }
+    return made;
+}
+
+// Guards against a record on fewer disks than may be lost, and against a group
+// without empty seats that needs more than a majority.
+TEST(commit_quorum, fills_the_majority_of_seats) {
+    const auto quorum = [](std::size_t voters, std::size_t learners) {
+        return commit_quorum(make_members(voters, learners), 5);
+    };
+    EXPECT_EQ(quorum(5, 0), 3U);
+    EXPECT_EQ(quorum(6, 0), 4U);
+    EXPECT_EQ(quorum(4, 1), 3U);
+    EXPECT_EQ(quorum(3, 2), 3U);
+    EXPECT_EQ(quorum(2, 3), 2U);
+    EXPECT_EQ(quorum(3, 0), 2U) << "two replicas are no members";
+    EXPECT_EQ(commit_quorum(make_members(3, 2), 0), 2U) << "no target";
+}
+
+// Guards against a lead on answers that leave a committed record possible of
+// which the candidate doesn't know.
+TEST(lead_without_lost, needs_every_answer_and_a_holder_of_each_record) {
+    const member_list members = make_members(3, 2);
+    const replica_identity other{9};
+    attempt_answers good;
+    good.answers = {{replica_id("c0"), {initial_identity, true, false}},
+        {replica_id("c1"), {other, false, false}},
+        {replica_id("c2"), {other, false, false}},
+        {replica_id("c3"), {initial_identity, false, false}},
+        {replica_id("c4"), {initial_identity, false, false}}};
+    EXPECT_TRUE(may_lead_without_lost(members, 5, good));
+    EXPECT_FALSE(may_lead_without_lost(members, 3, good)) << "too many lost";
+    EXPECT_FALSE(may_lead_without_lost(members, 0, good)) << "no target";
+    const auto with = [&](const char* id, vote_answer answer) {
+        attempt_answers changed = good;
+        changed.answers[replica_id(id)] = answer;
+        return may_lead_without_lost(members, 5, changed);
+    };
+    EXPECT_FALSE(with("c1", {initial_identity, false, false})) << "a denial";
+    EXPECT_FALSE(with("c3", {initial_identity, false, true})) << "newer list";
+    EXPECT_FALSE(with("c3", {other, false, false})) << "a learner lost too";
+    attempt_answers silent = good;
+    silent.answers.erase(replica_id("c4"));
+    EXPECT_FALSE(may_lead_without_lost(members, 5, silent));
+    silent.declared_lost = {replica_id("c4")};
+    EXPECT_TRUE(may_lead_without_lost(members, 5, silent));
+    const reformed_group reformed = reform_members(members, silent);
+    EXPECT_EQ(reformed.members.size(), 4U) << "c4 is gone";
+    EXPECT_EQ(voter_count(reformed.members), 1U);
+    EXPECT_EQ(reformed.lost_voters.size(), 2U);
+}
+
 TEST_F(seats, are_never_given_up_with_a_committed_record) {
     for (std::uint64_t k = 0; k < fixed_runs && !HasFailure(); ++k) {
         run_excess(fixed_seed + k);
