Tell how far a leader has brought the log to each peer

The leader knows what each peer acknowledged, but nothing outside could ask for more than a match index, so a slow transfer looked like any other. The call tells the bytes sent, those of an image, and since when. Bytes sent again are counted once resends are decided by record.

--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -67,6 +67,23 @@
     std::vector<log_record> committed;
 };
 
+/// \brief How far a leader has brought the log and the state to one peer.
+struct transfer {
+    /// The last record up to which the peer's log is known to match.
+    log_index match;
+    /// The peer is sent an image of the state, of which it has acknowledged
+    /// \c image_received of \c image_bytes bytes; both are zero otherwise.
+    bool installing = false;
+    std::size_t image_bytes = 0;
+    std::size_t image_received = 0;
+    /// Bytes of records and images sent by this leader, and how many of them
+    /// repeated what it had sent before.
+    std::uint64_t sent_bytes = 0;
+    std::uint64_t resent_bytes = 0;
+    /// When this leader sent the peer its first message.
+    instant begun{};
+};
+
 /// \brief One replica's protocol state; see the head comment of this file.
 class replica {
 public:
@@ -167,6 +184,9 @@
     /// the instant at which this leader sent it its first message if that is
     /// later.
     instant acknowledged(const replica_id& peer) const;
+    /// \returns how far \p peer is; nothing if this replica isn't the leader
+    /// or has sent \p peer nothing yet.
+    std::optional<transfer> transfer_to(const replica_id& peer) const;
 
 private:
     struct sent_round {
@@ -204,6 +224,8 @@
         // Set from the first part of a snapshot until an answer shows that the
         // peer holds all records that were committed when its round was sent.
         bool installing = false;
+        // Bytes of records and parts sent in this term.
+        std::uint64_t sent_bytes = 0;
     };
 
     void receive(const wire::VoteRequestT& request, instant now);
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -237,10 +237,11 @@
         make_append_request(log_index(state.next.value() - 1));
     std::size_t size = 0;
     for (log_record& record : log_.slice(state.next, options_.batch_records)) {
-        size += record.payload.size();
-        if (!request.entries.empty() && size > options_.batch_bytes) {
+        const std::size_t longer = size + record.payload.size();
+        if (!request.entries.empty() && longer > options_.batch_bytes) {
             break;
         }
+        size = longer;
         auto entry = std::make_unique<wire::LogEntryT>();
         entry->term = record.term.value();
         entry->index = record.index.value();
@@ -248,6 +249,7 @@
         entry->payload = std::move(record.payload);
         request.entries.push_back(std::move(entry));
     }
+    state.sent_bytes += size;
     mark_in_flight(state, options_.election_timeout, now);
     send(peer.id, std::move(request));
 }
@@ -274,6 +276,7 @@
     const duration transfer =
         transfer_time(image.state.size() - request.part->offset);
     state.installing = true;
+    state.sent_bytes += request.part->data.size();
     mark_in_flight(state, options_.election_timeout + transfer, now);
     send(peer.id, std::move(request));
 }
@@ -290,6 +293,24 @@
         });
 }
 
+std::optional<transfer> replica::transfer_to(const replica_id& peer) const {
+    const auto found = peers_.find(peer);
+    if (!is_leader() || found == peers_.end()) {
+        return std::nullopt;
+    }
+    const progress& state = found->second;
+    const snapshot& image = log_.base();
+    transfer known{state.match,
+        state.match < image.last_index && state.installing, 0, 0,
+        state.sent_bytes, 0, state.begun};
+    if (known.installing) {
+        known.image_bytes = image.state.size();
+        known.image_received =
+            state.part_index == image.last_index ? state.part_bytes : 0;
+    }
+    return known;
+}
+
 void replica::advance_commit() {
     std::vector<log_index> matched;
     for (const member& peer : log_.members()) {
