--- a/dragonflymount/src/Agreement/Replica.cpp
+++ b/dragonflymount/src/Agreement/Replica.cpp
@@ -39,7 +39,8 @@
     replica_options options, recovered_state recovered, instant now)
     : options_(std::move(options)), identity_(recovered.identity),
       hard_(std::move(recovered.hard)),
-      log_(std::move(recovered.base), std::move(recovered.records)),
+      log_(std::move(recovered.base), std::move(recovered.records),
+          options_.kept),
       commit_(log_.base().last_index), applied_(log_.base().last_index),
       unsaved_from_(log_.last_index().next()), failed_(recovered.damaged),
       latest_now_(now), last_leader_contact_(now),
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -50,6 +50,9 @@
     std::size_t batch_bytes = 1U << 20U;
     /// Largest part of a snapshot's state in one message, in bytes.
     std::size_t part_bytes = 1U << 20U;
+    /// Records that a snapshot covers and that stay in memory, for replicas
+    /// that are a little behind.
+    kept_records kept{};
     std::uint64_t seed = 1;
 };
 
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -103,7 +103,7 @@
     commit_ = image.last_index;
     applied_ = image.last_index;
     log_.compact(image);
-    unsaved_from_ = std::max(unsaved_from_, log_.first_index());
+    unsaved_from_ = std::max(unsaved_from_, log_.base().last_index.next());
     installed_ = std::move(image);
     reply_append(request.leader, request.round, true, commit_);
 }
@@ -258,8 +258,11 @@
 // are in flight to it, without sending them again.
 void replica::send_heartbeat(const member& peer, progress& state, instant now) {
     begin_round(state, now);
+    const log_index before = state.installing
+        ? log_.base().last_index
+        : log_index(log_.first_index().value() - 1);
     const log_index previous =
-        std::max(log_.base().last_index, log_index(state.next.value() - 1));
+        std::max(before, log_index(state.next.value() - 1));
     send(peer.id, make_append_request(previous));
 }
 
--- a/tests/agreement/cluster.cpp
+++ b/tests/agreement/cluster.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint64_t records_per_snapshot = 20;
 // A state takes up to 20 bytes, so a snapshot is sent in several parts.
 constexpr std::size_t image_part_bytes = 8;
+// Few, so that replicas that were cut off are sent snapshots.
+constexpr std::size_t kept_records_count = 3;
 
 bytes to_state(std::uint64_t digest) {
     return to_bytes(std::to_string(digest));
@@ -70,6 +72,7 @@
     options.self = at.id;
     options.seed = random_();
     options.part_bytes = image_part_bytes;
+    options.kept.count = kept_records_count;
     at.core = std::make_unique<replica>(
         options, std::move(opened->state), clock_of(at));
     at.state = condition::running;
--- a/tests/agreement/replica_step_test.cpp
+++ b/tests/agreement/replica_step_test.cpp
@@ -35,7 +35,16 @@
               fresh.hard = std::move(hard);
               return fresh;
           }()),
-          node_(replica_options{replica_id("c0")}, store_.recover(), start) {}
+          node_(options(), store_.recover(), start) {}
+
+    /// No record that a snapshot covers is kept, so that a peer that lacks it
+    /// needs the image.
+    static replica_options options() {
+        replica_options options;
+        options.self = replica_id("c0");
+        options.kept.count = 0;
+        return options;
+    }
 
     /// Ticks until c0 is the leader and has committed in its term. All peers
     /// grant their votes and accept appends.
