Deflate records and parts of images for replicas that read them

On a slow connection an empty replica waited for the bytes of job specs, which are mostly text. Batches and parts of 4 KiB and more are now deflated (zlib, fastest level) if that makes them smaller and the peer's answers say that it reads them; a replica of a former version is sent plain ones, and small appends stay as they are. What is inflated is bounded by a message's limit and by what the packed bytes can hold, so a peer's claim allocates nothing; a malformed batch or part is ignored, and the leader sends it again.

--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -227,6 +227,8 @@
         // Set from the first part of a snapshot until an answer shows that the
         // peer holds all records that were committed when its round was sent.
         bool installing = false;
+        // The peer reads deflated records and parts.
+        bool reads_packed = false;
         // Bytes of records and parts sent in this term.
         std::uint64_t sent_bytes = 0;
     };
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -1,4 +1,5 @@
 // Replicates records and snapshots from the leader to the other replicas.
+#include "dragonflymount/src/Agreement/Batch.hpp"
 #include "dragonflymount/src/Agreement/Replica.hpp"
 
 #include <algorithm>
@@ -31,6 +32,7 @@
     reply.round = round;
     reply.part_index = incoming_.last_index().value();
     reply.part_bytes = incoming_.size();
+    reply.reads_packed = true;
     send(replica_id(leader), std::move(reply));
 }
 
@@ -40,6 +42,10 @@
         reply_append(request.leader, request.round, false, log_.last_index());
         return;
     }
+    auto records = take_records(request);
+    if (!records) {
+        return;
+    }
     become_follower(term, replica_id(request.leader), now);
     last_leader_contact_ = now;
     const log_index previous(request.previous_index);
@@ -55,28 +61,26 @@
     // This log reaches the leader's, so no snapshot is needed any more.
     incoming_ = incoming_snapshot();
     log_index match = previous;
-    for (const auto& entry : request.entries) {
-        const log_index index(entry->index);
-        match = index;
-        if (index <= log_.base().last_index) {
+    for (log_record& record : *records) {
+        match = record.index;
+        if (match <= log_.base().last_index) {
             continue;
         }
-        const std::optional<log_term> known = log_.term_at(index);
-        if (known && *known == log_term(entry->term)) {
+        const std::optional<log_term> known = log_.term_at(match);
+        if (known && *known == record.term) {
             continue;
         }
-        if (known && index <= commit_) {
+        if (known && match <= commit_) {
             // A committed record differs from the leader's. That happens only
             // if a disk has lost synced records.
             fail();
             return;
         }
         if (known) {
-            log_.truncate(index);
-            unsaved_from_ = std::min(unsaved_from_, index);
+            log_.truncate(match);
+            unsaved_from_ = std::min(unsaved_from_, match);
         }
-        append({log_term(entry->term), index,
-            static_cast<record_kind>(entry->kind), entry->payload});
+        append(std::move(record));
     }
     commit_ = std::max(commit_, std::min(log_index(request.commit), match));
     reply_append(request.leader, request.round, true, match);
@@ -141,6 +145,7 @@
     if (sent != state.rounds.end()) {
         state.acknowledged = std::max(state.acknowledged, sent->second.sent);
     }
+    state.reads_packed = reply.reads_packed;
     if (reply.round >= state.in_flight_round) {
         state.in_flight = false;
         state.part_index = log_index(reply.part_index);
@@ -235,21 +240,19 @@
     }
     wire::AppendRequestT request =
         make_append_request(log_index(state.next.value() - 1));
+    std::vector<log_record> records =
+        log_.slice(state.next, options_.batch_records);
     std::size_t size = 0;
-    for (log_record& record : log_.slice(state.next, options_.batch_records)) {
-        const std::size_t longer = size + record.payload.size();
-        if (!request.entries.empty() && longer > options_.batch_bytes) {
-            break;
-        }
-        size = longer;
-        auto entry = std::make_unique<wire::LogEntryT>();
-        entry->term = record.term.value();
-        entry->index = record.index.value();
-        entry->kind = static_cast<wire::record_kind>(record.kind);
-        entry->payload = std::move(record.payload);
-        request.entries.push_back(std::move(entry));
+    std::size_t count = 0;
+    while (count < records.size() &&
+        (count == 0 ||
+            size + size_of(records[count]) <= options_.batch_bytes)) {
+        size += size_of(records[count]);
+        ++count;
     }
-    state.sent_bytes += size;
+    records.resize(count);
+    state.sent_bytes +=
+        put_records(std::move(records), state.reads_packed, request);
     mark_in_flight(state, options_.election_timeout, now);
     send(peer.id, std::move(request));
 }
@@ -275,7 +278,7 @@
     request.leader = options_.self.str();
     request.round = round_;
     request.part = std::make_unique<wire::SnapshotPartT>(
-        make_part(image, received, options_.part_bytes));
+        make_part(image, received, options_.part_bytes, state.reads_packed));
     const duration transfer =
         transfer_time(image.state.size() - request.part->offset);
     state.installing = true;
--- a/dragonflymount/src/Agreement/SnapshotParts.hpp
+++ b/dragonflymount/src/Agreement/SnapshotParts.hpp
@@ -9,15 +9,19 @@
 /// \brief Packs the bytes of \p image from \p offset on.
 /// \param offset counted from the beginning if it is beyond the end.
 /// \param most_bytes of the state that a part holds.
-wire::SnapshotPartT make_part(
-    const snapshot& image, std::size_t offset, std::size_t most_bytes);
+/// \param packed whether the receiver reads deflated parts.
+wire::SnapshotPartT make_part(const snapshot& image, std::size_t offset,
+    std::size_t most_bytes, bool packed);
+
+/// \returns the offset in the state at which \p part ends.
+std::size_t end_of(const wire::SnapshotPartT& part);
 
 /// \brief A snapshot of which the parts arrive one after another.
 class incoming_snapshot {
 public:
     /// \brief Adds \p part if it continues those received before; a part at
     /// offset zero begins a new snapshot. Ignores all other parts, such as
-    /// repeated ones.
+    /// repeated or malformed ones.
     void add(const wire::SnapshotPartT& part);
     bool is_complete() const;
     /// \returns the complete snapshot, and forgets it.
--- a/tests/agreement/transfer_test.cpp
+++ b/tests/agreement/transfer_test.cpp
@@ -1,11 +1,15 @@
-// Tests the parts of a transfer: the kept records.
+// Tests the parts of a transfer: the kept records and packing.
 #include "dragonflymount/agreement.hpp"
+#include "dragonflymount/src/Agreement/Batch.hpp"
+#include "dragonflymount/src/Wire/Deflate.hpp"
 
 #include <gtest/gtest.h>
 
 namespace dragonflymount::agreement {
 namespace {
 
+constexpr std::size_t message_bytes = 64U << 10U;
+
 std::vector<log_record> records_of(std::size_t count, std::size_t size) {
     std::vector<log_record> records;
     for (std::size_t k = 1; k <= count; ++k) {
@@ -34,5 +38,59 @@
     EXPECT_EQ(log.last_term(), log_term(30));
 }
 
+TEST(batch, returns_the_records_that_were_packed) {
+    for (const bool packed : {false, true}) {
+        wire::AppendRequestT request;
+        const auto records = records_of(20, 1000);
+        const std::size_t size = put_records(records, packed, request);
+        EXPECT_EQ(request.packed.empty(), !packed);
+        EXPECT_EQ(size < message_bytes / 16, packed);
+        EXPECT_EQ(take_records(request), records);
+    }
+}
+
+// Guards against a peer that makes a replica crash or allocate what it claims.
+TEST(batch, refuses_malformed_records) {
+    wire::AppendRequestT whole;
+    put_records(records_of(20, 1000), true, whole);
+    const auto is_refused = [](const bytes& packed, std::uint32_t size) {
+        wire::AppendRequestT request;
+        request.packed = packed;
+        request.packed_bytes = size;
+        return !take_records(request);
+    };
+    const std::uint32_t size = whole.packed_bytes;
+    EXPECT_FALSE(is_refused(whole.packed, size));
+    EXPECT_TRUE(is_refused(whole.packed, 0));
+    EXPECT_TRUE(is_refused(whole.packed, size - 1));
+    EXPECT_TRUE(is_refused(whole.packed, size + 1));
+    EXPECT_TRUE(is_refused(whole.packed, 0xffffffffU));
+    bytes cut = whole.packed;
+    cut.pop_back();
+    EXPECT_TRUE(is_refused(cut, size));
+    // Sound data that isn't a list of records.
+    const auto noise = wire::deflate(bytes(5000, 0xff));
+    ASSERT_TRUE(noise);
+    EXPECT_TRUE(is_refused(*noise, 5000));
+    incoming_snapshot incoming;
+    wire::SnapshotPartT part;
+    part.last_index = 3;
+    part.state_bytes = 5000;
+    part.data = cut;
+    part.packed_bytes = 5000;
+    incoming.add(part);
+    EXPECT_EQ(incoming.size(), 0U);
+    EXPECT_EQ(incoming.last_index(), log_index(0));
+}
+
+// Guards against a replica of a former version that can't read what it is sent.
+TEST(batch, is_plain_for_a_peer_that_does_not_say_that_it_reads_packed_ones) {
+    const snapshot image{log_index(3), log_term(1), {}, bytes(5000, 7)};
+    EXPECT_EQ(make_part(image, 0, 5000, false).data, image.state);
+    wire::AppendRequestT request;
+    put_records(records_of(5, 1000), false, request);
+    EXPECT_EQ(request.entries.size(), 5U);
+}
+
 } // namespace
 } // namespace dragonflymount::agreement
