Send to a peer what its connection carries, and resend only what is lost

The leader had one batch of up to 1 MiB under way to a peer and sent it again after one election timeout, behind itself on the same connection, where it then delayed the next one and all heartbeats.

Messages now hold at most 64 KiB, several in flight in order, within a window in bytes that starts at one message, grows by what is answered while answers come within a heartbeat interval and shrinks when they take twice as long. An answer to a later round shows that an earlier message was lost; only then the leader goes back, once, to what the peer is known to hold. A peer that answers nothing is sent one message again, each time after twice as long. While less than a full message is under way, small records are gathered as before. A new leader sends heartbeats until the peer has told where its log ends, so that it sends no records that can't be taken.

Tried and left: records sent right behind the last part of an image. They save a round trip, but must all be sent again if the image isn't taken; a test of the reactions of one replica failed by that, rightly.

--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -10,6 +10,7 @@
 #define DRAGONFLYMOUNT_AGREEMENT_REPLICA_HPP
 
 #include "dragonflymount/src/Agreement/Log.hpp"
+#include "dragonflymount/src/Agreement/Progress.hpp"
 #include "dragonflymount/src/Agreement/SnapshotParts.hpp"
 
 #include <functional>
@@ -47,9 +48,9 @@
     std::size_t batch_records = 256;
     /// Largest payload of the records in one message, in bytes; a message may
     /// always hold one record.
-    std::size_t batch_bytes = 1U << 20U;
+    std::size_t batch_bytes = 64U << 10U;
     /// Largest part of a snapshot's state in one message, in bytes.
-    std::size_t part_bytes = 1U << 20U;
+    std::size_t part_bytes = 64U << 10U;
     /// Records that a snapshot covers and that stay in memory, for replicas
     /// that are a little behind.
     kept_records kept{};
@@ -192,47 +193,6 @@
     std::optional<transfer> transfer_to(const replica_id& peer) const;
 
 private:
-    struct sent_round {
-        instant sent{};
-        // The commit index at that time.
-        log_index commit;
-    };
-    struct progress {
-        log_index next;
-        log_index match;
-        // Send time of the newest round that this peer has answered. A round is
-        // one append or snapshot message; its number comes back in the answer.
-        instant acknowledged{};
-        // When the first message was sent to this peer; also the first one
-        // after a change of members that concerned it.
-        instant begun{};
-        // Recent rounds by round number. They are stored per peer, so that the
-        // rounds of a fast peer don't evict rounds that a slow peer hasn't
-        // answered yet.
-        std::map<std::uint64_t, sent_round> rounds;
-        // The newest answer showed that the peer holds all records that were
-        // committed when its round was sent.
-        bool caught_up = false;
-        // A batch of records or a snapshot was sent and not yet answered; the
-        // next one is sent after the answer. Messages arrive in the order in
-        // which they were sent, so an answer to this round or to a later one
-        // means that the message has arrived or is lost.
-        bool in_flight = false;
-        std::uint64_t in_flight_round = 0;
-        // The message in flight is sent again at this time if unanswered.
-        instant retry_at{};
-        // The snapshot of which this peer holds the first bytes, and how many.
-        log_index part_index;
-        std::size_t part_bytes = 0;
-        // Set from the first part of a snapshot until an answer shows that the
-        // peer holds all records that were committed when its round was sent.
-        bool installing = false;
-        // The peer reads deflated records and parts.
-        bool reads_packed = false;
-        // Bytes of records and parts sent in this term.
-        std::uint64_t sent_bytes = 0;
-    };
-
     void receive(const wire::VoteRequestT& request, instant now);
     void receive(const wire::VoteReplyT& reply, instant now);
     void receive(const wire::AppendRequestT& request, instant now);
@@ -261,14 +221,21 @@
     void begin_round(progress& state, instant now);
     void step_down_if_removed(instant now);
     void broadcast(instant now, bool heartbeat);
-    void send_records(const member& peer, progress& state, instant now);
+    progress& progress_of(const member& peer, instant now);
+    /// \brief Sends records or parts as far as the window allows.
+    /// \returns whether any were sent.
+    bool send_due(const member& peer, progress& state, instant now);
+    bool has_due_message(const progress& state) const;
+    bool fills_message(log_index from) const;
+    /// \returns how many records from \p from on fit into a message.
+    std::size_t count_for_message(log_index from) const;
+    duration retry_delay(const progress& state) const;
+    void send_records(const member& peer, progress& state);
     void send_heartbeat(const member& peer, progress& state, instant now);
-    void send_snapshot(const member& peer, progress& state, instant now);
+    void send_part(const member& peer, progress& state);
     /// \returns an append request without records whose previous record is the
     /// one at \p previous.
     wire::AppendRequestT make_append_request(log_index previous) const;
-    void mark_in_flight(
-        progress& state, duration retry_delay, instant now) const;
     void append(log_record record);
     void advance_commit();
     void reply_append(const std::string& leader, std::uint64_t round,
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -11,9 +11,12 @@
 constexpr std::size_t max_stored_rounds = 256;
 
 // Lowest rate at which a snapshot is expected to be sent, read and synced. It
-// sets how long the leader waits for an answer before it resends a snapshot.
+// sets how long the leader waits for the answer of a silent peer.
 constexpr std::int64_t image_bytes_per_millisecond = 2000;
 
+// A peer is silent for up to this many times as long before each resend.
+constexpr unsigned most_doublings = 3;
+
 duration transfer_time(std::size_t image_bytes) {
     return std::chrono::milliseconds(
         static_cast<std::int64_t>(image_bytes) / image_bytes_per_millisecond);
@@ -140,29 +143,17 @@
     if (!is_leader() || log_term(reply.term) != hard_.term) {
         return;
     }
-    progress& state = peers_[follower];
+    const auto found = peers_.find(follower);
+    if (found == peers_.end()) {
+        return;
+    }
+    progress& state = found->second;
     const auto sent = state.rounds.find(reply.round);
     if (sent != state.rounds.end()) {
         state.acknowledged = std::max(state.acknowledged, sent->second.sent);
     }
-    state.reads_packed = reply.reads_packed;
-    if (reply.round >= state.in_flight_round) {
-        state.in_flight = false;
-        state.part_index = log_index(reply.part_index);
-        state.part_bytes = reply.part_bytes;
-    }
-    const log_index match(reply.match_index);
-    if (reply.accepted) {
-        state.match = std::max(state.match, match);
-        state.next = std::max(state.next, state.match.next());
-        state.caught_up =
-            sent != state.rounds.end() && state.match >= sent->second.commit;
-        state.installing = state.installing && !state.caught_up;
-        return;
-    }
-    // A rejection may arrive late. The match index never decreases in a term.
-    state.next =
-        std::max(state.match.next(), std::min(state.next, match.next()));
+    state.note_answer(reply, round_, now);
+    state.retry_at = now + retry_delay(state);
 }
 
 std::optional<log_index> replica::propose(bytes command, instant now) {
@@ -191,21 +182,25 @@
         if (peer.id == options_.self) {
             continue;
         }
-        auto [found, inserted] = peers_.try_emplace(peer.id);
-        progress& state = found->second;
-        if (inserted) {
-            state.next = log_.last_index().next();
-            state.begun = now;
-        }
-        const bool awaits_reply = state.in_flight && now < state.retry_at;
-        if (!awaits_reply && state.next <= log_.last_index()) {
-            send_records(peer, state, now);
-        } else if (heartbeat) {
+        progress& state = progress_of(peer, now);
+        if (!send_due(peer, state, now) && heartbeat) {
             send_heartbeat(peer, state, now);
         }
     }
 }
 
+progress& replica::progress_of(const member& peer, instant now) {
+    const auto [found, inserted] = peers_.try_emplace(
+        peer.id, options_.batch_bytes, options_.heartbeat_interval);
+    progress& state = found->second;
+    if (inserted) {
+        state.next = log_.last_index().next();
+        state.unsent = state.next;
+        state.begun = now;
+    }
+    return state;
+}
+
 void replica::begin_round(progress& state, instant now) {
     ++round_;
     state.rounds[round_] = {now, commit_};
@@ -214,11 +209,61 @@
     }
 }
 
-void replica::mark_in_flight(
-    progress& state, duration retry_delay, instant now) const {
-    state.in_flight = true;
-    state.in_flight_round = round_;
-    state.retry_at = now + retry_delay;
+duration replica::retry_delay(const progress& state) const {
+    const duration longest =
+        std::max(options_.election_timeout, state.answer_delay * 2) *
+        (1U << std::min(state.retries, most_doublings));
+    return state.needs_image() ? longest + transfer_time(state.image.bytes)
+                               : longest;
+}
+
+bool replica::fills_message(log_index from) const {
+    const log_index last = log_.last_index();
+    return last.value() - from.value() + 1 >= options_.batch_records ||
+        log_.bytes_between(log_index(from.value() - 1), last) >=
+        options_.batch_bytes;
+}
+
+// While less than a full message waits for its answer, the records that come
+// meanwhile are gathered for the next one. Records wait until the image before
+// them is installed.
+bool replica::has_due_message(const progress& state) const {
+    if (state.needs_image()) {
+        return !state.image.is_sent &&
+            state.window.has_room(options_.part_bytes);
+    }
+    return state.unsent <= log_.last_index() &&
+        state.window.has_room(options_.batch_bytes) &&
+        (!state.window.has_partial() || fills_message(state.unsent));
+}
+
+bool replica::send_due(const member& peer, progress& state, instant now) {
+    if (!state.is_known) {
+        return false;
+    }
+    if (!state.window.is_empty() && now >= state.retry_at) {
+        ++state.retries;
+        state.window.clear();
+        state.rewind(round_);
+    }
+    bool sent = false;
+    for (;;) {
+        const bool is_newer = state.image.last < log_.base().last_index;
+        if (is_newer &&
+            (state.needs_image() || state.unsent < log_.first_index())) {
+            state.begin_image(log_.base());
+        }
+        if (!has_due_message(state)) {
+            return sent;
+        }
+        if (state.window.is_empty()) {
+            state.retry_at = now + retry_delay(state);
+        }
+        begin_round(state, now);
+        state.needs_image() ? send_part(peer, state)
+                            : send_records(peer, state);
+        sent = true;
+    }
 }
 
 wire::AppendRequestT replica::make_append_request(log_index previous) const {
@@ -232,58 +277,62 @@
     return request;
 }
 
-void replica::send_records(const member& peer, progress& state, instant now) {
-    begin_round(state, now);
-    if (state.next < log_.first_index()) {
-        send_snapshot(peer, state, now);
-        return;
+std::size_t replica::count_for_message(log_index from) const {
+    std::size_t size = size_of(log_.at(from));
+    std::size_t count = 1;
+    for (log_index next = from.next();
+         next <= log_.last_index() && count < options_.batch_records;
+         next = next.next()) {
+        size += size_of(log_.at(next));
+        if (size > options_.batch_bytes) {
+            break;
+        }
+        ++count;
     }
+    return count;
+}
+
+void replica::send_records(const member& peer, progress& state) {
     wire::AppendRequestT request =
-        make_append_request(log_index(state.next.value() - 1));
+        make_append_request(log_index(state.unsent.value() - 1));
     std::vector<log_record> records =
-        log_.slice(state.next, options_.batch_records);
-    std::size_t size = 0;
-    std::size_t count = 0;
-    while (count < records.size() &&
-        (count == 0 ||
-            size + size_of(records[count]) <= options_.batch_bytes)) {
-        size += size_of(records[count]);
-        ++count;
-    }
-    records.resize(count);
-    state.sent_bytes +=
+        log_.slice(state.unsent, count_for_message(state.unsent));
+    flight message;
+    message.round = round_;
+    message.last = records.back().index;
+    message.is_partial = !fills_message(state.unsent);
+    message.bytes =
         put_records(std::move(records), state.reads_packed, request);
-    mark_in_flight(state, options_.election_timeout, now);
+    state.note_records(message, state.unsent);
     send(peer.id, std::move(request));
 }
 
 // Prevents the follower from starting an election while records or a snapshot
-// are in flight to it, without sending them again.
+// are in flight to it, without sending them again. The record before those in
+// flight is one that the follower holds, unless it needs a snapshot.
 void replica::send_heartbeat(const member& peer, progress& state, instant now) {
     begin_round(state, now);
-    const log_index before = state.installing
+    const log_index previous = state.needs_image()
         ? log_.base().last_index
-        : log_index(log_.first_index().value() - 1);
-    const log_index previous =
-        std::max(before, log_index(state.next.value() - 1));
+        : std::max(log_index(log_.first_index().value() - 1),
+              log_index(state.next.value() - 1));
     send(peer.id, make_append_request(previous));
 }
 
-void replica::send_snapshot(const member& peer, progress& state, instant now) {
-    const snapshot& image = log_.base();
-    const std::size_t received =
-        state.part_index == image.last_index ? state.part_bytes : 0;
+void replica::send_part(const member& peer, progress& state) {
     wire::InstallSnapshotT request;
     request.term = hard_.term.value();
     request.leader = options_.self.str();
     request.round = round_;
-    request.part = std::make_unique<wire::SnapshotPartT>(
-        make_part(image, received, options_.part_bytes, state.reads_packed));
-    const duration transfer =
-        transfer_time(image.state.size() - request.part->offset);
-    state.installing = true;
-    state.sent_bytes += request.part->data.size();
-    mark_in_flight(state, options_.election_timeout + transfer, now);
+    request.part = std::make_unique<wire::SnapshotPartT>(make_part(log_.base(),
+        state.image.sent, options_.part_bytes, state.reads_packed));
+    flight message;
+    message.round = round_;
+    message.bytes = request.part->data.size();
+    message.last = state.image.last;
+    message.image_bytes = end_of(*request.part);
+    message.is_part = true;
+    state.note_part(message, request.part->offset);
     send(peer.id, std::move(request));
 }
 
@@ -305,14 +354,11 @@
         return std::nullopt;
     }
     const progress& state = found->second;
-    const snapshot& image = log_.base();
-    transfer known{state.match,
-        state.match < image.last_index && state.installing, 0, 0,
-        state.sent_bytes, 0, state.begun};
+    transfer known{state.match, state.needs_image(), 0, 0, state.sent_bytes,
+        state.resent_bytes, state.begun};
     if (known.installing) {
-        known.image_bytes = image.state.size();
-        known.image_received =
-            state.part_index == image.last_index ? state.part_bytes : 0;
+        known.image_bytes = state.image.bytes;
+        known.image_received = state.image.held;
     }
     return known;
 }
