--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -1,4 +1,5 @@
 // Replicates records and snapshots from the leader to the other replicas.
+#include "dragonflymount/src/Agreement/Batch.hpp"
 #include "dragonflymount/src/Agreement/Replica.hpp"
 
 #include <algorithm>
@@ -10,9 +11,12 @@
 constexpr std::size_t max_stored_rounds = 256;
 
 // Lowest rate at which a snapshot is expected to be sent, read and synced. It
-// sets how long the leader waits for an answer before it resends a snapshot.
+// sets how long the leader waits for the answer of a silent peer.
 constexpr std::int64_t image_bytes_per_millisecond = 2000;
 
+// A peer is silent for up to this many times as long before each resend.
+constexpr unsigned most_doublings = 3;
+
 duration transfer_time(std::size_t image_bytes) {
     return std::chrono::milliseconds(
         static_cast<std::int64_t>(image_bytes) / image_bytes_per_millisecond);
@@ -31,6 +35,7 @@
     reply.round = round;
     reply.part_index = incoming_.last_index().value();
     reply.part_bytes = incoming_.size();
+    reply.reads_packed = true;
     send(replica_id(leader), std::move(reply));
 }
 
@@ -40,6 +45,10 @@
         reply_append(request.leader, request.round, false, log_.last_index());
         return;
     }
+    auto records = take_records(request);
+    if (!records) {
+        return;
+    }
     become_follower(term, replica_id(request.leader), now);
     last_leader_contact_ = now;
     const log_index previous(request.previous_index);
@@ -55,28 +64,26 @@
     // This log reaches the leader's, so no snapshot is needed any more.
     incoming_ = incoming_snapshot();
     log_index match = previous;
-    for (const auto& entry : request.entries) {
-        const log_index index(entry->index);
-        match = index;
-        if (index <= log_.base().last_index) {
+    for (log_record& record : *records) {
+        match = record.index;
+        if (match <= log_.base().last_index) {
             continue;
         }
-        const std::optional<log_term> known = log_.term_at(index);
-        if (known && *known == log_term(entry->term)) {
+        const std::optional<log_term> known = log_.term_at(match);
+        if (known && *known == record.term) {
             continue;
         }
-        if (known && index <= commit_) {
+        if (known && match <= commit_) {
             // A committed record differs from the leader's. That happens only
             // if a disk has lost synced records.
             fail();
             return;
         }
         if (known) {
-            log_.truncate(index);
-            unsaved_from_ = std::min(unsaved_from_, index);
+            log_.truncate(match);
+            unsaved_from_ = std::min(unsaved_from_, match);
         }
-        append({log_term(entry->term), index,
-            static_cast<record_kind>(entry->kind), entry->payload});
+        append(std::move(record));
     }
     commit_ = std::max(commit_, std::min(log_index(request.commit), match));
     reply_append(request.leader, request.round, true, match);
@@ -103,7 +110,7 @@
     commit_ = image.last_index;
     applied_ = image.last_index;
     log_.compact(image);
-    unsaved_from_ = std::max(unsaved_from_, log_.first_index());
+    unsaved_from_ = std::max(unsaved_from_, log_.base().last_index.next());
     installed_ = std::move(image);
     reply_append(request.leader, request.round, true, commit_);
 }
@@ -136,28 +143,17 @@
     if (!is_leader() || log_term(reply.term) != hard_.term) {
         return;
     }
-    progress& state = peers_[follower];
+    const auto found = peers_.find(follower);
+    if (found == peers_.end()) {
+        return;
+    }
+    progress& state = found->second;
     const auto sent = state.rounds.find(reply.round);
     if (sent != state.rounds.end()) {
         state.acknowledged = std::max(state.acknowledged, sent->second.sent);
     }
-    if (reply.round >= state.in_flight_round) {
-        state.in_flight = false;
-        state.part_index = log_index(reply.part_index);
-        state.part_bytes = reply.part_bytes;
-    }
-    const log_index match(reply.match_index);
-    if (reply.accepted) {
-        state.match = std::max(state.match, match);
-        state.next = std::max(state.next, state.match.next());
-        state.caught_up =
-            sent != state.rounds.end() && state.match >= sent->second.commit;
-        state.installing = state.installing && !state.caught_up;
-        return;
-    }
-    // A rejection may arrive late. The match index never decreases in a term.
-    state.next =
-        std::max(state.match.next(), std::min(state.next, match.next()));
+    state.note_answer(reply, round_, now);
+    state.retry_at = now + retry_delay(state);
 }
 
 std::optional<log_index> replica::propose(bytes command, instant now) {
@@ -186,21 +182,25 @@
         if (peer.id == options_.self) {
             continue;
         }
-        auto [found, inserted] = peers_.try_emplace(peer.id);
-        progress& state = found->second;
-        if (inserted) {
-            state.next = log_.last_index().next();
-            state.begun = now;
-        }
-        const bool awaits_reply = state.in_flight && now < state.retry_at;
-        if (!awaits_reply && state.next <= log_.last_index()) {
-            send_records(peer, state, now);
-        } else if (heartbeat) {
+        progress& state = progress_of(peer, now);
+        if (!send_due(peer, state, now) && heartbeat) {
             send_heartbeat(peer, state, now);
         }
     }
 }
 
+progress& replica::progress_of(const member& peer, instant now) {
+    const auto [found, inserted] = peers_.try_emplace(
+        peer.id, options_.batch_bytes, options_.heartbeat_interval);
+    progress& state = found->second;
+    if (inserted) {
+        state.next = log_.last_index().next();
+        state.unsent = state.next;
+        state.begun = now;
+    }
+    return state;
+}
+
 void replica::begin_round(progress& state, instant now) {
     ++round_;
     state.rounds[round_] = {now, commit_};
@@ -209,11 +209,61 @@
     }
 }
 
-void replica::mark_in_flight(
-    progress& state, duration retry_delay, instant now) const {
-    state.in_flight = true;
-    state.in_flight_round = round_;
-    state.retry_at = now + retry_delay;
+duration replica::retry_delay(const progress& state) const {
+    const duration longest =
+        std::max(options_.election_timeout, state.answer_delay * 2) *
+        (1U << std::min(state.retries, most_doublings));
+    return state.needs_image() ? longest + transfer_time(state.image.bytes)
+                               : longest;
+}
+
+bool replica::fills_message(log_index from) const {
+    const log_index last = log_.last_index();
+    return last.value() - from.value() + 1 >= options_.batch_records ||
+        log_.bytes_between(log_index(from.value() - 1), last) >=
+        options_.batch_bytes;
+}
+
+// While less than a full message waits for its answer, the records that come
+// meanwhile are gathered for the next one. Records wait until the image before
+// them is installed.
+bool replica::has_due_message(const progress& state) const {
+    if (state.needs_image()) {
+        return !state.image.is_sent &&
+            state.window.has_room(options_.part_bytes);
+    }
+    return state.unsent <= log_.last_index() &&
+        state.window.has_room(options_.batch_bytes) &&
+        (!state.window.has_partial() || fills_message(state.unsent));
+}
+
+bool replica::send_due(const member& peer, progress& state, instant now) {
+    if (!state.is_known) {
+        return false;
+    }
+    if (!state.window.is_empty() && now >= state.retry_at) {
+        ++state.retries;
+        state.window.clear();
+        state.rewind(round_);
+    }
+    bool sent = false;
+    for (;;) {
+        const bool is_newer = state.image.last < log_.base().last_index;
+        if (is_newer &&
+            (state.needs_image() || state.unsent < log_.first_index())) {
+            state.begin_image(log_.base());
+        }
+        if (!has_due_message(state)) {
+            return sent;
+        }
+        if (state.window.is_empty()) {
+            state.retry_at = now + retry_delay(state);
+        }
+        begin_round(state, now);
+        state.needs_image() ? send_part(peer, state)
+                            : send_records(peer, state);
+        sent = true;
+    }
 }
 
 wire::AppendRequestT replica::make_append_request(log_index previous) const {
@@ -227,54 +277,62 @@
     return request;
 }
 
-void replica::send_records(const member& peer, progress& state, instant now) {
-    begin_round(state, now);
-    if (state.next < log_.first_index()) {
-        send_snapshot(peer, state, now);
-        return;
-    }
-    wire::AppendRequestT request =
-        make_append_request(log_index(state.next.value() - 1));
-    std::size_t size = 0;
-    for (log_record& record : log_.slice(state.next, options_.batch_records)) {
-        size += record.payload.size();
-        if (!request.entries.empty() && size > options_.batch_bytes) {
+std::size_t replica::count_for_message(log_index from) const {
+    std::size_t size = size_of(log_.at(from));
+    std::size_t count = 1;
+    for (log_index next = from.next();
+         next <= log_.last_index() && count < options_.batch_records;
+         next = next.next()) {
+        size += size_of(log_.at(next));
+        if (size > options_.batch_bytes) {
             break;
         }
-        auto entry = std::make_unique<wire::LogEntryT>();
-        entry->term = record.term.value();
-        entry->index = record.index.value();
-        entry->kind = static_cast<wire::record_kind>(record.kind);
-        entry->payload = std::move(record.payload);
-        request.entries.push_back(std::move(entry));
+        ++count;
     }
-    mark_in_flight(state, options_.election_timeout, now);
+    return count;
+}
+
+void replica::send_records(const member& peer, progress& state) {
+    wire::AppendRequestT request =
+        make_append_request(log_index(state.unsent.value() - 1));
+    std::vector<log_record> records =
+        log_.slice(state.unsent, count_for_message(state.unsent));
+    flight message;
+    message.round = round_;
+    message.last = records.back().index;
+    message.is_partial = !fills_message(state.unsent);
+    message.bytes =
+        put_records(std::move(records), state.reads_packed, request);
+    state.note_records(message, state.unsent);
     send(peer.id, std::move(request));
 }
 
 // Prevents the follower from starting an election while records or a snapshot
-// are in flight to it, without sending them again.
+// are in flight to it, without sending them again. The record before those in
+// flight is one that the follower holds, unless it needs a snapshot.
 void replica::send_heartbeat(const member& peer, progress& state, instant now) {
     begin_round(state, now);
-    const log_index previous =
-        std::max(log_.base().last_index, log_index(state.next.value() - 1));
+    const log_index previous = state.needs_image()
+        ? log_.base().last_index
+        : std::max(log_index(log_.first_index().value() - 1),
+              log_index(state.next.value() - 1));
     send(peer.id, make_append_request(previous));
 }
 
-void replica::send_snapshot(const member& peer, progress& state, instant now) {
-    const snapshot& image = log_.base();
-    const std::size_t received =
-        state.part_index == image.last_index ? state.part_bytes : 0;
+void replica::send_part(const member& peer, progress& state) {
     wire::InstallSnapshotT request;
     request.term = hard_.term.value();
     request.leader = options_.self.str();
     request.round = round_;
-    request.part = std::make_unique<wire::SnapshotPartT>(
-        make_part(image, received, options_.part_bytes));
-    const duration transfer =
-        transfer_time(image.state.size() - request.part->offset);
-    state.installing = true;
-    mark_in_flight(state, options_.election_timeout + transfer, now);
+    request.part = std::make_unique<wire::SnapshotPartT>(make_part(log_.base(),
+        state.image.sent, options_.part_bytes, state.reads_packed));
+    flight message;
+    message.round = round_;
+    message.bytes = request.part->data.size();
+    message.last = state.image.last;
+    message.image_bytes = end_of(*request.part);
+    message.is_part = true;
+    state.note_part(message, request.part->offset);
     send(peer.id, std::move(request));
 }
 
@@ -290,4 +348,19 @@
         });
 }
 
+std::optional<transfer> replica::transfer_to(const replica_id& peer) const {
+    const auto found = peers_.find(peer);
+    if (!is_leader() || found == peers_.end()) {
+        return std::nullopt;
+    }
+    const progress& state = found->second;
+    transfer known{state.match, state.needs_image(), 0, 0, state.sent_bytes,
+        state.resent_bytes, state.begun};
+    if (known.installing) {
+        known.image_bytes = state.image.bytes;
+        known.image_received = state.image.held;
+    }
+    return known;
+}
+
 } // namespace dragonflymount::agreement
