Let a gateway wait while a call advances on its link

Seen: a call that a gateway's link carries for longer than 0.9 s is never answered. The gateway leaves the leader in the middle of it, sends it and all others that wait to the next replica, and goes round like that until the call's time is over. A body of 256 KiB takes 1 s at 2 Mbit/s; several share a link.

Cause: the time for an answer began when the call was given to the connection. Evidence: a leader behind a link of 400 KB/s, a call of 512 KiB and 0.3 s for an answer: 21 connections in 8 s and no answer.

Now that time begins anew at each check at which the call is still on its way and bytes have arrived at the peer's host since the last check. The system tells what the peer hasn't acknowledged (SIOCOUTQ); where it doesn't, what the socket has taken counts as arrived. So a link that stands still, and a leader that has the call and doesn't answer, are left as soon as before.

--- a/dragonflymount/src/Runtime/Connection.cpp
+++ b/dragonflymount/src/Runtime/Connection.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <glog/logging.h>
+#include <linux/sockios.h>
 
 #include <algorithm>
 #include <utility>
@@ -27,6 +28,17 @@
     return ++last;
 }
 
+/// Asks a socket for the bytes that its peer hasn't acknowledged yet.
+class unacknowledged_command {
+public:
+    static int name() { return SIOCOUTQ; }
+    void* data() { return &bytes_; }
+    std::uint64_t bytes() const { return static_cast<std::uint64_t>(bytes_); }
+
+private:
+    int bytes_ = 0;
+};
+
 std::string describe(const asio::ip::tcp::socket& socket) {
     asio::error_code code;
     const auto remote = socket.remote_endpoint(code);
@@ -158,6 +170,7 @@
     if (!open_) {
         return;
     }
+    sent_bytes_ += frame->size();
     outgoing_bytes_ += frame->size();
     if (outgoing_bytes_ > options_.most_queued_bytes) {
         fail(make_error_code(errc::queue_full), "send frame");
@@ -175,18 +188,31 @@
         return;
     }
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(*outgoing_.front()),
-        [self = shared_from_this()](std::error_code code, std::size_t) {
+    const bytes& front = *outgoing_.front();
+    socket_.async_write_some(
+        asio::buffer(front.data() + written_, front.size() - written_),
+        [self = shared_from_this()](std::error_code code, std::size_t size) {
             if (code) {
                 self->fail(code, "write frame");
                 return;
             }
-            self->outgoing_bytes_ -= self->outgoing_.front()->size();
-            self->outgoing_.pop_front();
+            self->written_ += size;
+            self->outgoing_bytes_ -= size;
+            if (self->written_ == self->outgoing_.front()->size()) {
+                self->written_ = 0;
+                self->outgoing_.pop_front();
+            }
             self->write_next();
         });
 }
 
+std::uint64_t connection::delivered_bytes() {
+    unacknowledged_command unacknowledged;
+    asio::error_code ignored;
+    socket_.io_control(unacknowledged, ignored);
+    return sent_bytes_ - outgoing_bytes_ - unacknowledged.bytes();
+}
+
 void connection::watch() {
     timer_.expires_after(options_.ping_interval);
     timer_.async_wait([self = shared_from_this()](std::error_code code) {
--- a/dragonflymount/src/Runtime/Connection.hpp
+++ b/dragonflymount/src/Runtime/Connection.hpp
@@ -47,6 +47,11 @@
     /// \brief Closes without calling the close handler.
     void close();
     bool is_open() const { return open_; }
+    /// \returns the bytes of all frames that were given to \c send.
+    std::uint64_t sent_bytes() const { return sent_bytes_; }
+    /// \returns how many of them have arrived at the peer's host. They may
+    /// wait there for the peer's process.
+    std::uint64_t delivered_bytes();
     const std::string& peer() const { return peer_; }
     /// \brief A number that no other connection of this process has.
     std::uint64_t number() const { return number_; }
@@ -75,7 +80,11 @@
     // Bytes of the payload that have come since last_read_.
     std::size_t progress_ = 0;
     std::deque<std::shared_ptr<const bytes>> outgoing_;
+    // Of the first frame, the bytes that the socket has taken.
+    std::size_t written_ = 0;
+    // Of all frames, the bytes that the socket hasn't taken.
     std::size_t outgoing_bytes_ = 0;
+    std::uint64_t sent_bytes_ = 0;
     bool writing_ = false;
     bool open_ = true;
     instant last_read_{};
@@ -131,6 +140,14 @@
     /// \param frame a whole frame, kept until it is sent.
     bool send(std::shared_ptr<const bytes> frame);
     bool is_open() const { return current_ && current_->is_open(); }
+    /// \returns the bytes given to the connection that is open; 0 without one.
+    std::uint64_t sent_bytes() const {
+        return is_open() ? current_->sent_bytes() : 0;
+    }
+    /// \returns how many of them have arrived at the peer's host.
+    std::uint64_t delivered_bytes() const {
+        return is_open() ? current_->delivered_bytes() : 0;
+    }
     const std::string& address() const { return address_; }
 
 private:
--- a/programs/gateway/leader_client.cpp
+++ b/programs/gateway/leader_client.cpp
@@ -197,7 +197,8 @@
 void leader_client::send(pending_call& call) {
     if (link_ && link_->send(call.frame)) {
         call.sent = true;
-        call.sent_at = runtime::system_clock::now();
+        call.last_byte = link_->sent_bytes();
+        call.waits_since = runtime::system_clock::now();
     }
 }
 
@@ -254,9 +255,25 @@
     }
 }
 
+// A large call, or one behind it, may be on a slow link for longer than an
+// answer may take.
+void leader_client::note_deliveries(instant now) {
+    const std::uint64_t before = delivered_;
+    delivered_ = link_ ? link_->delivered_bytes() : 0;
+    if (delivered_ == before) {
+        return;
+    }
+    for (auto& [correlation, call] : pending_) {
+        if (call.sent && call.last_byte > delivered_) {
+            call.waits_since = now;
+        }
+    }
+}
+
 void leader_client::check_calls() {
     replaced_links_.clear();
     const instant now = runtime::system_clock::now();
+    note_deliveries(now);
     std::vector<std::uint64_t> failed;
     bool overdue = false;
     for (const auto& [correlation, call] : pending_) {
@@ -265,7 +282,7 @@
             failed.push_back(correlation);
         }
         overdue = overdue ||
-            (call.sent && now - call.sent_at >= settings_.answer_timeout);
+            (call.sent && now - call.waits_since >= settings_.answer_timeout);
     }
     const bool open_timed_out =
         (!link_ || !link_->is_open()) && now - connected_at_ >= open_timeout;
--- a/programs/gateway/leader_client.hpp
+++ b/programs/gateway/leader_client.hpp
@@ -32,7 +32,8 @@
     /// is known.
     std::vector<std::string> replicas;
     runtime::connection_options connections;
-    /// A call without a reply for this long is sent to the next replica.
+    /// A call without a reply for this long is sent to the next replica. The
+    /// time begins anew while the call is still being carried there.
     duration answer_timeout = std::chrono::milliseconds(900);
     /// A call fails if it could not be sent to a leader for this long. Longer
     /// than an election takes.
@@ -88,7 +89,10 @@
         instant deadline{};
         // The call fails at this time if no replica may have executed it.
         instant unsent_deadline{};
-        instant sent_at{};
+        // Its end among the bytes that the link has been given.
+        std::uint64_t last_byte = 0;
+        // When it was sent, or was last seen on its way and advancing.
+        instant waits_since{};
         // The call was sent to the current target, which hasn't replied yet.
         bool sent = false;
         // A replica received the call earlier and may have executed it.
@@ -107,6 +111,7 @@
     pending_call remove(std::uint64_t correlation);
     void send_pending();
     void send(pending_call& call);
+    void note_deliveries(instant now);
     void check_calls();
     void record_answer();
     void record_failure(const pending_call& call, instant now);
@@ -136,6 +141,8 @@
     std::map<std::uint64_t, pending_call> pending_;
     // Invariant: the sum of the frames' sizes over pending_.
     std::uint64_t pending_bytes_ = 0;
+    // Bytes of the link that had arrived at the last check.
+    std::uint64_t delivered_ = 0;
     std::uint64_t next_correlation_ = 1;
     instant connected_at_{};
     // Earliest time of the next connection attempt. Prevents a tight loop over
