Propose member changes without fixed pauses

Seen: a replica with an empty disk waits for its vote although it holds the log, and two that are replaced together wait for each other. In that time the group bears no further loss.

Cause: the leader looked for a change every 200 ms only, so that each of the up to four changes of two lost disks waited for the next look; and a replica that asked before one of its links was open asked again 500 ms later. Evidence: with the keepers' clock stopped after the admission, the vote never came; and a new replica whose clock stood from its start was never admitted.

Now the leader looks at every tick (40 ms) while no change is under way, and an agreed change ends the pause. The 200 ms stay for a change that wasn't agreed. A request counts as made only if a link was open.

Result: both come without any time passing for the keepers.

--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -81,8 +81,9 @@
     /// \brief Replaces the replicas that the settings name; their members count
     /// only if the site starts for the first time.
     void set_seeds(agreement::member_list seeds);
-    /// \brief Sends a message over all links.
-    void send_to_all(const wire::message& content);
+    /// \brief Sends a message over all links that are open.
+    /// \returns whether there is one.
+    bool send_to_all(const wire::message& content);
 
     /// \brief Whether this replica is the leader and has applied all commands
     /// committed in earlier terms.
@@ -289,10 +290,12 @@
 }
 
 template <replicated_state State>
-void replica_host<State>::send_to_all(const wire::message& content) {
+bool replica_host<State>::send_to_all(const wire::message& content) {
+    bool sent = false;
     for (const auto& [id, peer] : links_) {
-        peer.link->send(content);
+        sent = peer.link->send(content) || sent;
     }
+    return sent;
 }
 
 template <replicated_state State>
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -6,8 +6,7 @@
 namespace dragonflymount::scheduler_program {
 namespace {
 
-// A membership change takes a round trip to all replicas, so a shorter interval
-// gains nothing.
+// Until a change is proposed again that wasn't agreed.
 constexpr duration change_interval = std::chrono::milliseconds(200);
 constexpr duration join_interval = std::chrono::milliseconds(500);
 // Longer than a restart and an election take.
@@ -61,7 +60,6 @@
     if (now < next_change_) {
         return;
     }
-    next_change_ = now + change_interval;
     note_new_identities();
     if (!admit_next_applicant(now)) {
         propose_next_change(now);
@@ -118,12 +116,13 @@
     if ((is_admitted() && has_leader) || now < next_join_) {
         return;
     }
-    next_join_ = now + join_interval;
     wire::JoinReplicaT request;
     agreement::member self = self_;
     self.identity = replica_.replica().identity();
     request.member = std::make_unique<wire::MemberT>(to_wire(self));
-    replica_.send_to_all(wire::make_message(std::move(request)));
+    if (replica_.send_to_all(wire::make_message(std::move(request)))) {
+        next_join_ = now + join_interval;
+    }
 }
 
 // A replica whose disk was lost may have no way to a leader: its settings may
@@ -162,7 +161,7 @@
                     peer.identity == applicant.identity;
             });
         if (!known && !is_outdated(applicant, now)) {
-            propose_change(wire::replica_change::admit, applicant);
+            propose_change(wire::replica_change::admit, applicant, now);
             return true;
         }
         it = join_requests_.erase(it);
@@ -181,18 +180,22 @@
     policy.voters = voters_;
     const auto due = agreement::plan_change(members, self_.id, policy);
     if (due) {
-        propose_change(due->change, due->subject);
+        propose_change(due->change, due->subject, now);
     }
 }
 
+// Only one change may be under way. While disks are replaced the group bears no
+// further loss, so the next one follows as soon as this one is agreed.
 void member_keeper::propose_change(
-    wire::replica_change kind, const agreement::member& subject) {
+    wire::replica_change kind, const agreement::member& subject, instant now) {
+    next_change_ = now + change_interval;
     wire::ChangeReplicaT request;
     request.change = kind;
     request.member = std::make_unique<wire::MemberT>(to_wire(subject));
-    replica_.change(
-        request, [id = subject.id, kind](const wire::ProposeReplyT& reply) {
+    replica_.change(request,
+        [this, id = subject.id, kind](const wire::ProposeReplyT& reply) {
             if (reply.result == wire::proposal_result::accepted) {
+                next_change_ = {};
                 LOG(INFO) << event::members_changed << "replica=" << id
                           << " change=" << wire::EnumNamereplica_change(kind);
             } else {
--- a/programs/scheduler/member_keeper.hpp
+++ b/programs/scheduler/member_keeper.hpp
@@ -47,13 +47,14 @@
     bool is_outdated(const agreement::member& applicant, instant now) const;
     bool admit_next_applicant(instant now);
     void propose_next_change(instant now);
-    void propose_change(
-        wire::replica_change kind, const agreement::member& subject);
+    void propose_change(wire::replica_change kind,
+        const agreement::member& subject, instant now);
 
     replica_host& replica_;
     agreement::member self_;
     std::size_t voters_;
     std::map<replica_id, agreement::member> join_requests_;
+    // While a change is under way, the time of the next attempt.
     instant next_change_{};
     instant next_join_{};
     // When this replica last led, or was a member and knew a leader.
--- a/tests/platform/member_keeper_test.cpp
+++ b/tests/platform/member_keeper_test.cpp
@@ -50,24 +50,33 @@
             [](const auto& each) { return each->host().is_settled_leader(); });
         return static_cast<std::size_t>(found - nodes_.begin());
     }
-    /// \returns whether the leader counts the votes of replica \p k.
-    bool is_voter(std::size_t k) const {
+    /// \returns the member that replica \p k is to the leader under its present
+    /// identity, or null.
+    const agreement::member* member(std::size_t k) const {
         const std::size_t leads = leader();
-        if (leads == voter_count) {
-            return false;
+        if (leads == nodes_.size()) {
+            return nullptr;
         }
         const auto& members = nodes_[leads]->host().replica().members();
-        return std::any_of(
-            members.begin(), members.end(), [&](const auto& peer) {
-                return peer.voter && peer.id == nodes_[k]->member().id &&
+        const auto found =
+            std::find_if(members.begin(), members.end(), [&](const auto& peer) {
+                return peer.id == nodes_[k]->member().id &&
                     peer.identity == nodes_[k]->host().replica().identity();
             });
+        return found == members.end() ? nullptr : &*found;
     }
+    /// \returns whether the leader counts the votes of replica \p k.
+    bool is_voter(std::size_t k) const {
+        const agreement::member* known = member(k);
+        return known != nullptr && known->voter;
+    }
+    /// From now on no time passes for the keepers.
+    void stop_clock() { stopped_ = runtime::system_clock::now(); }
     template <class Predicate>
     bool run_until(Predicate holds) {
         return hosting_test::run_until(context_, [&] {
             for (const auto& keeper : keepers_) {
-                keeper->tick(runtime::system_clock::now());
+                keeper->tick(stopped_.value_or(runtime::system_clock::now()));
             }
             return holds();
         });
@@ -77,6 +86,9 @@
     std::vector<std::unique_ptr<node>> nodes_;
     std::vector<std::unique_ptr<member_keeper>> keepers_;
     agreement::member_list members_;
+
+private:
+    std::optional<instant> stopped_;
 };
 
 // Guards against a voter that is missing for good: the settings of a replica
@@ -108,6 +120,27 @@
     EXPECT_TRUE(is_voter(follower));
 }
 
+// Guards against changes that wait for a fixed time: while disks are replaced,
+// the group bears no further loss.
+TEST_F(kept_group, proposes_a_change_as_soon_as_the_last_one_is_agreed) {
+    const std::size_t follower = (leader() + 1) % voter_count;
+    lose_disk(follower, members_);
+    ASSERT_TRUE(run_until([&] { return member(follower) != nullptr; }));
+    ASSERT_FALSE(is_voter(follower));
+    stop_clock();
+    EXPECT_TRUE(run_until([&] { return is_voter(follower); }));
+}
+
+// Guards against a request that is lost, as no link was open yet.
+TEST_F(kept_group, is_asked_for_admission_as_soon_as_a_link_is_open) {
+    nodes_.push_back(std::make_unique<node>(
+        context_, "new", hosting_test::free_address(context_)));
+    keepers_.resize(nodes_.size());
+    start(voter_count, members_, false);
+    stop_clock();
+    EXPECT_TRUE(run_until([&] { return member(voter_count) != nullptr; }));
+}
+
 /// A scheduler that leads alone.
 class lone_scheduler : public testing::Test {
 protected:
