Report members that aren't whole at the leader

What operators saw: while a replaced disk was filled, no line said which replica was behind, by how much, what it had been sent and how much of it twice, nor how many further disks the group could lose. The record of the incident therefore couldn't tell a slow connection from resends.

The leader now writes events 218 to 220 for each member that answers under a new identity, has no vote, lags or is silent: at first, every 3 s, after a minute each minute, and once when it takes longer than the setting catch-up, which the platform sets from its bound. Event 217 names the seats without which a lead began. The same figures are metrics, and the query "members" tells them at every scheduler, also without a leader. What is due is decided by member_report and view_group, which know no network.

--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -166,6 +166,7 @@
     log_term term() const { return hard_.term; }
     log_index commit_index() const { return commit_; }
     log_index last_index() const { return log_.last_index(); }
+    log_term last_term() const { return log_.last_term(); }
     const replica_id& leader() const { return leader_; }
     /// \returns whether this replica leads, or has heard the leader within a
     /// few election timeouts. One without a vote stands for no election, so it
--- a/programs/scheduler/operator_calls.cpp
+++ b/programs/scheduler/operator_calls.cpp
@@ -1,5 +1,5 @@
 // Operators' requests to the scheduler that arrive as frames: evacuations of
-// zones, and queries.
+// zones, elections without lost members, and queries.
 #include "programs/scheduler/scheduler.hpp"
 
 #include <nlohmann/json.hpp>
@@ -73,14 +73,33 @@
     evacuate(order, send);
 }
 
+nlohmann::json scheduler::describe_group() const {
+    const instant now = runtime::system_clock::now();
+    nlohmann::json content =
+        describe_members(replica_.replica(), settings_.voters, now);
+    content["address"] = settings_.listen;
+    content["disk"] = hosting::name_of(replica_.data().state());
+    for (auto& peer : content["members"]) {
+        const replica_id id(peer["replica"].get<std::string>());
+        peer["behind_us"] = report_.behind_for(id, now).count();
+    }
+    return content;
+}
+
 void scheduler::receive_query(const runtime::connection::pointer& from,
     std::uint64_t correlation, const wire::QueryT& query) {
     wire::QueryReplyT reply;
-    reply.ok = query.subject == "evacuations";
+    nlohmann::json content;
+    reply.ok = true;
+    if (query.subject == "evacuations") {
+        content = describe(agreed().evacuated_zones());
+    } else if (query.subject == "members") {
+        content = describe_group();
+    } else {
+        reply.ok = false;
+        content = {{"error", "unknown subject " + query.subject}};
+    }
     reply.leader_address = replica_.leader_address();
-    nlohmann::json content = reply.ok
-        ? describe(agreed().evacuated_zones())
-        : nlohmann::json{{"error", "unknown subject " + query.subject}};
     content["leads"] = is_ready();
     reply.json = content.dump();
     from->send(wire::make_message(std::move(reply), correlation));
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -8,6 +8,9 @@
 // Interval between checks of leases and of held reports.
 constexpr duration tick_interval = std::chrono::milliseconds(40);
 
+// Far less than the time within which a replica catches up.
+constexpr duration report_interval = std::chrono::milliseconds(200);
+
 // Numbers of connections that are stored. Those of closed ones are dropped with
 // the rest when there are so many, and the open ones are told once more.
 constexpr std::size_t most_told = 4096;
@@ -27,6 +30,7 @@
       engine_(replica_.agreed(), settings_.engine),
       decisions_(replica_.agreed()),
       members_(replica_, self_of(settings_), settings_.voters),
+      report_(settings_.catch_up),
       listener_(context, settings_.replica.connections),
       timer_(context, tick_interval, [this] { tick(); }) {
     replica_.on_leadership([this](bool leads) { change_leadership(leads); });
@@ -65,6 +69,7 @@
 
 void scheduler::change_leadership(bool leads) {
     if (leads) {
+        report_reform();
         engine_.lead(replica_.replica().term(), runtime::system_clock::now());
     } else {
         engine_.resign();
@@ -74,6 +79,17 @@
     }
 }
 
+void scheduler::report_reform() const {
+    const auto& lost = replica_.replica().seats_given_up();
+    if (!lost.empty()) {
+        LOG(WARNING) << event::group_reformed
+                     << "replica=" << replica_.replica().self()
+                     << " term=" << replica_.replica().term()
+                     << " last_index=" << replica_.replica().last_index()
+                     << " lost=" << list_of(lost);
+    }
+}
+
 void scheduler::propose_batch() {
     // Handlers that run during a proposal may call this function again. Their
     // decisions are proposed after this batch completes.
@@ -148,6 +164,7 @@
         engine_.steps_waited());
     add_metric("dfm_copies_started_total", "counter",
         "Copies of lagging tasks started here.", engine_.copies_started());
+    add_group_metrics(page);
     page.metric("dfm_zone_evacuated_since_seconds", "gauge",
         "When the evacuation of the zone began, since 1970.");
     for (const auto& [zone, begun] : agreed().evacuated_zones().zones()) {
@@ -165,6 +182,53 @@
     return page.text();
 }
 
+// What the members lack is known to the leader alone.
+void scheduler::add_group_metrics(runtime::metrics_page& page) const {
+    const agreement::replica& replica = replica_.replica();
+    const instant now = runtime::system_clock::now();
+    page.metric("dfm_replica_last_index", "gauge",
+            "Index of the last record that this replica holds.")
+        .value(static_cast<double>(replica.last_index().value()));
+    page.metric("dfm_replica_hears_leader", "gauge",
+            "1 while this replica leads or hears a leader.")
+        .value(replica.hears_leader(now) ? 1 : 0);
+    if (!replica_.is_settled_leader()) {
+        return;
+    }
+    const group_view seen = view_group(replica, settings_.voters, now);
+    page.metric("dfm_replica_voters", "gauge", "Members with a vote.")
+        .value(static_cast<double>(seen.voters));
+    page.metric("dfm_replica_voters_wanted", "gauge", "Votes to be had.")
+        .value(static_cast<double>(seen.voters_wanted));
+    page.metric("dfm_replica_spare_disks", "gauge",
+            "Disks that may be lost now without losing the quorum.")
+        .value(static_cast<double>(seen.spare_disks));
+    const auto add_members = [&](const char* name, const char* type,
+                                 const char* help, const auto& figure) {
+        page.metric(name, type, help);
+        for (const member_view& peer : seen.others) {
+            page.value(static_cast<double>(figure(peer)),
+                {{"replica", peer.subject.id.str()}});
+        }
+    };
+    add_members("dfm_replica_behind_seconds", "gauge",
+        "Since when the member isn't whole, 0 if it is.",
+        [&](const member_view& peer) {
+            return std::chrono::duration<double>(
+                report_.behind_for(peer.subject.id, now))
+                .count();
+        });
+    add_members("dfm_replica_behind_records", "gauge",
+        "Records that the member isn't known to hold.",
+        [](const member_view& peer) { return peer.records_left; });
+    add_members("dfm_replica_sent_bytes", "gauge",
+        "Bytes of records and images sent by this leader.",
+        [](const member_view& peer) { return peer.sent.sent_bytes; });
+    add_members("dfm_replica_resent_bytes", "gauge",
+        "Bytes of these that had been sent before.",
+        [](const member_view& peer) { return peer.sent.resent_bytes; });
+}
+
 void scheduler::tick() {
     const instant now = runtime::system_clock::now();
     if (last_tick_ != instant{}) {
@@ -172,6 +236,7 @@
     }
     last_tick_ = now;
     members_.tick(now);
+    report_members(now);
     if (is_ready()) {
         const load_log::scope measured(load_, work::ticks);
         engine_.tick(now);
@@ -183,6 +248,22 @@
     }
 }
 
+void scheduler::report_members(instant now) {
+    if (!replica_.is_settled_leader()) {
+        report_.clear();
+        return;
+    }
+    if (now < next_report_) {
+        return;
+    }
+    next_report_ = now + report_interval;
+    const group_view seen =
+        view_group(replica_.replica(), settings_.voters, now);
+    for (const member_line& line : report_.update(seen, now)) {
+        write(line, seen);
+    }
+}
+
 // If the log has no turn_slow event of the replica at the same time, the delay
 // came from reports, calls or placement, or the whole process was suspended.
 void scheduler::note_lag(duration lag) {
--- a/programs/scheduler/scheduler.hpp
+++ b/programs/scheduler/scheduler.hpp
@@ -9,6 +9,7 @@
 #include "programs/scheduler/decision_log.hpp"
 #include "programs/scheduler/load_log.hpp"
 #include "programs/scheduler/member_keeper.hpp"
+#include "programs/scheduler/member_report.hpp"
 
 namespace dragonflymount::scheduler_program {
 
@@ -19,6 +20,9 @@
     std::string listen;
     /// Number of voting replicas: 2n + 1 tolerate the loss of n disks.
     std::size_t voters = 3;
+    /// Time within which a replica whose disk was lost has to be whole again;
+    /// a longer one is reported.
+    duration catch_up = std::chrono::seconds(6);
     /// The site's availability zones; may be empty.
     std::vector<std::string> zones;
 };
@@ -77,6 +81,7 @@
         std::uint64_t correlation, const wire::EvacuateT& order);
     void receive_query(const runtime::connection::pointer& from,
         std::uint64_t correlation, const wire::QueryT& query);
+    nlohmann::json describe_group() const;
     bool has_zone(const availability_zone_id& zone) const;
     /// \returns true for the first reply on a connection since the members
     /// changed.
@@ -85,7 +90,11 @@
     void change_leadership(bool leads);
     void complete_batch(const wire::JobBatchT& batch, log_term term,
         instant proposed, bool agreed);
+    void add_group_metrics(runtime::metrics_page& page) const;
     void tick();
+    void report_members(instant now);
+    /// Reports a lead that began without the votes of lost disks.
+    void report_reform() const;
     void note_lag(duration lag);
 
     asio::io_context& context_;
@@ -94,6 +103,8 @@
     jobs::engine engine_;
     decision_log decisions_;
     member_keeper members_;
+    member_report report_;
+    instant next_report_{};
     runtime::listener listener_;
     runtime::repeating_timer timer_;
     std::function<void(bool)> on_leadership_;
--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -77,6 +77,7 @@
         .require("scheduler", "data", kind::made_folder)
         .allow("scheduler", "new-site", kind::name, "false")
         .allow("scheduler", "lost-disks", kind::count, "1")
+        .allow("scheduler", "catch-up", kind::time, "6s")
         .allow("scheduler", "zones", kind::list, "")
         .allow("scheduler", "remote-factor", kind::number, "1")
         .allow("scheduler", "snapshot-records", kind::count, "4096")
@@ -121,6 +122,7 @@
     made.listen = member_at(control, port).address;
     made.zones = read.list("scheduler", "zones");
     made.voters = 2 * read.count("scheduler", "lost-disks") + 1;
+    made.catch_up = read.time("scheduler", "catch-up");
     hosting::replica_settings& replica = made.replica;
     replica.options.self = replica_id(control);
     replica.options.election_timeout =
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -24,6 +24,7 @@
     std::string move_s = "1.5";
     std::string maintenance_s = "2";
     int grace_s = 6;
+    int catch_up_s = 6;
     int report_ms = 1500;
     int lost_disks = 1;
     std::string orders_per_second = "64.0";
@@ -57,6 +58,7 @@
             {"{{bounds.hold_max_ms}}", absl::StrCat(site.longest_lease_ms)},
             {"{{bounds.maintenance_s}}", site.maintenance_s},
             {"{{bounds.move_s}}", site.move_s},
+            {"{{bounds.catch_up_s}}", absl::StrCat(site.catch_up_s)},
             {"{{bounds.grace_s}}", absl::StrCat(site.grace_s)},
             {"{{heartbeat_ms}}", absl::StrCat(site.report_ms)},
             {"{{cloud.duty_per_s}}", site.orders_per_second},
@@ -182,6 +184,7 @@
     site.move_s = absl::StrCat(*rc::gen::inRange(1, 200) / 10.0);
     site.maintenance_s = absl::StrCat(*rc::gen::inRange(1, 900) / 10.0);
     site.grace_s = *rc::gen::inRange(1, 120);
+    site.catch_up_s = *rc::gen::inRange(1, 120);
     site.report_ms = *rc::gen::inRange(100, 10'000);
     site.lost_disks = *rc::gen::inRange(0, 5);
     site.orders_per_second = absl::StrCat(*rc::gen::inRange(1, 20'000) / 10.0);
@@ -201,7 +204,7 @@
 // settings that it has.
 TEST(platform_settings, are_refused_if_a_paired_setting_is_unreadable) {
     for (const char* name : {"longest-lease", "task-lease", "heartbeat",
-             "election-timeout", "control", "lost-disks"}) {
+             "election-timeout", "control", "lost-disks", "catch-up"}) {
         for (const char* value : {"-1ms", "1e999", "x", ""}) {
             const auto read = settings::read_text(
                 absl::StrReplaceAll(fill_placeholders("scheduler.ini", {}),
