Let operators see a group without a quorum and go on without lost disks

What operators saw: a group that had lost its quorum said "leader_unknown" at each replica and nothing else. Which voters answered, which came back on empty disks, who held the newest log and what to do next had to be read from five logs, and there was no way to go on without machines that are gone for good.

"dfm replica status" asks the given schedulers and those that they name, and prints a table and a verdict with the next command.

--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -68,6 +68,13 @@
     /// \brief Admits, promotes or removes a replica; \p on_reply is called when
     /// the change is applied, at once if it is refused, or as in \c propose.
     void change(const wire::ChangeReplicaT& request, reply_handler on_reply);
+    /// \brief Asks this replica to stand for election without the members
+    /// \p lost; see \c replica::reform.
+    result<done> reform(const std::set<replica_id>& lost) {
+        auto reformed = replica_->reform(lost, runtime::system_clock::now());
+        schedule_flush();
+        return reformed;
+    }
     /// \brief Steps down if the quorum has been lost by now. Call before reads:
     /// a process that was suspended may still regard itself as the leader.
     void refresh() {
--- a/programs/operator/console/command.hpp
+++ b/programs/operator/console/command.hpp
@@ -20,6 +20,8 @@
     std::vector<std::string> replicas;
     /// Entries to send a withdrawal to, besides those that the leader knows.
     std::vector<std::string> entries;
+    /// Members that a group goes on without.
+    std::vector<std::string> without;
     std::string author;
     std::string submission;
     std::string pool;
--- a/programs/operator/console/flags.cpp
+++ b/programs/operator/console/flags.cpp
@@ -18,6 +18,8 @@
     "addresses of the control replicas, IP:port,IP:port");
 ABSL_FLAG(std::string, site, "", "INI file with 'replicas' in section [site]");
 ABSL_FLAG(std::string, entries, "", "further entries to tell, IP:port,IP:port");
+ABSL_FLAG(std::string, without, "",
+    "members whose disks or machines are gone for good, NAME,NAME");
 ABSL_FLAG(std::string, author, "", "who asks for the change");
 ABSL_FLAG(std::string, pool, "", "the pool that a wave is about");
 ABSL_FLAG(std::int64_t, base, -1,
@@ -144,6 +146,7 @@
     options& given = made.given;
     made.error = find_replicas(given.replicas);
     given.entries = words_of(absl::GetFlag(FLAGS_entries), ", ");
+    given.without = words_of(absl::GetFlag(FLAGS_without), ", ");
     given.author = std::string(trim(absl::GetFlag(FLAGS_author)));
     given.submission = absl::GetFlag(FLAGS_submission);
     given.pool = absl::GetFlag(FLAGS_pool);
--- a/programs/operator/replicas/replica_commands.cpp
+++ b/programs/operator/replicas/replica_commands.cpp
@@ -1,7 +1,9 @@
-// Admission, promotion and removal of control replicas, one at a time.
+// Admission, promotion and removal of control replicas, one at a time, and the
+// verbs for a group of schedulers.
 #include "programs/operator/replicas/replica_commands.hpp"
 
 #include "programs/operator/control/leader.hpp"
+#include "programs/operator/replicas/group_commands.hpp"
 
 #include <optional>
 
@@ -61,13 +63,36 @@
     return made;
 }
 
+outcome change_members(
+    const std::vector<std::string>& arguments, const options& given);
+
 outcome replica(
     const std::vector<std::string>& arguments, const options& given) {
-    const auto change = change_of(arguments[0]);
-    if (!change) {
-        return misused("expected replica admit|promote|remove, found '" +
-            arguments[0] + "'");
+    const std::string& verb = arguments[0];
+    const bool asks_group = verb == "status" || verb == "reform";
+    if (!asks_group && !change_of(verb)) {
+        return misused(
+            "expected replica status|reform|admit|promote|remove, found '" +
+            verb + "'");
+    }
+    if (asks_group) {
+        if (arguments.size() > 1) {
+            return misused("expected no name after replica " + verb);
+        }
+        return verb == "status" ? show_group(given) : reform_group(given);
+    }
+    if (given.author.empty()) {
+        return misused("expected --author WHO, who asks for the change");
     }
+    if (arguments.size() < 2) {
+        return misused("expected replica " + verb + " NAME");
+    }
+    return change_members(arguments, given);
+}
+
+outcome change_members(
+    const std::vector<std::string>& arguments, const options& given) {
+    const auto change = change_of(arguments[0]);
     const std::size_t parts = split(arguments[1], '@').size();
     if (*change == wire::replica_change::admit && parts != 3) {
         return misused(
@@ -98,17 +123,24 @@
 } // namespace
 
 std::vector<command> replica_commands() {
-    command made{"replica", "admit|promote|remove NAME[@ZONE@IP:port]", 2, 2,
-        "change the control replicas, one at a time", {}, true, true, replica};
+    command made{"replica",
+        "status|reform|admit|promote|remove [NAME[@ZONE@IP:port]]", 1, 2,
+        "the schedulers' group; change the control replicas, one at a time", {},
+        false, true, replica};
     made.details =
+        "  status                   the schedulers: who leads, who is behind,\n"
+        "                           what to do without a quorum; --replicas\n"
+        "                           names schedulers, with 'peer-port'\n"
+        "  reform --without A,B     the scheduler with the newest log goes on\n"
+        "                           without members that are gone for good\n"
         "  admit NAME@ZONE@IP:port  as a learner, which doesn't vote\n"
         "  promote NAME             a learner that has caught up votes\n"
         "  remove NAME              it neither votes nor learns\n"
-        "  --author WHO             needed\n"
+        "  --author WHO             needed, but for status\n"
         "  --identity N             of its data folder; admit asks the\n"
         "                           replica for it by default\n"
-        "  --yes                    remove it; without it the effect is\n"
-        "                           shown, status 1\n";
+        "  --yes                    remove it, or reform; without it the\n"
+        "                           effect is shown, status 1\n";
     return {made};
 }
 
--- a/programs/operator/replicas/replica_commands.hpp
+++ b/programs/operator/replicas/replica_commands.hpp
@@ -1,4 +1,4 @@
-// Commands on replicas: replica admit, promote and remove.
+// Commands on replicas: replica status, reform, admit, promote and remove.
 #ifndef DRAGONFLYMOUNT_OPERATOR_REPLICAS_REPLICA_COMMANDS_HPP
 #define DRAGONFLYMOUNT_OPERATOR_REPLICAS_REPLICA_COMMANDS_HPP
 
--- a/programs/scheduler/operator_calls.cpp
+++ b/programs/scheduler/operator_calls.cpp
@@ -73,6 +73,30 @@
     evacuate(order, send);
 }
 
+// Any replica answers: a group that needs this has no leader.
+void scheduler::receive_reform(const runtime::connection::pointer& from,
+    std::uint64_t correlation, const wire::ReformGroupT& order) {
+    std::set<replica_id> lost;
+    for (const std::string& name : order.lost) {
+        lost.insert(replica_id(name));
+    }
+    const result<done> reformed = order.author.empty()
+        ? result<done>(failure{make_error_code(errc::conflict), "reform group",
+              {}, "expected an author"})
+        : replica_.reform(lost);
+    wire::ProposeReplyT reply =
+        reply_of(reformed ? wire::proposal_result::accepted
+                          : wire::proposal_result::refused,
+            reformed ? std::string() : reformed.error().detail);
+    LOG(WARNING) << event::reform_requested
+                 << "replica=" << replica_.replica().self()
+                 << " author=" << order.author << " lost=" << list_of(lost)
+                 << " result=" << wire::EnumNameproposal_result(reply.result)
+                 << " detail=\"" << reply.detail << '"';
+    reply.leader_address = replica_.leader_address();
+    from->send(wire::make_message(std::move(reply), correlation));
+}
+
 nlohmann::json scheduler::describe_group() const {
     const instant now = runtime::system_clock::now();
     nlohmann::json content =
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -287,6 +287,10 @@
         receive_evacuation(
             from, content.correlation, *content.body.AsEvacuate());
         break;
+    case wire::Body::ReformGroup:
+        receive_reform(
+            from, content.correlation, *content.body.AsReformGroup());
+        break;
     case wire::Body::Query:
         receive_query(from, content.correlation, *content.body.AsQuery());
         break;
--- a/programs/scheduler/scheduler.hpp
+++ b/programs/scheduler/scheduler.hpp
@@ -81,6 +81,8 @@
         std::uint64_t correlation, const wire::EvacuateT& order);
     void receive_query(const runtime::connection::pointer& from,
         std::uint64_t correlation, const wire::QueryT& query);
+    void receive_reform(const runtime::connection::pointer& from,
+        std::uint64_t correlation, const wire::ReformGroupT& order);
     nlohmann::json describe_group() const;
     bool has_zone(const availability_zone_id& zone) const;
     /// \returns true for the first reply on a connection since the members
