--- a/programs/scheduler/settings.cpp
+++ b/programs/scheduler/settings.cpp
@@ -125,6 +125,7 @@
     made.catch_up = read.time("scheduler", "catch-up");
     hosting::replica_settings& replica = made.replica;
     replica.options.self = replica_id(control);
+    replica.options.voters = made.voters;
     replica.options.election_timeout =
         read.time("scheduler", "election-timeout");
     replica.options.heartbeat_interval = read.time("scheduler", "heartbeat");
