--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -51,6 +51,9 @@
     std::size_t batch_bytes = 1U << 20U;
     /// Largest part of a snapshot's state in one message, in bytes.
     std::size_t part_bytes = 1U << 20U;
+    /// Records that a snapshot covers and that stay in memory, for replicas
+    /// that are a little behind.
+    kept_records kept{};
     std::uint64_t seed = 1;
     /// Target number of voters, the seats. While fewer vote, a record is
     /// committed only if a majority of the seats holds it, or all voters do.
@@ -244,6 +247,8 @@
         // Set from the first part of a snapshot until an answer shows that the
         // peer holds all records that were committed when its round was sent.
         bool installing = false;
+        // The peer reads deflated records and parts.
+        bool reads_packed = false;
         // Bytes of records and parts sent in this term.
         std::uint64_t sent_bytes = 0;
     };
