--- a/tests/cli/program.hpp
+++ b/tests/cli/program.hpp
@@ -65,22 +65,23 @@
 /// \brief A program that runs beside the test; it is killed at the end.
 class process {
 public:
+    /// \param environment more variables, as NAME=VALUE
     process(const std::string& program, std::vector<std::string> arguments,
-        const std::string& output, const std::string& errors) {
+        const std::string& output, const std::string& errors,
+        std::vector<std::string> environment = {}) {
         const std::string path = std::string(DFM_PROGRAMS) + "/" + program;
         arguments.insert(arguments.begin(), path);
-        std::vector<char*> words;
-        words.reserve(arguments.size() + 1);
-        for (std::string& argument : arguments) {
-            words.push_back(argument.data());
+        for (char** variable = environ; *variable != nullptr; ++variable) {
+            environment.emplace_back(*variable);
         }
-        words.push_back(nullptr);
+        std::vector<char*> words = pointers(arguments);
+        std::vector<char*> variables = pointers(environment);
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
         redirect(actions, STDOUT_FILENO, output);
         redirect(actions, STDERR_FILENO, errors);
         if (::posix_spawn(&pid_, path.c_str(), &actions, nullptr, words.data(),
-                environ) != 0) {
+                variables.data()) != 0) {
             pid_ = 0;
         }
         posix_spawn_file_actions_destroy(&actions);
@@ -109,6 +110,15 @@
     }
 
 private:
+    static std::vector<char*> pointers(std::vector<std::string>& texts) {
+        std::vector<char*> made;
+        made.reserve(texts.size() + 1);
+        for (std::string& text : texts) {
+            made.push_back(text.data());
+        }
+        made.push_back(nullptr);
+        return made;
+    }
     static void redirect(posix_spawn_file_actions_t& actions, int target,
         const std::string& path) {
         posix_spawn_file_actions_addopen(&actions, target, path.c_str(),
