--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -169,6 +169,13 @@
     /// its snapshot or the records after it. A newer snapshot would make it
     /// begin again.
     bool is_sending_snapshot(instant now) const;
+    /// \brief Whether this replica leads, and a replica that answers lacks so
+    /// many records that a new snapshot is likely to reach it sooner.
+    bool wants_snapshot(instant now) const;
+    /// \returns the bytes of the committed records after the newest snapshot.
+    std::size_t log_bytes() const;
+    /// \returns the bytes of the newest snapshot's state.
+    std::size_t image_bytes() const { return log_.base().state.size(); }
     /// \returns the identities of replicas whose newest answer to this leader
     /// came under an identity that isn't that of a member.
     const std::map<replica_id, replica_identity>& unadmitted() const {
@@ -229,6 +236,9 @@
     bool fills_message(log_index from) const;
     /// \returns how many records from \p from on fit into a message.
     std::size_t count_for_message(log_index from) const;
+    /// \returns whether the newest snapshot takes less than the records that
+    /// it replaces, from \p from on.
+    bool is_image_smaller(log_index from) const;
     duration retry_delay(const progress& state) const;
     void send_records(const member& peer, progress& state);
     void send_heartbeat(const member& peer, progress& state, instant now);
@@ -275,6 +285,8 @@
     instant last_leader_contact_{};
     instant next_heartbeat_{};
     instant leader_since_{};
+    // When the newest snapshot was saved.
+    instant snapshot_saved_{};
     lead_end lead_end_ = lead_end::none;
     log_index first_own_index_;
     std::uint64_t random_state_;
@@ -359,6 +371,7 @@
         return status;
     }
     log_.compact(std::move(image));
+    snapshot_saved_ = latest_now_;
     return done{};
 }
 
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -17,6 +17,13 @@
 // A peer is silent for up to this many times as long before each resend.
 constexpr unsigned most_doublings = 3;
 
+// A peer that lacks fewer bytes of records is sent these.
+constexpr std::size_t least_replaced_bytes = 256U << 10U;
+
+// The time between two snapshots for peers that are behind, in election
+// timeouts.
+constexpr int timeouts_between_snapshots = 2;
+
 duration transfer_time(std::size_t image_bytes) {
     return std::chrono::milliseconds(
         static_cast<std::int64_t>(image_bytes) / image_bytes_per_millisecond);
@@ -224,6 +231,11 @@
         options_.batch_bytes;
 }
 
+bool replica::is_image_smaller(log_index from) const {
+    return image_bytes() <
+        log_.bytes_between(log_index(from.value() - 1), log_.base().last_index);
+}
+
 // While less than a full message waits for its answer, the records that come
 // meanwhile are gathered for the next one. Records wait until the image before
 // them is installed.
@@ -250,7 +262,8 @@
     for (;;) {
         const bool is_newer = state.image.last < log_.base().last_index;
         if (is_newer &&
-            (state.needs_image() || state.unsent < log_.first_index())) {
+            (state.needs_image() || state.unsent < log_.first_index() ||
+                is_image_smaller(state.unsent))) {
             state.begin_image(log_.base());
         }
         if (!has_due_message(state)) {
@@ -348,6 +361,32 @@
         });
 }
 
+// The image at hand is sent by itself; a new one pays if it takes less than the
+// records after that one. Its size is taken to be that of the image at hand. An
+// image that is half sent is completed first.
+bool replica::wants_snapshot(instant now) const {
+    if (!is_leader() ||
+        now - snapshot_saved_ <
+            options_.election_timeout * timeouts_between_snapshots) {
+        return false;
+    }
+    const std::size_t worth = std::max(least_replaced_bytes, image_bytes());
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        const progress& state = entry.second;
+        const bool is_half_sent =
+            state.needs_image() && state.image.sent * 2 >= state.image.bytes;
+        const log_index held = std::max(
+            log_.base().last_index, log_index(state.unsent.value() - 1));
+        return !is_half_sent &&
+            now - state.acknowledged < options_.election_timeout &&
+            log_.bytes_between(held, applied_) > worth;
+    });
+}
+
+std::size_t replica::log_bytes() const {
+    return log_.bytes_between(log_.base().last_index, applied_);
+}
+
 std::optional<transfer> replica::transfer_to(const replica_id& peer) const {
     const auto found = peers_.find(peer);
     if (!is_leader() || found == peers_.end()) {
--- a/dragonflymount/src/Hosting/ReplicaHost.hpp
+++ b/dragonflymount/src/Hosting/ReplicaHost.hpp
@@ -9,6 +9,7 @@
 #include "dragonflymount/src/Hosting/DataFolder.hpp"
 #include "dragonflymount/src/Hosting/MemberSubject.hpp"
 #include "dragonflymount/src/Hosting/Sender.hpp"
+#include "dragonflymount/src/Hosting/SnapshotDue.hpp"
 #include "dragonflymount/src/Hosting/TurnLog.hpp"
 
 #include <algorithm>
@@ -123,10 +124,6 @@
     // on packing an image. Far less than a heartbeat interval.
     static constexpr duration max_slice = std::chrono::milliseconds(5);
 
-    // A leader that sends a snapshot lets its log grow to this many times the
-    // records after which it would save the next one.
-    static constexpr std::uint64_t most_deferred_snapshots = 4;
-
     // How long a leader may rely on its last contact with a quorum, in percent
     // of the election timeout. The remainder covers clock drift between hosts.
     static constexpr std::int64_t quorum_validity_percent = 90;
@@ -419,14 +416,9 @@
 
 template <replicated_state State>
 void replica_host<State>::save_due_snapshot() {
-    const std::uint64_t since = applied_.index().value() - snapshot_.value();
-    const bool sending =
-        replica_->is_sending_snapshot(runtime::system_clock::now()) &&
-        since < most_deferred_snapshots * settings_.snapshot_records;
-    // The replica refuses a snapshot older than the last change of members.
-    if (!applied_.is_packing() && !applied_.has_pending() && !sending &&
-        since >= settings_.snapshot_records &&
-        replica_->members_index() <= applied_.index()) {
+    if (!applied_.is_packing() && !applied_.has_pending() &&
+        is_snapshot_due(*replica_, applied_.index(), snapshot_,
+            settings_.snapshot_records, runtime::system_clock::now())) {
         applied_.begin_packing();
     }
     if (!applied_.is_packing()) {
--- a/tests/hosting/snapshot_test.cpp
+++ b/tests/hosting/snapshot_test.cpp
@@ -111,6 +111,8 @@
     }
 
     static constexpr std::size_t snapshot_records = 200;
+    // Of 400 KiB each, in 4 MiB and a record.
+    static constexpr std::size_t most_large_records = 12;
 
     replica_group<name_set> group_;
     std::set<std::string> accepted_;
@@ -172,5 +174,26 @@
     }));
 }
 
+// Guards against memory that grows with all that was written: the log kept
+// every record until there were enough of them for a snapshot.
+TEST_F(snapshot, bounds_a_log_of_large_records) {
+    constexpr std::size_t large = 400U << 10U;
+    constexpr std::size_t proposed = 60;
+    group_.save_snapshots_every(snapshot_records);
+    group_.start();
+    ASSERT_TRUE(group_.has_leader());
+    for (std::size_t k = 1; k <= proposed; ++k) {
+        group_.leader()->host().propose(bytes(large, 'x'),
+            [this](const wire::ProposeReplyT&) { ++answered_; });
+        ASSERT_TRUE(all_answered(k));
+    }
+    EXPECT_TRUE(group_.run_until([&] {
+        return std::all_of(
+            group_.nodes().begin(), group_.nodes().end(), [](auto& each) {
+                return each.host().replica().log_size() <= most_large_records;
+            });
+    }));
+}
+
 } // namespace
 } // namespace dragonflymount::hosting_test
