Change members while a voter is down and holds a seat

With three voters of five seats a new leader commits nothing while the voter that led before is down, and it changed members only after a commit of its own: replacements that had caught up got no vote until that voter was back. A record of its term on a majority, after a list that is known to be committed, excludes every rival that might write another list, so that is enough. member_keeper goes by that, and still reports a leader that isn't settled.

are_taken_while_the_leader_before_is_down failed with the condition as it was, and passes.

--- a/dragonflymount/src/Agreement/Membership.cpp
+++ b/dragonflymount/src/Agreement/Membership.cpp
@@ -33,7 +33,7 @@
 result<log_index> replica::change(
     wire::replica_change change, const member& subject, instant now) {
     check_quorum(now);
-    if (failed_ || !has_committed_in_term()) {
+    if (failed_ || !may_change_members()) {
         return change_failure(subject.id, errc::not_leader, "ask the leader");
     }
     if (!is_list_committed()) {
@@ -149,7 +149,7 @@
         std::min(commit_quorum(members, options_.voters), voters - lost));
 }
 
-void replica::advance_commit() {
+log_index replica::held_by(std::size_t count) const {
     std::vector<log_index> matched;
     for (const member& peer : log_.members()) {
         if (!peer.voter) {
@@ -161,14 +161,26 @@
             matched.push_back(match_index(peer.id));
         }
     }
-    if (matched.empty()) {
-        return;
+    if (matched.size() < count) {
+        return log_index(0);
     }
     std::sort(matched.begin(), matched.end(), std::greater<>());
-    const log_index held = matched[voters_to_commit() - 1];
+    return matched[count - 1];
+}
+
+void replica::advance_commit() {
+    const log_index held = held_by(voters_to_commit());
     if (held > commit_ && log_.term_at(held) == hard_.term) {
         commit_ = held;
     }
 }
 
+// A record of this term on a majority excludes every leader that might write
+// another list after the same one.
+bool replica::may_change_members() const {
+    return has_committed_in_term() ||
+        (options_.voters != 0 && is_leader() &&
+            held_by(voter_count(log_.members()) / 2 + 1) >= first_own_index_);
+}
+
 } // namespace dragonflymount::agreement
--- a/dragonflymount/src/Agreement/Replica.hpp
+++ b/dragonflymount/src/Agreement/Replica.hpp
@@ -129,6 +129,10 @@
     /// its own term. All records committed in earlier terms are then known to
     /// it as committed.
     bool has_committed_in_term() const;
+    /// \brief Whether this leader may change members. With a target number of
+    /// voters that may be before it has committed in its term: a voter that is
+    /// down may hold a seat without which nothing is committed.
+    bool may_change_members() const;
     /// \returns the index of the first record of this leader's term. A state to
     /// which it was applied holds all commands committed in earlier terms.
     log_index first_own_index() const { return first_own_index_; }
@@ -291,6 +295,8 @@
         progress& state, duration retry_delay, instant now) const;
     void append(log_record record);
     void advance_commit();
+    /// \returns the last record that \p count voters hold.
+    log_index held_by(std::size_t count) const;
     void reply_append(const std::string& leader, std::uint64_t round,
         bool accepted, log_index match);
     void set_term(log_term term);
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -37,7 +37,7 @@
             agreement::replica_identity()) {
         return;
     }
-    if (!replica_.is_settled_leader()) {
+    if (!replica_.replica().may_change_members()) {
         wire::JoinReplicaT forwarded(request);
         replica_.send(replica_.replica().leader(),
             wire::make_message(std::move(forwarded)));
@@ -51,13 +51,16 @@
 }
 
 void member_keeper::tick(instant now) {
-    if (!replica_.is_settled_leader()) {
+    if (replica_.is_settled_leader()) {
+        last_in_group_ = now;
+    } else {
+        report_isolation(now);
+    }
+    if (!replica_.replica().may_change_members()) {
         join_requests_.clear();
         ask_to_join(now);
-        report_isolation(now);
         return;
     }
-    last_in_group_ = now;
     if (now < next_change_) {
         return;
     }
--- a/tests/agreement/cluster.hpp
+++ b/tests/agreement/cluster.hpp
@@ -111,6 +111,9 @@
     /// \brief Gives the operator's word that \p lost won't come back to replica
     /// \p k. \returns whether it was accepted.
     bool reform(std::size_t k, const std::set<std::size_t>& lost);
+    /// \brief Asks the leader for a change of replica \p k as it is listed.
+    /// \returns whether it was accepted.
+    bool change(wire::replica_change what, std::size_t k);
     /// \returns the voters in the member list of replica \p k; empty while it
     /// doesn't run.
     std::set<std::size_t> voters_of(std::size_t k) const;
--- a/tests/agreement/cluster_disks.cpp
+++ b/tests/agreement/cluster_disks.cpp
@@ -109,6 +109,15 @@
     return runs && bool(at.core->reform(names, clock_of(at)));
 }
 
+bool cluster::change(wire::replica_change what, std::size_t k) {
+    node& at = nodes_[leader().value()];
+    const member_list members = at.core->members();
+    return std::any_of(members.begin(), members.end(), [&](const member& peer) {
+        return peer.id == nodes_[k].id &&
+            bool(at.core->change(what, peer, clock_of(at)));
+    });
+}
+
 std::set<std::size_t> cluster::voters_of(std::size_t k) const {
     std::set<std::size_t> voters;
     for (std::size_t other = 0; other < nodes_.size(); ++other) {
