Bound the bytes of a batch of jobs

Seen: jobs that arrive at once stop the system.

Cause: the engine put all that had arrived into one batch, and a follower takes no frame above 16 MiB and 64 KiB. Below that, a batch of megabytes is still more than a slow link carries within an election timeout. Evidence, without a network: 240 jobs of 100 kB make one batch of 24,024,120 bytes.

Now a batch has 256 KiB: half for calls, with a catalogue, and half for the ends that endpoints report, so that neither waits for the other. What doesn't fit waits for the next batch, which is proposed as soon as the last one is agreed, in the order of arrival; a single record above the bound goes alone. No run is declared lost or lapsed while a reported end waits, as it would be started again. Lapses, due occurrences and starts aren't bounded by bytes: the first must be judged together, the others are small or bounded by number.

--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -2,6 +2,8 @@
 // them.
 #include "dragonflymount/src/Jobs/Engine.hpp"
 
+#include "dragonflymount/src/Jobs/BatchRoom.hpp"
+#include "dragonflymount/src/Jobs/JobMemory.hpp"
 #include "dragonflymount/src/Jobs/JobReply.hpp"
 
 #include <algorithm>
@@ -25,6 +27,10 @@
         (open < max_open_occurrences && (open + 1) * tasks <= max_open_tasks);
 }
 
+// Bytes of a batch. Ends have half of them, so that neither they nor calls wait
+// for the other.
+constexpr std::size_t most_batch_bytes = 256U << 10U;
+
 // Interval at which evidence about finished tasks is dropped.
 constexpr duration cleanup_interval = std::chrono::seconds(1);
 
@@ -120,26 +126,16 @@
     wire::JobBatchT batch;
     batch.time_ms = wall_ms;
     batch.catalogue = std::move(catalogue_);
-    batch.submitted = std::move(submitted_);
-    submitted_.clear();
-    memory_in_flight_ = std::exchange(submitted_memory_, 0);
     batch.waves = std::move(waves_);
     waves_.clear();
     batch.maintained = std::move(maintained_);
     maintained_.clear();
     batch.evacuations = std::move(evacuations_);
     evacuations_.clear();
-    for (const auto& job : batch.submitted) {
-        submits_in_flight_.insert(job_id(job->id));
-    }
-    for (const job_id id : cancelled_) {
-        auto order = std::make_unique<wire::JobCancelT>();
-        order->job = id.value();
-        batch.cancelled.push_back(std::move(order));
+    collect_calls(batch);
+    if (collect_reported_ends(batch)) {
+        collect_declared_ends(batch, now);
     }
-    cancels_in_flight_ = std::move(cancelled_);
-    cancelled_.clear();
-    collect_ended(batch, now);
     collect_due(batch, wall_ms);
     // No starts in a batch that replaces the catalogue or evacuates a zone:
     // they were chosen under the old limits and zones.
@@ -166,6 +162,32 @@
     return batch;
 }
 
+// What doesn't fit waits for the next batch, in the order of arrival.
+void engine::collect_calls(wire::JobBatchT& batch) {
+    batch_room room(most_batch_bytes / 2);
+    if (batch.catalogue) {
+        room.take(*batch.catalogue);
+    }
+    while (!cancelled_.empty()) {
+        auto order = std::make_unique<wire::JobCancelT>();
+        order->job = cancelled_.begin()->value();
+        if (!room.take(*order)) {
+            return;
+        }
+        batch.cancelled.push_back(std::move(order));
+        cancels_in_flight_.insert(cancelled_.extract(cancelled_.begin()));
+    }
+    while (!submitted_.empty() && room.take(*submitted_.front())) {
+        const wire::JobT& job = *submitted_.front();
+        const std::uint64_t memory = memory_of(job);
+        submitted_memory_ -= memory;
+        memory_in_flight_ += memory;
+        submits_in_flight_.insert(job_id(job.id));
+        batch.submitted.push_back(std::move(submitted_.front()));
+        submitted_.pop_front();
+    }
+}
+
 void engine::add_end(wire::JobBatchT& batch, const run_ref& run,
     const endpoint_life& life, wire::run_end how) const {
     auto ended = std::make_unique<wire::RunEndT>();
@@ -177,23 +199,44 @@
     batch.ended.push_back(std::move(ended));
 }
 
-void engine::collect_ended(wire::JobBatchT& batch, instant now) {
-    ends_in_flight_ = std::move(ended_);
-    ended_.clear();
-    for (const pending_end& pending : ends_in_flight_) {
-        add_end(batch, pending.end.run, pending.life, pending.end.how);
-        batch.ended.back()->checkpoint = pending.end.checkpoint;
-        batch.ended.back()->number = pending.end.number;
-        // The number belongs to the life that listed the end, the run to the
-        // one that the log names.
-        const run_ref& run = pending.end.run;
-        if (const wire::TaskRunT* record =
-                find_former_run(agreed_, pending.life, run)) {
-            add_end(
-                batch, run, {record->endpoint, record->life}, pending.end.how);
-            batch.ended.back()->checkpoint = pending.end.checkpoint;
+// \returns whether the batch has all ends that endpoints have reported.
+bool engine::collect_reported_ends(wire::JobBatchT& batch) {
+    batch_room room(most_batch_bytes / 2);
+    while (!ended_.empty()) {
+        const std::size_t before = batch.ended.size();
+        add_reported_end(batch, ended_.front());
+        const bool fits = std::all_of(
+            batch.ended.begin() + static_cast<std::ptrdiff_t>(before),
+            batch.ended.end(),
+            [&room](const auto& added) { return room.take(*added); });
+        if (!fits && before != 0) {
+            batch.ended.resize(before);
+            return false;
         }
+        ends_in_flight_.push_back(std::move(ended_.front()));
+        ended_.pop_front();
     }
+    return true;
+}
+
+void engine::add_reported_end(
+    wire::JobBatchT& batch, const pending_end& pending) const {
+    add_end(batch, pending.end.run, pending.life, pending.end.how);
+    batch.ended.back()->checkpoint = pending.end.checkpoint;
+    batch.ended.back()->number = pending.end.number;
+    // The number belongs to the life that listed the end, the run to the one
+    // that the log names.
+    const run_ref& run = pending.end.run;
+    if (const wire::TaskRunT* record =
+            find_former_run(agreed_, pending.life, run)) {
+        add_end(batch, run, {record->endpoint, record->life}, pending.end.how);
+        batch.ended.back()->checkpoint = pending.end.checkpoint;
+    }
+}
+
+// Not before all ends that were reported are agreed or in the same batch: a run
+// that is declared lost or lapsed is started again.
+void engine::collect_declared_ends(wire::JobBatchT& batch, instant now) {
     const auto vanished = std::move(vanished_);
     vanished_.clear();
     for (const run_ref& run : vanished) {
--- a/dragonflymount/src/Jobs/Engine.hpp
+++ b/dragonflymount/src/Jobs/Engine.hpp
@@ -16,6 +16,7 @@
 #include "dragonflymount/src/Jobs/Placement.hpp"
 #include "dragonflymount/src/Jobs/UnconfirmedJobs.hpp"
 
+#include <deque>
 #include <functional>
 #include <limits>
 
@@ -126,7 +127,8 @@
     /// delay is high, endpoints are asked to report less often.
     void note_lag(duration lag);
     /// \returns the next batch for the log, or nothing. The caller must report
-    /// the outcome of a returned batch to \c batch_done.
+    /// the outcome of a returned batch to \c batch_done. What came at once and
+    /// is too large for one batch is spread over the next ones.
     std::optional<wire::JobBatchT> take_batch(
         instant now, std::uint64_t wall_ms);
     void batch_done(bool agreed, instant now);
@@ -183,7 +185,11 @@
 
     static duration time_to_hold(duration hold, const endpoint_view& view);
     void collect_ends(const endpoint_report& report);
-    void collect_ended(wire::JobBatchT& batch, instant now);
+    void collect_calls(wire::JobBatchT& batch);
+    bool collect_reported_ends(wire::JobBatchT& batch);
+    void add_reported_end(
+        wire::JobBatchT& batch, const pending_end& pending) const;
+    void collect_declared_ends(wire::JobBatchT& batch, instant now);
     void collect_lapsed(wire::JobBatchT& batch, instant now);
     struct run_evidence {
         run_ref run;
@@ -245,11 +251,11 @@
     log_term term_;
 
     // Collected for the next batch.
-    std::vector<std::unique_ptr<wire::JobT>> submitted_;
+    std::deque<std::unique_ptr<wire::JobT>> submitted_;
     // Invariant: the sum of memory_of over submitted_.
     std::uint64_t submitted_memory_ = 0;
     std::set<job_id> cancelled_;
-    std::vector<pending_end> ended_;
+    std::deque<pending_end> ended_;
     std::unique_ptr<wire::CatalogueT> catalogue_;
     std::vector<std::unique_ptr<wire::MaintenanceWaveT>> waves_;
     std::vector<std::unique_ptr<wire::MaintenanceStepT>> maintained_;
