--- a/tests/agreement/lost_seats_test.cpp
+++ b/tests/agreement/lost_seats_test.cpp
@@ -59,7 +59,7 @@
 
     /// Loses the disks of two voters, and keeps them from catching up.
     std::set<std::size_t> lose_and_hold_two() {
-        const std::set<std::size_t> lost = draw_two();
+        std::set<std::size_t> lost = draw_two();
         lose(lost);
         for (const std::size_t k : lost) {
             group_->hold_records(k, seconds(600));
