Let a majority elect a replica that was told of too few lost members

Operators would see: after a reform that names one of two silent members, the replica that was told so waits for the other one for good, although a majority is back, and if its log is the longest nobody else can lead either.

Cause: with members declared lost a majority of votes didn't count, and only a leader ends the declaration. Now it counts once three quarters of an election timeout have passed, by when the named members count as lost.

--- a/dragonflymount/src/Agreement/Election.cpp
+++ b/dragonflymount/src/Agreement/Election.cpp
@@ -129,7 +129,10 @@
         return;
     }
     const bool pre_vote = role_ == role::pre_candidate;
-    if (declared_lost_.empty() && is_majority(votes_.size())) {
+    // A majority elects as well if members were declared lost, but too few.
+    const bool waits_for_lost = !declared_lost_.empty() &&
+        now - attempt_began_ < options_.election_timeout * 3 / 4;
+    if (!waits_for_lost && is_majority(votes_.size())) {
         pre_vote ? start_election(false, now) : become_leader(now);
     } else if (may_lead_without_lost(now)) {
         if (!pre_vote) {
--- a/tests/agreement/lost_seats_test.cpp
+++ b/tests/agreement/lost_seats_test.cpp
@@ -219,6 +219,31 @@
     expect_end();
 }
 
+// Guards against an operator who names too few: the replica that was told so
+// has the longest log, and waited for the others although a majority was back.
+TEST_F(seats, are_elected_by_a_majority_if_too_few_were_named) {
+    begin(fixed_seed);
+    const std::size_t told = group_->leader().value();
+    std::vector<std::size_t> others;
+    for (std::size_t k = 0; k < size_; ++k) {
+        if (k != told) {
+            others.push_back(k);
+        }
+    }
+    group_->cut_off(others[0], seconds(3));
+    group_->kill(others[1], seconds(10));
+    group_->kill(others[2], seconds(100));
+    group_->kill(others[3], seconds(100));
+    group_->run(seconds(8));
+    ASSERT_FALSE(group_->leader().has_value()) << describe();
+    ASSERT_TRUE(group_->reform(told, {others[2]}));
+    group_->run(seconds(2));
+    EXPECT_TRUE(run_until(recovery_bound, [&] {
+        return group_->leader().has_value();
+    })) << describe();
+    EXPECT_EQ(group_->violation(), "") << describe();
+}
+
 void seats::cause_trouble() {
     const std::size_t k = draw(size_);
     const duration span = milliseconds(draw(4000));
