Don't repeat parts and images that are well under way

By reading, each costs a replica behind some of its time: after a resend whose answers came late, parts that it holds were sent again; a second replica behind made the leader replace an image that was mostly sent to the first; the time allowed for an answer didn't grow with records in flight, as it does with an image; and a record of megabytes was deflated for each peer within one turn. Records above 256 KiB in a message go as they are now.

--- a/dragonflymount/src/Agreement/Batch.cpp
+++ b/dragonflymount/src/Agreement/Batch.cpp
@@ -34,7 +34,7 @@
         entry->payload = std::move(record.payload);
         list.entries.push_back(std::move(entry));
     }
-    if (packed && plain >= least_packed_bytes) {
+    if (packed && plain >= least_packed_bytes && plain <= most_packed_bytes) {
         flatbuffers::FlatBufferBuilder builder;
         builder.Finish(wire::LogEntries::Pack(builder, &list));
         if (auto smaller = wire::deflate(
--- a/dragonflymount/src/Agreement/Batch.hpp
+++ b/dragonflymount/src/Agreement/Batch.hpp
@@ -8,6 +8,8 @@
 
 /// Less than this many bytes are sent as they are.
 inline constexpr std::size_t least_packed_bytes = 4U << 10U;
+/// More than this many bytes would take too long in one turn.
+inline constexpr std::size_t most_packed_bytes = 256U << 10U;
 
 /// \param packed whether the receiver reads deflated records.
 /// \returns the bytes that the records take in \p request.
--- a/dragonflymount/src/Agreement/Progress.cpp
+++ b/dragonflymount/src/Agreement/Progress.cpp
@@ -61,6 +61,7 @@
     retries = 0;
     image.held =
         log_index(reply.part_index) == image.last ? reply.part_bytes : 0;
+    image.sent = std::max(image.sent, image.held);
     answer_delay = now - sent->second.sent;
     const std::optional<flight> newest =
         window.answer(reply.round, answer_delay);
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -220,8 +220,9 @@
     const duration longest =
         std::max(options_.election_timeout, state.answer_delay * 2) *
         (1U << std::min(state.retries, most_doublings));
-    return state.needs_image() ? longest + transfer_time(state.image.bytes)
-                               : longest;
+    return longest +
+        transfer_time(state.needs_image() ? state.image.bytes
+                                          : state.window.bytes_in_flight());
 }
 
 bool replica::fills_message(log_index from) const {
@@ -370,16 +371,23 @@
             options_.election_timeout * timeouts_between_snapshots) {
         return false;
     }
+    const auto answers = [&](const progress& state) {
+        return now - state.acknowledged < options_.election_timeout;
+    };
+    const auto is_half_sent = [&](const auto& entry) {
+        const progress& state = entry.second;
+        return answers(state) && state.needs_image() &&
+            state.image.sent * 2 >= state.image.bytes;
+    };
+    if (std::any_of(peers_.begin(), peers_.end(), is_half_sent)) {
+        return false;
+    }
     const std::size_t worth = std::max(least_replaced_bytes, image_bytes());
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
         const progress& state = entry.second;
-        const bool is_half_sent =
-            state.needs_image() && state.image.sent * 2 >= state.image.bytes;
         const log_index held = std::max(
             log_.base().last_index, log_index(state.unsent.value() - 1));
-        return !is_half_sent &&
-            now - state.acknowledged < options_.election_timeout &&
-            log_.bytes_between(held, applied_) > worth;
+        return answers(state) && log_.bytes_between(held, applied_) > worth;
     });
 }
 
