Run the slow links with seats, and hold packed records as well

Schedulers always have a target number of voters, the group in virtual time on slow links had none; and a replica from which records are held got those in packed batches.

--- a/tests/agreement/cluster.cpp
+++ b/tests/agreement/cluster.cpp
@@ -31,7 +31,8 @@
 bool carries_records(const wire::message& content) {
     const auto* request = content.body.AsAppendRequest();
     return content.body.AsInstallSnapshot() != nullptr ||
-        (request != nullptr && !request->entries.empty());
+        (request != nullptr &&
+            !(request->entries.empty() && request->packed.empty()));
 }
 
 } // namespace
--- a/tests/agreement/paced_group.hpp
+++ b/tests/agreement/paced_group.hpp
@@ -169,6 +169,7 @@
         options.election_timeout = std::chrono::milliseconds(700);
         options.heartbeat_interval = std::chrono::milliseconds(100);
         options.seed = k + 1;
+        options.voters = nodes_.size();
         made.core = std::make_unique<replica>(options, fresh, now_);
         nodes_[k] = std::move(made);
     }
