Count spare disks and give advice by the rule of lost seats

Callers saw spare_disks by the majority of voters alone, and advice that a group goes on by itself although a silent learner blocks that, or that an election is due although too few voters answer to commit.

The leader now asks may_lead_without_lost how many further disks may go, and the status compares the voters that answer with the commit quorum, names silent learners as well, and tells when fewer replicas vote than the settings ask for.

--- a/programs/operator/replicas/group_status.cpp
+++ b/programs/operator/replicas/group_status.cpp
@@ -139,6 +139,10 @@
         group.spare_disks == 1       ? " more disk may be lost now."
             : group.spare_disks == 0 ? " may be lost now."
                                      : " more disks may be lost now.");
+    if (group.voters < group.voters_wanted) {
+        absl::StrAppend(&text, "\n", group.voters, " of ", group.voters_wanted,
+            " voters that the settings ask for.");
+    }
     bool behind = false;
     for (const replica_row& row : group.rows) {
         if (!row.gap.empty() && row.gap != "none") {
@@ -163,49 +167,54 @@
     }
 }
 
+std::string reform_command(
+    const group_status& group, const std::vector<std::string>& lost) {
+    return absl::StrCat("\n  dfm replica reform --replicas ",
+        group.rows[group.newest].address, " --without ",
+        absl::StrJoin(lost, ","), " --author WHO");
+}
+
 std::string advise(const group_status& group) {
-    const auto silent = group.voters_in(replica_state::silent);
-    const auto failed = group.voters_in(replica_state::failed_disk);
-    const std::size_t sound = group.voters_in(replica_state::sound).size();
     if (group.newest < 0) {
         return "No voter that has its log answers: start one that still has "
                "its disk.";
     }
     const replica_row& newest = group.rows[group.newest];
-    std::string text =
-        absl::StrCat(newest.name, " holds the newest log: ", "record ",
+    const std::string text =
+        absl::StrCat(newest.name, " holds the newest log: record ",
             newest.last_index, " of term ", newest.term, ".\n");
-    if (sound > group.voters / 2) {
+    if (group.voters_in(replica_state::sound).size() >= group.needed) {
         return text +
-            "A majority of the voters answers, so an election is due; look "
-            "again in a few seconds. If none succeeds, see whether they reach "
-            "each other.";
+            "Enough voters answer, so an election is due; look again in a few "
+            "seconds. If none succeeds, see whether they reach each other.";
     }
-    if (silent.empty() && failed.empty()) {
+    std::vector<std::string> gone = group.members_in(replica_state::silent);
+    const auto failed = group.members_in(replica_state::failed_disk);
+    gone.insert(gone.end(), failed.begin(), failed.end());
+    if (gone.empty()) {
         return text +
-            "All other voters answer under new identities, so the group goes "
-            "on by itself; look again in a few seconds.";
+            "All others answer, so the group goes on by itself within seconds, "
+            "unless too many disks were lost at once. Only if nobody leads "
+            "after 10 s:" +
+            reform_command(
+                group, group.members_in(replica_state::new_identity));
     }
-    std::vector<std::string> gone(silent);
-    gone.insert(gone.end(), failed.begin(), failed.end());
     return text + "Start " + absl::StrJoin(gone, ", ") +
-        " if their disks are intact: they may hold records that no other "
-        "has.\nOnly if they are gone for good:\n  dfm replica reform "
-        "--replicas " +
-        newest.address + " --without " + absl::StrJoin(gone, ",") +
-        " --author WHO";
+        " if the disk is intact: it may hold records that no other has.\n"
+        "Only if gone for good:" +
+        reform_command(group, gone);
 }
 
 std::string describe_loss(const group_status& group) {
     std::string text = absl::StrCat("Nobody leads. A leader needs ",
-        group.voters / 2 + 1, " of ", group.voters, " voters.");
-    append_names(
-        text, "answer with their log", group.voters_in(replica_state::sound));
+        group.needed, " of ", group.voters, " voters.");
+    append_names(text, "voters that answer with their log",
+        group.voters_in(replica_state::sound));
     append_names(text, "answer under a new identity (their disk is lost)",
-        group.voters_in(replica_state::new_identity));
+        group.members_in(replica_state::new_identity));
     append_names(
-        text, "failed disk", group.voters_in(replica_state::failed_disk));
-    append_names(text, "silent", group.voters_in(replica_state::silent));
+        text, "failed disk", group.members_in(replica_state::failed_disk));
+    append_names(text, "silent", group.members_in(replica_state::silent));
     return text + "\n" + advise(group);
 }
 
@@ -235,6 +244,16 @@
     return found == rows.end() ? nullptr : &*found;
 }
 
+std::vector<std::string> group_status::members_in(replica_state state) const {
+    std::vector<std::string> names;
+    for (const replica_row& row : rows) {
+        if (!row.name.empty() && row.state == state) {
+            names.push_back(row.name);
+        }
+    }
+    return names;
+}
+
 std::vector<std::string> group_status::voters_in(replica_state state) const {
     std::vector<std::string> names;
     for (const replica_row& row : rows) {
@@ -259,6 +278,9 @@
     }
     add_strangers(answers, group);
     find_roles(group);
+    group.needed = std::max(
+        group.voters / 2 + 1, best->value("commit_quorum", std::size_t{0}));
+    group.voters_wanted = best->value("voters_wanted", std::size_t{0});
     group.spare_disks = best->value("spare_disks", std::size_t{0});
     if (group.has_leader()) {
         group.verdict = describe_lead(group);
@@ -317,7 +339,8 @@
     return {{"replicas", std::move(rows)},
         {"leader", group.has_leader() ? group.rows[group.leader].name : ""},
         {"newest", group.newest < 0 ? "" : group.rows[group.newest].name},
-        {"voters", group.voters}, {"spare_disks", group.spare_disks},
+        {"voters", group.voters}, {"voters_wanted", group.voters_wanted},
+        {"needed", group.needed}, {"spare_disks", group.spare_disks},
         {"verdict", group.verdict}};
 }
 
--- a/programs/operator/replicas/group_status.hpp
+++ b/programs/operator/replicas/group_status.hpp
@@ -59,12 +59,18 @@
     /// would make the leader; negative if none answers.
     int newest = -1;
     std::size_t voters = 0;
+    std::size_t voters_wanted = 0;
+    /// How many voters must answer with their log, so that a leader is elected
+    /// and commits.
+    std::size_t needed = 0;
     std::size_t spare_disks = 0;
     /// What it means and what to do next.
     std::string verdict;
 
     bool has_leader() const { return leader >= 0; }
     const replica_row* find(const std::string& name) const;
+    /// \returns the names of the members in \p state.
+    std::vector<std::string> members_in(replica_state state) const;
     /// \returns the names of the voters in \p state.
     std::vector<std::string> voters_in(replica_state state) const;
 };
--- a/programs/scheduler/member_view.cpp
+++ b/programs/scheduler/member_view.cpp
@@ -1,6 +1,8 @@
 // Finds the members that aren't whole.
 #include "programs/scheduler/member_view.hpp"
 
+#include "dragonflymount/src/Agreement/LostSeats.hpp"
+
 #include <algorithm>
 
 namespace dragonflymount::scheduler_program {
@@ -27,14 +29,43 @@
                                          : member_gap::lagging;
 }
 
-std::size_t count_voters(const agreement::member_list& members) {
-    return static_cast<std::size_t>(std::count_if(members.begin(),
-        members.end(), [](const auto& peer) { return peer.voter; }));
-}
-
-bool answers_as_voter(const member_view& peer) {
-    return peer.subject.voter && peer.gap != member_gap::new_disk &&
-        peer.gap != member_gap::silent;
+// Which of the sound voters lose their disks makes no difference, so the leader
+// stays and the others go one after another, each back under a new identity.
+std::size_t count_spare_disks(
+    const agreement::replica& leader, const group_view& seen) {
+    const auto& members = leader.members();
+    agreement::attempt_answers attempt;
+    attempt.answers[leader.self()] = {leader.identity(), true};
+    std::size_t silent_voters = 0;
+    std::vector<replica_id> sound;
+    for (const member_view& peer : seen.others) {
+        const replica_id& id = peer.subject.id;
+        if (peer.gap == member_gap::silent) {
+            silent_voters += peer.subject.voter ? 1 : 0;
+        } else if (peer.gap == member_gap::new_disk) {
+            attempt.answers[id] = {leader.unadmitted().at(id)};
+        } else {
+            attempt.answers[id] = {peer.subject.identity, peer.subject.voter};
+            if (peer.subject.voter) {
+                sound.push_back(id);
+            }
+        }
+    }
+    if (seen.voters - silent_voters <
+        agreement::commit_quorum(members, seen.voters_wanted)) {
+        return 0;
+    }
+    std::size_t spare = 0;
+    for (const replica_id& id : sound) {
+        attempt.answers[id] = {agreement::replica_identity()};
+        if (!agreement::has_majority(members, attempt) &&
+            !agreement::may_lead_without_lost(
+                members, seen.voters_wanted, attempt)) {
+            break;
+        }
+        ++spare;
+    }
+    return spare;
 }
 
 json describe(const agreement::member& peer) {
@@ -77,9 +108,8 @@
     const agreement::replica& leader, std::size_t voters_wanted, instant now) {
     group_view seen;
     seen.last = leader.last_index();
-    seen.voters = count_voters(leader.members());
+    seen.voters = agreement::voter_count(leader.members());
     seen.voters_wanted = voters_wanted;
-    std::size_t sound = 1;
     for (const agreement::member& peer : leader.members()) {
         if (peer.id == leader.self()) {
             continue;
@@ -90,11 +120,9 @@
         view.records_left =
             seen.last.value() - std::min(seen.last, view.match).value();
         view.sent = leader.transfer_to(peer.id).value_or(agreement::transfer());
-        sound += answers_as_voter(view) ? 1 : 0;
         seen.others.push_back(std::move(view));
     }
-    const std::size_t majority = seen.voters / 2 + 1;
-    seen.spare_disks = sound - std::min(sound, majority);
+    seen.spare_disks = count_spare_disks(leader, seen);
     return seen;
 }
 
@@ -109,7 +137,9 @@
         {"last_term", asked.last_term().value()},
         {"commit", asked.commit_index().value()},
         {"hears", asked.hears_leader(now) ? asked.leader().str() : ""},
-        {"voters", count_voters(members)}, {"voters_wanted", voters_wanted},
+        {"voters", agreement::voter_count(members)},
+        {"voters_wanted", voters_wanted},
+        {"commit_quorum", agreement::commit_quorum(members, voters_wanted)},
         {"members", json::array()}};
     if (!asked.is_leader()) {
         for (const agreement::member& peer : members) {
--- a/programs/scheduler/member_view.hpp
+++ b/programs/scheduler/member_view.hpp
@@ -40,7 +40,8 @@
     /// Members with a vote, this leader among them.
     std::size_t voters = 0;
     std::size_t voters_wanted = 0;
-    /// Disks that may be lost now without losing the quorum.
+    /// Further disks that may be lost at once if their replicas come back on
+    /// empty ones: a leader is elected all the same, and holds every record.
     std::size_t spare_disks = 0;
     /// The members besides the leader.
     std::vector<member_view> others;
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -201,7 +201,7 @@
     page.metric("dfm_replica_voters_wanted", "gauge", "Votes to be had.")
         .value(static_cast<double>(seen.voters_wanted));
     page.metric("dfm_replica_spare_disks", "gauge",
-            "Disks that may be lost now without losing the quorum.")
+            "Further disks that the group can lose now.")
         .value(static_cast<double>(seen.spare_disks));
     const auto add_members = [&](const char* name, const char* type,
                                  const char* help, const auto& figure) {
--- a/tests/cli/group_test.cpp
+++ b/tests/cli/group_test.cpp
@@ -52,6 +52,22 @@
         << group.verdict;
 }
 
+// Guards against waiting for a leader that can't commit: with a quorum of three
+// and one voter of three silent, two don't suffice, and a silent learner blocks
+// an election without the lost.
+TEST(group_status, counts_seats_and_learners) {
+    auto short_of_one = answer("c1", 1, 4, 70);
+    short_of_one.content["commit_quorum"] = 3;
+    EXPECT_TRUE(has(
+        assess({short_of_one, answer("c2", 1, 4, 70), silent("c3")}).verdict,
+        "--without c3 "));
+    auto learner = answer("c1", 1, 4, 70);
+    learner.content["members"][2]["voter"] = false;
+    EXPECT_TRUE(
+        has(assess({learner, answer("c2", 9, 0, 0), silent("c3")}).verdict,
+            "--without c3 "));
+}
+
 // Guards against a call for a reform where none is needed.
 TEST(group_status, awaits_a_group_that_goes_on_by_itself) {
     EXPECT_TRUE(has(assess({answer("c2", 9, 0, 0), answer("c1", 1, 4, 70),
