Say more plainly what the newcomer stumbles on

Comments that had to be read twice, a sentence for operators that two commands compared to tell that nobody answered, numbers without a name in elections, a count of delivered bytes that could pass below zero between a write and its handler (by reading), and pages that contradicted each other or the code.

--- a/dragonflymount/src/Agreement/Election.cpp
+++ b/dragonflymount/src/Agreement/Election.cpp
@@ -6,11 +6,23 @@
 namespace dragonflymount::agreement {
 namespace {
 
-// A leader whose disk is lost, and all its voters, may have used terms that no
-// living replica knows. Its messages may arrive late; each election takes at
-// least an election timeout, so it used far fewer terms meanwhile.
+// Terms that may have been used without a living replica knowing: by a leader
+// and its voters whose disks are lost. Messages of that leader may still
+// arrive. Each term takes an election timeout at least, so far fewer than this
+// pass while a message is delayed.
 constexpr std::uint64_t lost_terms = 1000;
 
+// A member that was named as lost by mistake has this long to answer.
+duration time_to_answer(duration election_timeout) {
+    return election_timeout / 2;
+}
+
+// A majority of votes elects after this long if too few members were named: it
+// is later than time_to_answer, and before the next attempt.
+duration time_for_named(duration election_timeout) {
+    return election_timeout * 3 / 4;
+}
+
 bool has_voter(const result<member_list>& list, const replica_id& id,
     replica_identity identity) {
     return list &&
@@ -72,7 +84,8 @@
     votes_ = {options_.self};
     reset_election_timer(now);
     if (options_.voters != 0) {
-        // A restart begins the same series of random numbers again, but later.
+        // After a restart the random numbers repeat; the clock tells the
+        // attempts apart.
         attempt_ = next_random() ^
             static_cast<std::uint64_t>(now.time_since_epoch().count());
         attempt_began_ = now;
@@ -100,8 +113,7 @@
 
 attempt_answers replica::answers_at(instant now) const {
     attempt_answers attempt{answers_, {}};
-    // One that was named by mistake has this long to answer.
-    if (now - attempt_began_ >= options_.election_timeout / 2) {
+    if (now - attempt_began_ >= time_to_answer(options_.election_timeout)) {
         attempt.declared_lost = declared_lost_;
     }
     return attempt;
@@ -129,9 +141,8 @@
         return;
     }
     const bool pre_vote = role_ == role::pre_candidate;
-    // A majority elects as well if members were declared lost, but too few.
     const bool waits_for_lost = !declared_lost_.empty() &&
-        now - attempt_began_ < options_.election_timeout * 3 / 4;
+        now - attempt_began_ < time_for_named(options_.election_timeout);
     if (!waits_for_lost && is_majority(votes_.size())) {
         pre_vote ? start_election(false, now) : become_leader(now);
     } else if (may_lead_without_lost(now)) {
--- a/dragonflymount/src/Agreement/Log.cpp
+++ b/dragonflymount/src/Agreement/Log.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// What a record takes beside its payload.
+// Bytes that a record takes beside its payload, about.
 constexpr std::size_t record_overhead = 32;
 
 } // namespace
--- a/dragonflymount/src/Agreement/Replication.cpp
+++ b/dragonflymount/src/Agreement/Replication.cpp
@@ -10,11 +10,11 @@
 
 constexpr std::size_t max_stored_rounds = 256;
 
-// Lowest rate at which a snapshot is expected to be sent, read and synced. It
-// sets how long the leader waits for the answer of a silent peer.
-constexpr std::int64_t image_bytes_per_millisecond = 2000;
+// Lowest rate at which records or an image are expected to be sent, read and
+// synced. Extends the wait for an answer.
+constexpr std::int64_t least_bytes_per_millisecond = 2000;
 
-// A peer is silent for up to this many times as long before each resend.
+// The wait for an answer doubles with each resend, at most this often.
 constexpr unsigned most_doublings = 3;
 
 // A peer that lacks fewer bytes of records is sent these.
@@ -24,9 +24,9 @@
 // timeouts.
 constexpr int timeouts_between_snapshots = 2;
 
-duration transfer_time(std::size_t image_bytes) {
+duration transfer_time(std::size_t size) {
     return std::chrono::milliseconds(
-        static_cast<std::int64_t>(image_bytes) / image_bytes_per_millisecond);
+        static_cast<std::int64_t>(size) / least_bytes_per_millisecond);
 }
 
 } // namespace
--- a/dragonflymount/src/Jobs/Engine.cpp
+++ b/dragonflymount/src/Jobs/Engine.cpp
@@ -27,8 +27,8 @@
         (open < max_open_occurrences && (open + 1) * tasks <= max_open_tasks);
 }
 
-// Bytes of a batch. Ends have half of them, so that neither they nor calls wait
-// for the other.
+// Bytes of the calls and the reported ends in a batch. Each has half, so that
+// neither waits for the other.
 constexpr std::size_t most_batch_bytes = 256U << 10U;
 
 // Interval at which evidence about finished tasks is dropped.
--- a/dragonflymount/src/Runtime/Connection.cpp
+++ b/dragonflymount/src/Runtime/Connection.cpp
@@ -15,12 +15,12 @@
 
 constexpr duration first_retry_delay = std::chrono::milliseconds(50);
 constexpr duration connect_timeout = std::chrono::seconds(2);
-// From the begin of an attempt that goes unanswered to that of the next.
+// Time from the begin of an unanswered attempt to the begin of the next one.
 constexpr duration attempt_interval = std::chrono::milliseconds(400);
 // Room for the begin of a frame's payload.
 constexpr std::size_t first_part_bytes = 64U << 10U;
-// Of a frame's payload, to count as a sign of life: less than a segment of TCP,
-// so that any link that carries something satisfies it.
+// Bytes of a frame's payload that count as a sign of life. Less than a segment
+// of TCP on Ethernet, so that each segment that arrives counts.
 constexpr std::size_t least_progress_bytes = 1024;
 
 std::uint64_t next_number() {
@@ -206,11 +206,15 @@
         });
 }
 
+// Bytes that the socket has taken and whose handler hasn't run yet count twice,
+// so the difference is bounded. If the system doesn't tell what the peer has
+// acknowledged, what the socket has taken counts as delivered.
 std::uint64_t connection::delivered_bytes() {
     unacknowledged_command unacknowledged;
     asio::error_code ignored;
     socket_.io_control(unacknowledged, ignored);
-    return sent_bytes_ - outgoing_bytes_ - unacknowledged.bytes();
+    const std::uint64_t taken = sent_bytes_ - outgoing_bytes_;
+    return taken - std::min<std::uint64_t>(taken, unacknowledged.bytes());
 }
 
 void connection::watch() {
@@ -357,9 +361,9 @@
     }
 }
 
-// A machine that is down answers nothing at all. An attempt that was begun just
-// before it comes back may take until its end, while a slow link takes long for
-// each, so the next one is begun beside it.
+// An attempt begun while the machine is down may wait until its timeout,
+// although the machine is back. A shorter timeout would fail on slow links, so
+// the next attempt begins beside an unanswered one.
 void link::connect() {
     const auto endpoint = parse_address(address_);
     if (!endpoint) {
--- a/programs/operator/replicas/group_commands.cpp
+++ b/programs/operator/replicas/group_commands.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
+#include <algorithm>
 #include <set>
 
 namespace dragonflymount::operator_program {
@@ -15,6 +16,11 @@
 // A machine that is gone doesn't answer at all.
 constexpr duration answer_limit = std::chrono::milliseconds(1500);
 
+bool has_answer(const std::vector<replica_answer>& answers) {
+    return std::any_of(answers.begin(), answers.end(),
+        [](const replica_answer& one) { return one.content.is_object(); });
+}
+
 replica_answer ask_members(const std::string& address) {
     wire::QueryT question;
     question.subject = "members";
@@ -93,10 +99,10 @@
 
 outcome show_group(const options& given) {
     const auto answers = ask_group(given);
-    const group_status group = assess(answers);
-    if (group.verdict == "No replica answered.") {
+    if (!has_answer(answers)) {
         return no_answer(answers);
     }
+    const group_status group = assess(answers);
     return {group.has_leader() ? runtime::status_ok : runtime::status_failed,
         table_of(group), to_json(group)};
 }
@@ -110,10 +116,10 @@
         return misused("expected --author WHO, who asks for the change");
     }
     const auto answers = ask_group(given);
-    const group_status group = assess(answers);
-    if (group.rows.empty() || group.verdict == "No replica answered.") {
+    if (!has_answer(answers)) {
         return no_answer(answers);
     }
+    const group_status group = assess(answers);
     const std::string objection = find_objection(group, given.without);
     if (!objection.empty()) {
         return refused(objection);
--- a/programs/operator/replicas/group_status.cpp
+++ b/programs/operator/replicas/group_status.cpp
@@ -133,12 +133,17 @@
     }
 }
 
+std::string describe_spare_disks(std::size_t count) {
+    if (count == 0) {
+        return "No disk may be lost now.";
+    }
+    return absl::StrCat(
+        count, count == 1 ? " more disk" : " more disks", " may be lost now.");
+}
+
 std::string describe_lead(const group_status& group) {
     std::string text = absl::StrCat(group.rows[group.leader].name, " leads. ",
-        group.spare_disks == 0 ? "No disk" : absl::StrCat(group.spare_disks),
-        group.spare_disks == 1       ? " more disk may be lost now."
-            : group.spare_disks == 0 ? " may be lost now."
-                                     : " more disks may be lost now.");
+        describe_spare_disks(group.spare_disks));
     if (group.voters < group.voters_wanted) {
         absl::StrAppend(&text, "\n", group.voters, " of ", group.voters_wanted,
             " voters that the settings ask for.");
--- a/programs/scheduler/member_keeper.cpp
+++ b/programs/scheduler/member_keeper.cpp
@@ -6,7 +6,7 @@
 namespace dragonflymount::scheduler_program {
 namespace {
 
-// Until a change is proposed again that wasn't agreed.
+// Time until a change that wasn't agreed is proposed again.
 constexpr duration change_interval = std::chrono::milliseconds(200);
 constexpr duration join_interval = std::chrono::milliseconds(500);
 // Longer than a restart and an election take.
--- a/programs/scheduler/scheduler.cpp
+++ b/programs/scheduler/scheduler.cpp
@@ -198,7 +198,8 @@
     const group_view seen = view_group(replica, settings_.voters, now);
     page.metric("dfm_replica_voters", "gauge", "Members with a vote.")
         .value(static_cast<double>(seen.voters));
-    page.metric("dfm_replica_voters_wanted", "gauge", "Votes to be had.")
+    page.metric("dfm_replica_voters_wanted", "gauge",
+            "Voters that the settings ask for.")
         .value(static_cast<double>(seen.voters_wanted));
     page.metric("dfm_replica_spare_disks", "gauge",
             "Further disks that the group can lose now.")
@@ -212,7 +213,7 @@
         }
     };
     add_members("dfm_replica_behind_seconds", "gauge",
-        "Since when the member isn't whole, 0 if it is.",
+        "Seconds for which the member hasn't been whole, 0 if it is.",
         [&](const member_view& peer) {
             return std::chrono::duration<double>(
                 report_.behind_for(peer.subject.id, now))
